--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+)
+
+// Errors of store calls.
+var (
+	ErrUnavailable = errors.New("the store cannot be reached")
+	ErrLimited     = errors.New("the store refused the call because of its rate limit")
+	ErrTooLarge    = errors.New("the value exceeds the store's size limit")
+)
+
+// Entry is one key of the store; Version 0 means that the key does not exist.
+type Entry struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Put is one conditional write: it takes effect only while the key's version is IfVersion.
+type Put struct {
+	Key       string
+	Value     []byte
+	IfVersion uint64        // Zero means that the key must not exist.
+	TTL       time.Duration // When positive, the key disappears after this time without a further Put.
+}
+
+// Written is the result of a Put.
+type Written struct {
+	Outcome budget.Outcome
+	Version uint64 // The new version when the outcome is TookEffect.
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get reads one key.
+	Get(ctx context.Context, key string) (Entry, error)
+	// Put writes one key on a condition. The error says why the outcome is not TookEffect.
+	Put(ctx context.Context, put Put) (Written, error)
+	// List reads all keys that begin with prefix, in order.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Watch waits until a key has a version above after, or until wait has passed, and reads it.
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
+}
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,35 @@
+package platform
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// NewHTTPClient returns a client that sends each request exactly once and bounds every wait.
+//
+// The library's defaults repeat idempotent requests up to five times when a
+// server closes the connection, which would turn a conditional write that took
+// effect into a conflict and could run an order twice.
+func NewHTTPClient(timeout time.Duration, maxConns int) *fasthttp.Client {
+	return &fasthttp.Client{
+		Name:                          "foxtaillanding",
+		MaxConnsPerHost:               maxConns,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    neverRetry,
+		ReadTimeout:                   timeout,
+		WriteTimeout:                  timeout,
+		MaxIdleConnDuration:           30 * time.Second,
+		MaxConnWaitTimeout:            time.Second,
+		DisableHeaderNamesNormalizing: false,
+		NoDefaultUserAgentHeader:      true,
+		Dial: func(addr string) (net.Conn, error) {
+			return fasthttp.DialTimeout(addr, time.Second)
+		},
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// FaultsPath is where the faults of every stand-in are read and replaced.
+const FaultsPath = "/Faults"
+
+// Server is a stand-in that listens.
+type Server struct {
+	Address string // Host and port that it listens on.
+
+	http *fasthttp.Server
+}
+
+// Serve starts handler on address; port 0 takes a free one.
+func Serve(address string, handler fasthttp.RequestHandler) (*Server, error) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s", address)
+	}
+	s := &Server{
+		Address: ln.Addr().String(),
+		http: &fasthttp.Server{
+			Name:                  "standin",
+			Handler:               handler,
+			MaxRequestBodySize:    4 << 20,
+			ReadTimeout:           time.Minute,
+			WriteTimeout:          5 * time.Minute,
+			IdleTimeout:           time.Minute,
+			CloseOnShutdown:       true,
+			NoDefaultServerHeader: true,
+			Logger:                silentLogger{},
+		},
+	}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Close stops the server without waiting for open connections.
+func (s *Server) Close() error {
+	done := make(chan error, 1)
+	go func() { done <- s.http.Shutdown() }()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(100 * time.Millisecond):
+		return nil
+	}
+}
+
+type silentLogger struct{}
+
+func (silentLogger) Printf(string, ...any) {}
+
+// serveFaults reads or replaces the faults of a stand-in; set keeps them under its own lock.
+func serveFaults[F any](ctx *fasthttp.RequestCtx, get func() F, set func(F)) {
+	if !ctx.IsPut() {
+		writeJSON(ctx, get())
+		return
+	}
+	var faults F
+	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	set(faults)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// breakConnection closes the connection without an answer.
+func breakConnection(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
--- /dev/null
+++ b/pkg/endpoint/backend.go
@@ -0,0 +1,125 @@
+package endpoint
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Limits of what is remembered and of how fast estimates follow measurements.
+const (
+	prefixesKept      = 512
+	speedSmoothing    = 0.2
+	defaultSpeed      = 50.0   // Tokens a second of one stream.
+	defaultPromptRate = 2000.0 // Prompt tokens a second.
+)
+
+// backend is a Pool's state for one endpoint.
+type backend struct {
+	Endpoint
+
+	running map[string]*job // This router's attempts in flight.
+
+	report      Load
+	reportAt    time.Time
+	ownAtReport int // This router's attempts in flight when the report came.
+
+	tokenTime  float64 // Seconds for each output token, measured.
+	promptTime float64 // Seconds for each prompt token, measured.
+
+	leavingBySettings bool
+	leavingByReport   bool
+	downUntil         time.Time
+	deaths            int // Since the last finished request.
+
+	prefixes *simplelru.LRU[uint64, struct{}]
+}
+
+func newBackend(e Endpoint) *backend {
+	prefixes, _ := simplelru.NewLRU[uint64, struct{}](prefixesKept, nil)
+	b := &backend{running: map[string]*job{}, prefixes: prefixes}
+	b.describe(e)
+	b.tokenTime = 1 / b.TokensPerSecond
+	b.promptTime = 1 / b.PromptPerSecond
+	return b
+}
+
+func (b *backend) describe(e Endpoint) {
+	b.Endpoint = e
+	orFloat(&b.TokensPerSecond, defaultSpeed)
+	orFloat(&b.PromptPerSecond, defaultPromptRate)
+	orInt(&b.Slots, 1)
+}
+
+func (b *backend) leaving() bool { return b.leavingBySettings || b.leavingByReport }
+
+// usable reports whether a new request may be sent.
+//
+// An endpoint that died gets one request at a time until one finishes.
+func (b *backend) usable(now time.Time) bool {
+	if b.leaving() || now.Before(b.downUntil) {
+		return false
+	}
+	return b.deaths == 0 || len(b.running) == 0
+}
+
+// others estimates the requests of other routers on the endpoint; a report counts less as it ages.
+func (b *backend) others(now time.Time, trust time.Duration) float64 {
+	seen := float64(b.report.Running + b.report.Waiting - b.ownAtReport)
+	if seen <= 0 {
+		return 0
+	}
+	age := now.Sub(b.reportAt).Seconds()
+	return seen * math.Exp2(-age/trust.Seconds())
+}
+
+func (b *backend) occupied(now time.Time, p Policy) float64 {
+	return float64(len(b.running)) + b.others(now, p.ReportTrust)
+}
+
+func (b *backend) hasSlot(now time.Time, p Policy) bool {
+	return b.occupied(now, p)+1 <= float64(b.Slots)*(1+p.SlotTolerance)
+}
+
+// startTime estimates the seconds until the first token of r if it is sent now.
+func (b *backend) startTime(now time.Time, r *Request, p Policy) float64 {
+	prompt := float64(r.PromptTokens) * b.promptTime
+	if r.Prefix != 0 && b.prefixes.Contains(r.Prefix) {
+		prompt *= 1 - p.CacheBenefit
+	}
+	over := b.occupied(now, p) + 1 - float64(b.Slots)
+	if over <= 0 {
+		return prompt
+	}
+	return prompt + over/float64(b.Slots)*b.serviceTime(r)
+}
+
+// serviceTime estimates the seconds for which r occupies a slot.
+func (b *backend) serviceTime(r *Request) float64 {
+	return float64(r.PromptTokens)*b.promptTime + float64(r.OutputTokens)*b.tokenTime
+}
+
+func (b *backend) hasSuspect() bool {
+	for _, j := range b.running {
+		if j.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *backend) serves(name string) bool { return slices.Contains(b.Serves, name) }
+
+func (b *backend) measurePrompt(seconds float64, tokens int64) {
+	if tokens > 0 {
+		b.promptTime += speedSmoothing * (seconds/float64(tokens) - b.promptTime)
+	}
+}
+
+func (b *backend) measureOutput(seconds float64, tokens int64) {
+	if tokens > 0 {
+		b.tokenTime += speedSmoothing * (seconds/float64(tokens) - b.tokenTime)
+	}
+}
