--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -11,7 +11,7 @@
 
 // account is a holder's state for one budget.
 //
-// Invariant: mine.Spent + mine.Returned + reserved <= mine.Granted, and
+// Invariant: reserved <= mine.Held(), and
 // mine.Granted never exceeds what the store's record grants.
 type account struct {
 	budget   string
@@ -52,7 +52,7 @@
 }
 
 func (a *account) headroom() int64 {
-	return a.mine.Granted - a.mine.Returned - a.mine.Spent - a.reserved
+	return a.mine.Held() - a.reserved
 }
 
 func (a *account) busy() bool {
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -57,7 +57,8 @@
 	target := a.target(p)
 	headroom := a.headroom()
 	idle := now.Sub(a.usedAt) >= p.ReturnAfter
-	unreported := a.mine.Spent > a.record.Holders[h.Name].Spent
+	row := a.record.Holders[h.Name]
+	unreported := a.mine.Spent > row.Spent || a.mine.Refunded > row.Refunded
 	switch {
 	case h.draining:
 		return h.close(a)
@@ -130,7 +131,7 @@
 	if a.reserved > 0 {
 		return nil
 	}
-	if _, ok := a.record.Holders[h.Name]; !ok {
+	if _, ok := a.record.Holders[h.Name]; !ok && a.mine.Refunded == 0 {
 		a.closed = true
 		return nil
 	}
@@ -148,6 +149,9 @@
 
 // closeUnused ends an account whose record was never read, so that nothing was granted.
 func (h *Holder) closeUnused(a *account) []Action {
+	if h.draining && a.mine.Refunded > 0 {
+		return []Action{h.load(a)}
+	}
 	if h.draining {
 		a.closed = true
 	}
@@ -235,7 +239,7 @@
 		a.mine.Returned = row.Returned
 	case w != nil && w.closing:
 		a.closed = true
-	case a.mine.Granted > 0:
+	case a.mine.Granted > 0 || (a.mine.Returned > 0 && w == nil):
 		a.fenced = true
 	}
 	actions := h.answerReturned(a, w)
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -24,6 +24,12 @@
 	Tokens  int64
 }
 
+// Refund gives back what a request cost that was billed twice; it is sent once for each such request, to one holder.
+type Refund struct {
+	Budget string
+	Tokens int64
+}
+
 // Loaded carries a record that was read from the store; version 0 means that there is none.
 type Loaded struct {
 	Budget  string
@@ -83,6 +89,7 @@
 
 func (Reserve) isEvent()        {}
 func (Settle) isEvent()         {}
+func (Refund) isEvent()         {}
 func (Loaded) isEvent()         {}
 func (LoadFailed) isEvent()     {}
 func (Committed) isEvent()      {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -47,6 +47,10 @@
 		return h.reserve(now, ev)
 	case Settle:
 		return h.settle(now, ev)
+	case Refund:
+		a := h.account(ev.Budget)
+		a.mine.Refunded += max(0, ev.Tokens)
+		return h.advance(now, a)
 	case Loaded:
 		return h.loaded(now, ev)
 	case LoadFailed:
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -11,19 +11,20 @@
 	Granted  int64
 	Spent    int64
 	Returned int64
+	Refunded int64 `json:",omitempty"` // Spent, here or elsewhere, for a request that was billed twice.
 }
 
 // Outstanding returns the tokens that are granted and not returned.
 func (a Account) Outstanding() int64 { return a.Granted - a.Returned }
 
-// Held returns the outstanding tokens that are not reported as spent.
-func (a Account) Held() int64 { return a.Granted - a.Returned - a.Spent }
+// Held returns the tokens that the incarnation may still spend as far as it has reported.
+func (a Account) Held() int64 { return a.Granted + a.Refunded - a.Returned - a.Spent }
 
 // Record is the store's value for one budget.
 type Record struct {
 	Budget  string
 	TopUps  map[string]int64   // Tokens by top-up ID.
-	Retired int64              // Tokens spent by incarnations whose accounts were closed.
+	Retired int64              // Tokens spent less refunds by incarnations whose accounts were closed.
 	Holders map[string]Account // Accounts by incarnation.
 }
 
@@ -54,11 +55,11 @@
 	return sum
 }
 
-// Spent returns the tokens that holders reported as spent, closed accounts included.
+// Spent returns the tokens that holders reported as spent less refunds, closed accounts included.
 func (r Record) Spent() int64 {
 	sum := r.Retired
 	for _, a := range r.Holders {
-		sum += a.Spent
+		sum += a.Spent - a.Refunded
 	}
 	return sum
 }
@@ -81,11 +82,11 @@
 		}
 	}
 	for name, a := range r.Holders {
-		if a.Spent < 0 || a.Returned < 0 || a.Granted < a.Spent+a.Returned {
+		if a.Spent < 0 || a.Returned < 0 || a.Held() < 0 {
 			return errors.Wrapf(ErrOverGranted, "holder %q", name)
 		}
 	}
-	if r.Retired < 0 || r.Free() < 0 {
+	if r.Free() < 0 {
 		return errors.Wrapf(ErrOverGranted, "budget %q", r.Budget)
 	}
 	return nil
@@ -113,7 +114,7 @@
 // Set returns r with the holder's account replaced by a newer state of it.
 func (r Record) Set(holder string, a Account) (Record, error) {
 	was := r.Holders[holder]
-	if a.Granted < was.Granted || a.Spent < was.Spent || a.Returned < was.Returned {
+	if a.Granted < was.Granted || a.Spent < was.Spent || a.Returned < was.Returned || a.Refunded < was.Refunded {
 		return r, errors.Wrapf(ErrCounterFell, "holder %q", holder)
 	}
 	next := r.Clone()
@@ -138,6 +139,6 @@
 	}
 	next := r.Clone()
 	delete(next.Holders, holder)
-	next.Retired += a.Spent
+	next.Retired += a.Spent - a.Refunded
 	return next, nil
 }
