--- /dev/null
+++ b/internal/command/app.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Main runs a command line until it ends or the process is told to stop, and returns the exit code.
+func Main(app *cli.Command, args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := app.Run(ctx, args); err != nil {
+		_, _ = fmt.Fprintln(app.ErrWriter, "error:", err)
+		return 1
+	}
+	return 0
+}
+
+// Foxtaillanding returns the command line of the router and of its operators and callers.
+func Foxtaillanding(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:            "foxtaillanding",
+		Usage:           "a router fleet for prepaid token budgets",
+		Writer:          out,
+		ErrWriter:       errOut,
+		HideHelpCommand: true,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			routerCommand(),
+			devCommand(),
+			checkCommand(),
+			entryCommand(),
+			callCommand(),
+			statusCommand(),
+			settingsCommand(),
+			budgetCommand(),
+			reportCommand(),
+		},
+	}
+}
+
+// Standin returns the command line of the stand-ins.
+func Standin(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:            "standin",
+		Usage:           "stand-ins for the platform and the endpoints, for tests",
+		Writer:          out,
+		ErrWriter:       errOut,
+		HideHelpCommand: true,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			standinStoreCommand(),
+			standinEngineCommand(),
+			standinServiceCommand(),
+			standinVMsCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/router.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+)
+
+func settingsFlag() *cli.StringFlag {
+	return &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "TOML `FILE` with the settings",
+		Sources:  cli.EnvVars("FOXTAILLANDING_SETTINGS"),
+		Required: true,
+	}
+}
+
+// readSettings reads and checks the settings file that the command names.
+func readSettings(c *cli.Command) (settings.Tree, error) {
+	file := c.String("settings")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Tree{}, errors.Wrap(err, "reading the settings")
+	}
+	return settings.ParseTree(file, text)
+}
+
+func routerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "router",
+		Usage: "run the router of one entry VM until it is told to stop",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.StringFlag{Name: "vm", Usage: "`NAME` of this VM in the settings", Sources: cli.EnvVars("FOXTAILLANDING_VM"), Required: true},
+			&cli.DurationFlag{Name: "drain", Usage: "longest `TIME` that a shutdown may take", Value: 10 * time.Minute},
+		},
+		Action: runRouter,
+	}
+}
+
+func runRouter(ctx context.Context, c *cli.Command) error {
+	tree, err := readSettings(c)
+	if err != nil {
+		return err
+	}
+	log, err := newLog()
+	if err != nil {
+		return err
+	}
+	store := tree.Fleet.Store
+	timeout := time.Duration(store.TimeoutMilliseconds) * time.Millisecond
+	r, err := router.New(router.Config{
+		VM:      c.String("vm"),
+		Initial: tree,
+		Store:   platform.NewGuarded(platform.NewClient(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
+		Log:     log,
+	})
+	if err != nil {
+		return err
+	}
+	if err := r.Start(ctx); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(c.Root().Writer, "serving on "+r.Address()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	limited, cancel := context.WithTimeout(context.Background(), c.Duration("drain"))
+	defer cancel()
+	return r.Shutdown(limited)
+}
+
+// newLog returns a logger that writes JSON lines to standard error.
+func newLog() (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.Sampling = nil
+	cfg.EncoderConfig.TimeKey = "Time"
+	cfg.EncoderConfig.LevelKey = "Level"
+	cfg.EncoderConfig.MessageKey = "Event"
+	cfg.EncoderConfig.CallerKey = ""
+	cfg.EncoderConfig.EncodeTime = func(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
+		enc.AppendString(t.UTC().Format(time.RFC3339Nano))
+	}
+	log, err := cfg.Build()
+	return log, errors.Wrap(err, "making the log")
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and name the place of every fault",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			tree, err := readSettings(c)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.Root().Writer, "%s: %d VMs, %d endpoints, %d teams: no fault found\n",
+				c.String("settings"), len(tree.Fleet.VMs), len(tree.Fleet.Endpoints), len(tree.Teams))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/standin.go
@@ -0,0 +1,84 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/standin"
+)
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on; port 0 takes a free one", Value: "127.0.0.1:0"}
+}
+
+// serveStandin serves until the process is told to stop and prints the address on a line of its own.
+func serveStandin(ctx context.Context, c *cli.Command, handler fasthttp.RequestHandler) error {
+	s, err := standin.Serve(c.String("listen"), handler)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(c.Root().Writer, "serving on "+s.Address); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return s.Close()
+}
+
+func standinStoreCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "the platform's key-value service",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.IntFlag{Name: "writes", Usage: "writes a second", Value: standin.DefaultWritesPerSecond},
+			&cli.IntFlag{Name: "reads", Usage: "reads a second", Value: standin.DefaultReadsPerSecond},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := &standin.Store{WritesPerSecond: c.Int("writes"), ReadsPerSecond: c.Int("reads")}
+			return serveStandin(ctx, c, s.Handle)
+		},
+	}
+}
+
+func standinEngineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "a model engine",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.IntFlag{Name: "slots", Usage: "requests run at once", Value: 8},
+			&cli.FloatFlag{Name: "speed", Usage: "tokens a second of one stream", Value: 200},
+			&cli.DurationFlag{Name: "first-token", Usage: "time to the first token", Value: 20 * time.Millisecond},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			e := &standin.Engine{Slots: c.Int("slots"), TokensPerSecond: c.Float("speed"), FirstToken: c.Duration("first-token")}
+			return serveStandin(ctx, c, e.Handle)
+		},
+	}
+}
+
+func standinServiceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "an order-and-stock service",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serveStandin(ctx, c, (&standin.Service{}).Handle)
+		},
+	}
+}
+
+func standinVMsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "vms",
+		Usage: "the platform's list of VMs",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serveStandin(ctx, c, (&standin.VMs{}).Handle)
+		},
+	}
+}
--- /dev/null
+++ b/internal/router/backends.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+)
+
+// backends carries out what the endpoint pool decides.
+type backends struct {
+	r *Router
+
+	mu   sync.Mutex
+	pool endpoint.Pool // Guarded by mu.
+
+	decisions waiters[endpoint.Action]
+}
+
+func (b *backends) handle(now time.Time, ev endpoint.Event) {
+	b.mu.Lock()
+	actions := b.pool.Handle(now, ev)
+	b.mu.Unlock()
+	for _, action := range actions {
+		b.perform(now, action)
+	}
+}
+
+func (b *backends) perform(now time.Time, action endpoint.Action) {
+	switch action := action.(type) {
+	case endpoint.Send:
+		if !b.decisions.send(action.ID, action) {
+			b.handle(now, endpoint.Ended{ID: action.ID, Outcome: endpoint.Abandoned})
+		}
+	case endpoint.Refuse:
+		b.decisions.send(action.ID, action)
+	case endpoint.TellSuspect:
+		b.r.background(func() { b.r.peers.tellSuspect(action.Suspect) })
+	}
+}
+
+// configure takes the endpoints of new settings.
+func (b *backends) configure(now time.Time, s *snapshot) {
+	b.handle(now, endpoint.Configured{Endpoints: s.endpoints()})
+	for _, e := range s.tree.Fleet.Endpoints {
+		b.handle(now, endpoint.LeavingSeen{Endpoint: e.Name, Leaving: e.Leaving})
+	}
+}
+
+// poll asks every endpoint for its load.
+func (b *backends) poll(time.Time) {
+	for name, address := range b.r.snapshot().address {
+		b.r.background(func() { b.ask(name, address) })
+	}
+}
+
+func (b *backends) ask(name, address string) {
+	var load endpoint.Load
+	if err := b.r.endpoints.load(address, &load); err != nil {
+		return // A failed query says nothing about the requests in flight, which find out for themselves.
+	}
+	b.handle(time.Now(), endpoint.Reported{Endpoint: name, Load: load})
+}
+
+func (b *backends) views(now time.Time) ([]endpoint.View, []endpoint.Suspicion, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Views(now), b.pool.Suspicions(), b.pool.Waiting()
+}
--- /dev/null
+++ b/internal/router/bills.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+)
+
+// bills carries out what the ledger of keyed requests decides.
+type bills struct {
+	r *Router
+
+	mu     sync.Mutex
+	ledger bill.Ledger // Guarded by mu.
+
+	decisions waiters[bill.Action]
+}
+
+func (b *bills) handle(now time.Time, ev bill.Event) {
+	b.mu.Lock()
+	actions := b.ledger.Handle(now, ev)
+	b.mu.Unlock()
+	for _, action := range actions {
+		switch action := action.(type) {
+		case bill.Start:
+			b.decisions.send(action.Request, action)
+		case bill.Replay:
+			b.decisions.send(action.Request, action)
+		case bill.Refuse:
+			b.decisions.send(action.Request, action)
+		case bill.Refund:
+			b.r.log.Info("refunded", zap.String("Budget", action.Budget), zap.Int64("Tokens", action.Tokens))
+			b.r.budgets.handle(now, budget.Refund{Budget: action.Budget, Tokens: action.Tokens})
+		}
+	}
+}
+
+// report brings a bill to the key's home by the settings, which stays the same through partitions.
+func (b *bills) report(billed bill.Billed) {
+	vms := make([]string, 0, len(b.r.snapshot().tree.Fleet.VMs))
+	for _, vm := range b.r.snapshot().tree.Fleet.VMs {
+		vms = append(vms, vm.Name)
+	}
+	home := bill.Home(billed.Key, vms)
+	if home == b.r.cfg.VM {
+		b.handle(time.Now(), billed)
+		return
+	}
+	b.r.background(func() { b.r.peers.tellBill(home, billed) })
+}
--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,35 @@
+package router
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+)
+
+// Config is what a router is started with.
+type Config struct {
+	VM      string        // Name of the VM that the router runs on.
+	Listen  string        // Overrides the VM's address in the settings.
+	Initial settings.Tree // Used until the store holds settings, and put there if it holds none.
+	Store   platform.Store
+	Log     *zap.Logger // Nil discards.
+
+	Budget   budget.Policy
+	Endpoint endpoint.Policy
+}
+
+// Periods of the router's timers.
+const (
+	decidePeriod   = 50 * time.Millisecond // Ticks of the deciders that serve requests.
+	reportPeriod   = time.Second           // Load queries to each endpoint.
+	settingsPeriod = time.Second           // Reads of the settings head when watches fail.
+	watchPeriod    = 20 * time.Second      // Longest wait of one watch of the settings head.
+	vmListPeriod   = 2 * time.Second
+	peerTimeout    = 2 * time.Second
+	storeTimeout   = 2 * time.Second
+)
--- /dev/null
+++ b/internal/router/decode.go
@@ -0,0 +1,15 @@
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// decodeStrict decodes JSON of one of the project's own formats, in which an unknown field is an error.
+func decodeStrict(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return errors.Wrap(d.Decode(v), "decoding JSON")
+}
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,123 @@
+package router
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+)
+
+// members carries out what the roster decides.
+type members struct {
+	r *Router
+
+	mu     sync.Mutex
+	roster fleet.Roster // Guarded by mu.
+}
+
+func (m *members) handle(now time.Time, ev fleet.Event) {
+	m.mu.Lock()
+	actions := m.roster.Handle(now, ev)
+	m.mu.Unlock()
+	changed := false
+	for _, action := range actions {
+		switch action := action.(type) {
+		case fleet.Probe:
+			m.r.background(func() { m.probe(action) })
+		case fleet.MembersChanged:
+			changed = true
+		}
+	}
+	if changed {
+		m.tellBudgets(now)
+	}
+}
+
+func (m *members) tellBudgets(now time.Time) {
+	var names []string
+	for _, p := range m.peers() {
+		names = append(names, p.Name())
+	}
+	m.r.budgets.handle(now, budget.PeersChanged{Peers: names})
+}
+
+func (m *members) tick(now time.Time) {
+	limit := m.r.snapshot().limits.ConcurrentRequests
+	m.handle(now, fleet.SelfChanged{
+		Load:     float64(m.r.inFlight.Load()) / float64(limit),
+		Revision: m.r.config.revision(),
+		Draining: m.r.draining.Load(),
+	})
+	m.handle(now, fleet.Tick{})
+}
+
+func (m *members) probe(action fleet.Probe) {
+	updates, err := m.r.peers.probe(action.Address, action.Updates)
+	if err != nil {
+		m.handle(time.Now(), fleet.ProbeFailed{VM: action.VM})
+		return
+	}
+	m.handle(time.Now(), fleet.Heard{Updates: updates})
+}
+
+// answer takes a peer's updates and returns this router's own.
+func (m *members) answer(body []byte) ([]fleet.Member, error) {
+	var updates []fleet.Member
+	if err := json.Unmarshal(body, &updates); err != nil {
+		return nil, err
+	}
+	m.handle(time.Now(), fleet.Heard{Updates: updates})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Updates(), nil
+}
+
+func (m *members) configure(now time.Time, s *snapshot) {
+	seeds := make([]fleet.Seed, 0, len(s.tree.Fleet.VMs))
+	for _, vm := range s.tree.Fleet.VMs {
+		seeds = append(seeds, fleet.Seed{VM: vm.Name, Address: vm.Address, DataCentre: vm.DataCentre, Size: vm.Size})
+	}
+	m.handle(now, fleet.Configured{VMs: seeds})
+}
+
+func (m *members) peers() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Peers()
+}
+
+func (m *members) all() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Members()
+}
+
+func (m *members) entryList(keep time.Duration) fleet.EntryList {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.EntryList(keep, rand.Float64)
+}
+
+// address returns where the router with the given incarnation name listens.
+func (m *members) address(name string) (string, bool) {
+	for _, p := range m.peers() {
+		if p.Name() == name {
+			return p.Address, true
+		}
+	}
+	return "", false
+}
+
+// aliveVMs returns the VMs, this one included, that requests may be sent to.
+func (m *members) aliveVMs() []string {
+	var vms []string
+	for _, p := range m.all() {
+		if p.State == fleet.Alive {
+			vms = append(vms, p.VM)
+		}
+	}
+	return vms
+}
--- /dev/null
+++ b/internal/router/orders.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/pkg/order"
+)
+
+// orders carries out what the order keeper decides.
+type orders struct {
+	r *Router
+
+	mu     sync.Mutex
+	keeper order.Keeper // Guarded by mu.
+
+	decisions waiters[order.Action]
+}
+
+func (o *orders) handle(now time.Time, ev order.Event) {
+	o.mu.Lock()
+	actions := o.keeper.Handle(now, ev)
+	o.mu.Unlock()
+	for _, action := range actions {
+		o.perform(now, action)
+	}
+}
+
+func (o *orders) perform(now time.Time, action order.Action) {
+	switch action := action.(type) {
+	case order.Send:
+		if !o.decisions.send(action.Request, action) {
+			o.handle(now, order.Failed{Request: action.Request, Sent: false})
+		}
+	case order.Reply:
+		o.decisions.send(action.Request, action)
+	case order.Refuse:
+		o.decisions.send(action.Request, action)
+	case order.ReadClaim:
+		o.r.background(func() { o.read(action) })
+	case order.WriteClaim:
+		o.r.background(func() { o.write(action) })
+	}
+}
+
+func (o *orders) read(action order.ReadClaim) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	entry, err := o.r.cfg.Store.Get(ctx, action.Key)
+	var claim order.Claim
+	if err == nil && entry.Version != 0 {
+		err = decodeStrict(entry.Value, &claim)
+	}
+	if err != nil {
+		o.r.log.Warn("claim not read", zap.Error(err))
+		o.handle(time.Now(), order.ReadFailed{Key: action.Key})
+		return
+	}
+	o.handle(time.Now(), order.Read{Key: action.Key, Version: entry.Version, Claim: claim})
+}
+
+func (o *orders) write(action order.WriteClaim) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	written := platform.Written{}
+	value, err := json.Marshal(action.Claim)
+	if err == nil {
+		keep := time.Duration(o.r.snapshot().limits.OrderRetentionSeconds) * time.Second
+		written, err = o.r.cfg.Store.Put(ctx, platform.Put{Key: action.Key, Value: value, IfVersion: action.Version, TTL: keep})
+	}
+	if err != nil {
+		o.r.log.Warn("claim not written", zap.Error(err))
+	}
+	o.handle(time.Now(), order.Written{Key: action.Key, Outcome: written.Outcome, Version: written.Version})
+}
+
+func (o *orders) tick(now time.Time) { o.handle(now, order.Tick{}) }
+
+func (o *orders) pending() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.keeper.Pending()
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,182 @@
+package router
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+)
+
+// Router is one running daemon.
+type Router struct {
+	cfg     Config
+	self    settings.VM
+	log     *zap.Logger
+	started time.Time
+
+	current  atomic.Pointer[snapshot]
+	inFlight atomic.Int64
+	draining atomic.Bool
+	closing  atomic.Bool // Set once new requests are refused.
+	stop     chan struct{}
+
+	workers    *ants.Pool // Requests.
+	calls      *ants.Pool // Store and peer calls.
+	peers      *peers
+	endpoints  *streamClient
+	metrics    *metrics
+	levels     burn.Recorder
+	server     *fasthttp.Server
+	listenAddr string
+
+	budgets  budgets
+	backends backends
+	bills    bills
+	orders   orders
+	members  members
+	config   config
+}
+
+// New returns a router that is not yet started.
+func New(cfg Config) (*Router, error) {
+	self, ok := cfg.Initial.Fleet.VM(cfg.VM)
+	if !ok {
+		return nil, errors.Newf("the settings name no VM %q", cfg.VM)
+	}
+	if cfg.Listen != "" {
+		self.Address = cfg.Listen
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	r := &Router{cfg: cfg, self: self, started: time.Now(), stop: make(chan struct{})}
+	r.log = cfg.Log.With(zap.String("VM", cfg.VM))
+	r.current.Store(newSnapshot(0, cfg.Initial))
+	if err := r.makePools(); err != nil {
+		return nil, err
+	}
+	r.peers = newPeers(r)
+	r.endpoints = newStreamClient(r.stall)
+	r.initSlices()
+	return r, nil
+}
+
+func (r *Router) makePools() error {
+	var err error
+	limit := r.snapshot().limits.ConcurrentRequests
+	if r.workers, err = ants.NewPool(limit, ants.WithNonblocking(true)); err != nil {
+		return errors.Wrap(err, "making the pool of request workers")
+	}
+	const unlimited = -1
+	if r.calls, err = ants.NewPool(unlimited); err != nil {
+		return errors.Wrap(err, "making the pool of call workers")
+	}
+	r.metrics, err = newMetrics(r)
+	return err
+}
+
+func (r *Router) initSlices() {
+	member := fleet.Member{
+		VM:          r.self.Name,
+		Incarnation: uint64(r.started.UnixNano()),
+		Address:     r.self.Address,
+		DataCentre:  r.self.DataCentre,
+		Size:        r.self.Size,
+	}
+	policy := r.cfg.Budget
+	if policy.Horizon == 0 {
+		policy.Horizon = time.Duration(r.snapshot().limits.GrantHorizonSeconds) * time.Second
+	}
+	r.budgets = budgets{r: r, holder: budget.Holder{Name: member.Name(), Policy: policy}}
+	r.backends = backends{r: r, pool: endpoint.Pool{Policy: r.cfg.Endpoint}}
+	r.bills = bills{r: r}
+	r.orders = orders{r: r}
+	r.members = members{r: r, roster: fleet.Roster{Self: member, Seed: member.Incarnation}}
+	r.config = config{r: r}
+}
+
+// Start listens, takes the settings over and serves until Shutdown.
+func (r *Router) Start(ctx context.Context) error {
+	r.apply(time.Now(), r.snapshot())
+	if err := r.config.seed(ctx); err != nil {
+		r.log.Warn("initial settings not stored", zap.Error(err))
+	}
+	ln, err := net.Listen("tcp4", r.self.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", r.self.Address)
+	}
+	r.listenAddr = ln.Addr().String()
+	r.server = r.newServer()
+	go func() {
+		if err := r.server.Serve(ln); err != nil {
+			r.log.Error("server stopped", zap.Error(err))
+		}
+	}()
+	r.startTimers()
+	r.log.Info("serving", zap.String("Address", r.listenAddr), zap.String("DataCentre", r.self.DataCentre))
+	return nil
+}
+
+func (r *Router) startTimers() {
+	go r.config.run(r.stop)
+	go every(fleet.ProbePeriod, r.stop, r.members.tick)
+	go every(reportPeriod, r.stop, r.backends.poll)
+	go every(vmListPeriod, r.stop, r.pollVMList)
+	go every(decidePeriod, r.stop, r.decide)
+}
+
+// decide lets time pass for the deciders that serve requests.
+func (r *Router) decide(now time.Time) {
+	r.budgets.handle(now, budget.Tick{})
+	r.backends.handle(now, endpoint.Tick{})
+	r.orders.tick(now)
+}
+
+// Address returns the address that the router listens on.
+func (r *Router) Address() string { return r.listenAddr }
+
+func (r *Router) snapshot() *snapshot { return r.current.Load() }
+
+func (r *Router) stall() time.Duration {
+	return time.Duration(r.snapshot().limits.StallSeconds) * time.Second
+}
+
+// apply puts settings in force.
+func (r *Router) apply(now time.Time, s *snapshot) {
+	r.current.Store(s)
+	r.backends.configure(now, s)
+	r.members.configure(now, s)
+	r.log.Info("settings in force", zap.Uint64("Revision", s.revision))
+}
+
+// background runs f on the pool for store and peer calls.
+func (r *Router) background(f func()) {
+	if err := r.calls.Submit(f); err != nil {
+		go f()
+	}
+}
+
+func (r *Router) pollVMList(now time.Time) {
+	address := r.snapshot().tree.Fleet.VMList.Address
+	if address == "" {
+		return
+	}
+	r.background(func() {
+		leaving, err := readVMList(r.peers.http, address)
+		if err != nil {
+			return // The list lags anyway; the last one stands.
+		}
+		r.members.handle(now, fleet.PlatformListed{Leaving: leaving})
+	})
+}
--- /dev/null
+++ b/internal/router/server.go
@@ -0,0 +1,271 @@
+package router
+
+import (
+	"bufio"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	frouter "github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/pkg/answer"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+)
+
+// Paths for callers.
+const (
+	EntriesPath = "/Entries"
+	ServicePath = "/v1/services/{service}/{call}"
+	MetricsPath = "/Metrics"
+)
+
+// Limits of the HTTP server.
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 16 << 20
+	requestTimeout = time.Minute // To read one request.
+	idleTimeout    = time.Minute
+)
+
+func (r *Router) newServer() *fasthttp.Server {
+	routes := frouter.New()
+	routes.POST(chat.Path, r.counted(r.serveChat))
+	routes.POST(ServicePath, r.counted(r.serveCall))
+	routes.GET(EntriesPath, r.serveEntries)
+	routes.GET(MetricsPath, r.metrics.handler())
+	r.peerRoutes(routes)
+	r.adminRoutes(routes)
+	routes.NotFound = func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, refusal.New(refusal.NotFound, string(ctx.Path()))) }
+	routes.PanicHandler = func(ctx *fasthttp.RequestCtx, problem any) {
+		r.log.Error("panic", zap.Any("Problem", problem), zap.Stack("Stack"))
+		writeRefusal(ctx, refusal.New(refusal.Internal, ""))
+	}
+	return &fasthttp.Server{
+		Name:                  "foxtaillanding",
+		Handler:               routes.Handler,
+		ErrorHandler:          refuseUnreadable,
+		ReadBufferSize:        maxHeaderBytes,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadTimeout:           requestTimeout,
+		IdleTimeout:           idleTimeout,
+		WriteTimeout:          time.Duration(r.snapshot().limits.AnswerSeconds) * time.Second,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		Logger:                zap.NewStdLog(r.log),
+	}
+}
+
+// refuseUnreadable answers requests that the HTTP library could not read.
+func refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	kind := refusal.BadRequest
+	if err == fasthttp.ErrBodyTooLarge {
+		kind = refusal.TooLarge
+	}
+	writeRefusal(ctx, refusal.New(kind, err.Error()))
+}
+
+// counted keeps count of the requests in flight until their answers are written.
+func (r *Router) counted(handler func(*fasthttp.RequestCtx, func())) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		r.inFlight.Add(1)
+		done := func() { r.inFlight.Add(-1) }
+		if r.closing.Load() {
+			done()
+			writeRefusal(ctx, refusal.New(refusal.Draining, ""))
+			return
+		}
+		handler(ctx, done)
+	}
+}
+
+// serveChat answers a model request; done is called when its answer is written or given up.
+func (r *Router) serveChat(ctx *fasthttp.RequestCtx, done func()) {
+	w, refused := r.admit(ctx)
+	if refused != nil {
+		done()
+		writeRefusal(ctx, refused)
+		return
+	}
+	if r.workers.Submit(func() { r.run(w) }) != nil {
+		done()
+		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
+		return
+	}
+	first := <-w.pieces
+	switch {
+	case first.refused != nil:
+		done()
+		writeRefusal(ctx, first.refused)
+	case w.request.Stream:
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStreamWriter(func(out *bufio.Writer) {
+			defer done()
+			defer w.abandon()
+			w.writeStream(out, first)
+		})
+	default:
+		defer done()
+		w.writeWhole(ctx, first)
+	}
+}
+
+// admit checks a model request and finds its account.
+func (r *Router) admit(ctx *fasthttp.RequestCtx) (*work, *refusal.Error) {
+	s := r.snapshot()
+	w := &work{
+		id:      newID(),
+		arrived: time.Now(),
+		pieces:  make(chan piece, piecesKept),
+		gone:    make(chan struct{}),
+	}
+	if refused := r.identify(ctx, s, w); refused != nil {
+		return nil, refused
+	}
+	if len(ctx.PostBody()) > s.limits.BodyBytes {
+		return nil, refusal.New(refusal.TooLarge, "the body is above "+strconv.Itoa(s.limits.BodyBytes)+" bytes")
+	}
+	request, refused := chat.Decode(ctx.PostBody(), s.limits.OutputTokens)
+	if refused != nil {
+		return nil, refused
+	}
+	if !s.serves(request.Model) {
+		return nil, refusal.New(refusal.UnknownModel, request.Model)
+	}
+	w.request = request
+	w.body = append([]byte(nil), ctx.PostBody()...)
+	w.bodyHash = fingerprint(w.caller.name(), request)
+	w.assembler.Limit = int(request.MaxTokens)
+	return w, nil
+}
+
+// fingerprint hashes the account and what is asked, however the answer is to be delivered.
+func fingerprint(account string, request chat.Request) uint64 {
+	request.Stream = false
+	body, _ := json.Marshal(request)
+	return xxhash.Sum64String(account + "\x00" + string(body))
+}
+
+// identify finds out who sends a request: a caller by its API key, or a router that forwards.
+func (r *Router) identify(ctx *fasthttp.RequestCtx, s *snapshot, w *work) *refusal.Error {
+	header := &ctx.Request.Header
+	key := string(header.Peek(chat.HeaderIdempotencyKey))
+	const maxKey = 256
+	if len(key) > maxKey {
+		return refusal.New(refusal.BadRequest, chat.HeaderIdempotencyKey+" is longer than 256 bytes")
+	}
+	wait := time.Duration(s.limits.FirstTokenSeconds) * time.Second
+	if r.fromPeer(ctx) {
+		c, ok := s.byName[string(header.Peek(headerAccount))]
+		if !ok {
+			return refusal.New(refusal.Unauthenticated, "the account is not in the settings in force here")
+		}
+		w.caller = c
+		w.stage = stage(header.Peek(headerStage))
+		w.id = string(header.Peek(chat.HeaderRequestID))
+		w.key = key
+		milliseconds, _ := strconv.ParseInt(string(header.Peek(headerWait)), 10, 64)
+		w.deadline = w.arrived.Add(min(wait, time.Duration(milliseconds)*time.Millisecond))
+		return nil
+	}
+	c, ok := s.caller(bearer(ctx))
+	if !ok {
+		return refusal.New(refusal.Unauthenticated, "")
+	}
+	w.caller = c
+	w.deadline = w.arrived.Add(wait)
+	if key != "" {
+		w.key = c.name() + "/" + key
+	}
+	return nil
+}
+
+func bearer(ctx *fasthttp.RequestCtx) string {
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// writeStream writes an answer as server-sent events; an answer that cannot be completed ends with an error event.
+func (w *work) writeStream(out *bufio.Writer, first piece) {
+	for p, ok := first, true; ok; p, ok = <-w.pieces {
+		event := w.event(p)
+		if chat.WriteEvent(out, event) != nil {
+			return
+		}
+		if p.usage != nil && chat.WriteDone(out) != nil {
+			return
+		}
+		if out.Flush() != nil {
+			return
+		}
+		if p.chunk == nil {
+			return
+		}
+	}
+}
+
+func (w *work) event(p piece) chat.Chunk {
+	if p.chunk != nil {
+		return chat.NewChunk(w.id, w.request.Model, *p.chunk)
+	}
+	event := chat.NewChunk(w.id, w.request.Model, answer.Chunk{Sequence: -1})
+	event.Choices = []chat.Choice{}
+	event.Usage = p.usage
+	if p.refused != nil {
+		detail := p.refused.Body().Error
+		event.Error = &detail
+	}
+	return event
+}
+
+// writeWhole answers with the whole answer or with a refusal, never with a part.
+func (w *work) writeWhole(ctx *fasthttp.RequestCtx, first piece) {
+	var content strings.Builder
+	finish := ""
+	for p, ok := first, true; ok; p, ok = <-w.pieces {
+		switch {
+		case p.refused != nil:
+			writeRefusal(ctx, p.refused)
+			return
+		case p.usage != nil:
+			writeJSON(ctx, chat.NewCompletion(w.id, w.request.Model, content.String(), finish, *p.usage))
+			return
+		default:
+			content.WriteString(p.chunk.Content)
+			finish = p.chunk.Finish
+		}
+	}
+	writeRefusal(ctx, refusal.New(refusal.AnswerBroken, ""))
+}
+
+func (r *Router) serveEntries(ctx *fasthttp.RequestCtx) {
+	keep := time.Duration(r.snapshot().limits.EntryKeepSeconds) * time.Second
+	writeJSON(ctx, r.members.entryList(keep))
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, refused *refusal.Error) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(refused.Kind.Answer().Status)
+	if after := refusal.Seconds(refused.RetryAfter()); after > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(after, 10))
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(refused.JSON())
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		writeRefusal(ctx, refusal.New(refusal.Internal, err.Error()))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/router/slice.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"sync"
+	"time"
+)
+
+// waiters hands decisions to the workers that wait for them, by request.
+type waiters[A any] struct {
+	mu sync.Mutex
+	by map[string]chan A // Guarded by mu.
+}
+
+// decisionsKept is the number of decisions that may wait for a worker; a decider emits at most a few for a request before the worker reads them.
+const decisionsKept = 16
+
+func (w *waiters[A]) open(request string) <-chan A {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.by == nil {
+		w.by = map[string]chan A{}
+	}
+	ch := make(chan A, decisionsKept)
+	w.by[request] = ch
+	return ch
+}
+
+func (w *waiters[A]) close(request string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.by, request)
+}
+
+// send hands a decision over and reports whether somebody waits for it.
+func (w *waiters[A]) send(request string, action A) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ch, ok := w.by[request]
+	if !ok {
+		return false
+	}
+	select {
+	case ch <- action:
+		return true
+	default:
+		return false
+	}
+}
+
+// every calls f at each period until stop is closed.
+func every(period time.Duration, stop <-chan struct{}, f func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			f(now)
+		case <-stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/snapshot.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+)
+
+// snapshot is the settings in force in the form that requests need; it is never changed.
+type snapshot struct {
+	revision uint64
+	tree     settings.Tree
+	limits   settings.Limits
+	byKey    map[string]caller // By the hash of the API key.
+	byName   map[string]caller // By account.
+	address  map[string]string // By endpoint.
+}
+
+// caller is the client account that a request comes from.
+type caller struct {
+	team    settings.Team
+	account settings.Account
+}
+
+func newSnapshot(revision uint64, tree settings.Tree) *snapshot {
+	s := &snapshot{
+		revision: revision,
+		tree:     tree,
+		limits:   tree.Fleet.Limits.WithDefaults(),
+		byKey:    map[string]caller{},
+		byName:   map[string]caller{},
+		address:  map[string]string{},
+	}
+	for _, team := range tree.Teams {
+		for _, a := range team.Accounts {
+			c := caller{team, a}
+			s.byKey[a.KeySHA256] = c
+			s.byName[team.Name+"/"+a.Name] = c
+		}
+	}
+	for _, e := range tree.Fleet.Endpoints {
+		s.address[e.Name] = e.Address
+	}
+	return s
+}
+
+// name identifies the account in peer messages and logs.
+func (c caller) name() string { return c.team.Name + "/" + c.account.Name }
+
+func (c caller) class() endpoint.Class {
+	name := c.account.Class
+	if name == "" {
+		name = c.team.Class
+	}
+	class, _ := endpoint.ParseClass(name)
+	return class
+}
+
+// hashKey returns the hash under which settings keep a key.
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// caller finds the account of an API key; the comparison takes the same time for every wrong key.
+func (s *snapshot) caller(key string) (caller, bool) {
+	hash := hashKey(key)
+	c, ok := s.byKey[hash]
+	return c, ok && sameSecret(hash, c.account.KeySHA256)
+}
+
+func sameSecret(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+func (s *snapshot) endpoints() []endpoint.Endpoint {
+	list := make([]endpoint.Endpoint, 0, len(s.tree.Fleet.Endpoints))
+	for _, e := range s.tree.Fleet.Endpoints {
+		list = append(list, endpoint.Endpoint{
+			Name:            e.Name,
+			Serves:          e.Serves,
+			Slots:           e.Slots,
+			TokensPerSecond: e.TokensPerSecond,
+			PromptPerSecond: e.PromptTokensPerSecond,
+		})
+	}
+	return list
+}
+
+func (s *snapshot) serves(name string) bool {
+	for _, e := range s.tree.Fleet.Endpoints {
+		for _, served := range e.Serves {
+			if served == name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -36,6 +36,7 @@
 	Headroom int64
 	Waiting  int
 	Prepaid  int64
+	Spent    int64 // By all holders, as last read.
 	Free     int64
 	Fenced   bool
 }
@@ -103,6 +104,7 @@
 			Headroom: a.headroom(),
 			Waiting:  len(a.waiting),
 			Prepaid:  a.record.Prepaid(),
+			Spent:    a.record.Spent(),
 			Free:     a.record.Free(),
 			Fenced:   a.fenced,
 		})
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -61,10 +61,11 @@
 
 // The ways in which an attempt ends; the zero value assumes that the endpoint died.
 const (
-	Died      Outcome = iota // The connection broke or the endpoint stopped answering.
-	Finished                 // The answer is whole.
-	Rejected                 // The endpoint did not take the request; it did not run.
-	Abandoned                // The router or the caller ended it.
+	Died       Outcome = iota // The connection broke or the endpoint stopped answering.
+	Finished                  // The answer is whole.
+	Rejected                  // The endpoint did not take the request; it did not run.
+	Incomplete                // The endpoint is alive but its answer is not whole.
+	Abandoned                 // The router or the caller ended it.
 )
 
 // Load is an endpoint's own report.
--- a/pkg/refusal/kind.go
+++ b/pkg/refusal/kind.go
@@ -33,6 +33,7 @@
 	PeerLost
 	SettingsConflict
 	SettingsInvalid
+	ChangeUnknown
 	NotFound
 	Forbidden
 	kindCount
@@ -93,6 +94,7 @@
 	PeerLost:            {"PeerLost", http.StatusBadGateway, RanUnknown, time.Second, "the router that was serving this request stopped answering"},
 	SettingsConflict:    {"SettingsConflict", http.StatusConflict, NotRun, 0, "the settings changed since they were read"},
 	SettingsInvalid:     {"SettingsInvalid", http.StatusBadRequest, NotRun, 0, "the settings are not valid"},
+	ChangeUnknown:       {"ChangeUnknown", http.StatusServiceUnavailable, RanUnknown, 2 * time.Second, "the store did not confirm the change; send it again with the same ID"},
 	NotFound:            {"NotFound", http.StatusNotFound, NotRun, 0, "no such resource"},
 	Forbidden:           {"Forbidden", http.StatusForbidden, NotRun, 0, "this key does not permit the operation"},
 }
