--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -5,8 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
@@ -37,7 +39,11 @@
 }
 
 func runDev(ctx context.Context, c *cli.Command) error {
-	tree, err := devTree()
+	ln, err := net.Listen("tcp4", c.String("listen"))
+	if err != nil {
+		return errors.Wrap(err, "listening")
+	}
+	tree, err := devTree(ln.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -53,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := router.New(router.Config{VM: "dev-1", Listen: c.String("listen"), Initial: tree, Store: store, Log: log})
+	r, err := router.New(router.Config{VM: "dev-1", Listen: ln, Initial: tree, Store: store, Log: log})
 	if err != nil {
 		return err
 	}
@@ -78,8 +84,8 @@
 	return err
 }
 
-// devTree starts the stand-ins and returns settings that name them.
-func devTree() (settings.Tree, error) {
+// devTree starts the stand-ins and returns settings that name them and the router's address.
+func devTree(address string) (settings.Tree, error) {
 	engines := []*standin.Engine{
 		{TokensPerSecond: 60, FirstToken: 80 * time.Millisecond},
 		{TokensPerSecond: 25, FirstToken: 200 * time.Millisecond},
@@ -89,7 +95,7 @@
 		PeerKey:     "dev-peer-key-0000",
 		AdminSHA256: sha256Hex(devAdminKey),
 		DataCentres: []string{"dev"},
-		VMs:         []settings.VM{{Name: "dev-1", DataCentre: "dev", Address: "127.0.0.1:1", Size: 1}},
+		VMs:         []settings.VM{{Name: "dev-1", DataCentre: "dev", Address: address, Size: 1}},
 		Services: []settings.Service{{Name: "orders", Calls: []settings.Call{
 			{Name: "place", Path: "/place"},
 			{Name: "stock", Path: "/stock", Repeatable: true},
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -42,13 +42,24 @@
 	Draining   bool
 	InFlight   int64
 	Waiting    int // Requests that wait for an endpoint.
-	Members    []fleet.Member
+	Members    []MemberState
 	Endpoints  []endpoint.View
 	Suspects   []endpoint.Suspicion
 	Budgets    []budget.View
 	OrdersOpen int // Orders whose outcome is not yet recorded.
 }
 
+// MemberState is a VM as a router sees it.
+type MemberState struct {
+	VM         string
+	Name       string // Of the incarnation, under which it holds tokens.
+	DataCentre string
+	Address    string
+	State      string
+	Load       float64 // Part of its capacity that is in use, 0 to 1.
+	Revision   uint64  // Settings in force there.
+}
+
 // TopUp adds prepaid tokens to a budget; the same ID counts once.
 type TopUp struct {
 	ID     string
@@ -97,7 +108,7 @@
 		Draining:   r.draining.Load(),
 		InFlight:   r.inFlight.Load(),
 		Waiting:    waiting,
-		Members:    r.members.all(),
+		Members:    r.members.states(),
 		Endpoints:  views,
 		Suspects:   suspects,
 		Budgets:    r.budgets.views(),
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,7 +15,7 @@
 // Config is what a router is started with.
 type Config struct {
 	VM      string        // Name of the VM that the router runs on.
-	Listen  string        // Overrides the VM's address in the settings.
+	Listen  net.Listener  // Nil listens on the VM's address in the settings.
 	Initial settings.Tree // Used until the store holds settings, and put there if it holds none.
 	Store   platform.Store
 	Log     *zap.Logger // Nil discards.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -101,6 +101,23 @@
 	return m.roster.EntryList(keep, rand.Float64)
 }
 
+// states returns all VMs as operators are shown them.
+func (m *members) states() []MemberState {
+	var states []MemberState
+	for _, p := range m.all() {
+		states = append(states, MemberState{
+			VM:         p.VM,
+			Name:       p.Name(),
+			DataCentre: p.DataCentre,
+			Address:    p.Address,
+			State:      p.State.String(),
+			Load:       p.Load,
+			Revision:   p.Revision,
+		})
+	}
+	return states
+}
+
 // address returns where the router with the given incarnation name listens.
 func (m *members) address(name string) (string, bool) {
 	for _, p := range m.peers() {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -38,9 +38,13 @@
 	var errs [5]error
 	m.requests, errs[0] = meter.Int64Counter("foxtaillanding.requests", metric.WithDescription("Requests by team and outcome."))
 	m.tokens, errs[1] = meter.Int64Counter("foxtaillanding.billed_tokens", metric.WithDescription("Tokens billed by budget."))
-	m.firstToken, errs[2] = meter.Float64Histogram("foxtaillanding.first_token", metric.WithUnit("s"))
-	m.between, errs[3] = meter.Float64Histogram("foxtaillanding.between_tokens", metric.WithUnit("s"))
-	_, errs[4] = meter.Int64ObservableGauge("foxtaillanding.in_flight", metric.WithInt64Callback(
+	m.firstToken, errs[2] = meter.Float64Histogram("foxtaillanding.first_token", metric.WithUnit("s"),
+		metric.WithDescription("Time to the first token."),
+		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5, 10, 30))
+	m.between, errs[3] = meter.Float64Histogram("foxtaillanding.between_tokens", metric.WithUnit("s"),
+		metric.WithDescription("Mean time between tokens of one answer."),
+		metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.04, 0.068, 0.1, 0.2, 0.5, 1))
+	_, errs[4] = meter.Int64ObservableGauge("foxtaillanding.in_flight", metric.WithDescription("Requests whose answers are not yet written."), metric.WithInt64Callback(
 		func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(r.inFlight.Load())
 			return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,9 +54,6 @@
 	if !ok {
 		return nil, errors.Newf("the settings name no VM %q", cfg.VM)
 	}
-	if cfg.Listen != "" {
-		self.Address = cfg.Listen
-	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -112,9 +109,9 @@
 	if err := r.config.seed(ctx); err != nil {
 		r.log.Warn("initial settings not stored", zap.Error(err))
 	}
-	ln, err := net.Listen("tcp4", r.self.Address)
+	ln, err := r.listen()
 	if err != nil {
-		return errors.Wrapf(err, "listening on %s", r.self.Address)
+		return err
 	}
 	r.listenAddr = ln.Addr().String()
 	r.server = r.newServer()
@@ -128,6 +125,14 @@
 	return nil
 }
 
+func (r *Router) listen() (net.Listener, error) {
+	if r.cfg.Listen != nil {
+		return r.cfg.Listen, nil
+	}
+	ln, err := net.Listen("tcp4", r.self.Address)
+	return ln, errors.Wrapf(err, "listening on %s", r.self.Address)
+}
+
 func (r *Router) startTimers() {
 	go r.config.run(r.stop)
 	go every(fleet.ProbePeriod, r.stop, r.members.tick)
--- a/pkg/order/keeper.go
+++ b/pkg/order/keeper.go
@@ -114,12 +114,12 @@
 		return nil
 	}
 	e.calling = false
-	switch {
-	case ev.Outcome == budget.TookEffect:
+	switch ev.Outcome {
+	case budget.TookEffect:
 		e.version = ev.Version
 		e.unsure = false
 		return k.landed(now, e)
-	case ev.Outcome == budget.OutcomeUnknown:
+	case budget.OutcomeUnknown:
 		e.unsure = true
 	}
 	return k.readAgain(e)
