--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -193,8 +193,8 @@
 	require.Equal(t, http.StatusOK, code, string(body))
 }
 
-func (c *cluster) budget(t *testing.T, i int) router.BudgetState {
-	code, body := send(http.MethodGet, "http://"+c.routers[i].address+"/Admin/Budgets/"+testBudget, testAdminKey, "", nil)
+func (c *cluster) budget(t *testing.T) router.BudgetState {
+	code, body := send(http.MethodGet, "http://"+c.routers[0].address+"/Admin/Budgets/"+testBudget, testAdminKey, "", nil)
 	require.Equal(t, http.StatusOK, code, string(body))
 	var state router.BudgetState
 	require.NoError(t, json.Unmarshal(body, &state))
@@ -290,7 +290,7 @@
 	for _, r := range c.routers[1:] {
 		require.NoError(t, r.cmd.Wait())
 	}
-	for holder := range c.budget(t, 0).Held {
+	for holder := range c.budget(t).Held {
 		require.True(t, strings.HasPrefix(holder, "vm-a."), "%s shut down and still holds tokens", holder)
 	}
 }
@@ -310,7 +310,7 @@
 		require.Equal(t, words(20), completion(t, []byte(<-results)).Choices[0].Message.Content)
 	}
 	require.NoError(t, c.routers[1].cmd.Wait(), "exit code")
-	require.NotContains(t, fmt.Sprint(c.budget(t, 0).Held), "vm-b")
+	require.NotContains(t, fmt.Sprint(c.budget(t).Held), "vm-b")
 }
 
 func TestKilledRouterStrandsButNeverOverspends(t *testing.T) {
@@ -326,7 +326,7 @@
 		for i := range c.routers {
 			_, _ = c.chat(i, "", prompt("x", 5))
 		}
-		state := c.budget(t, 0)
+		state := c.budget(t)
 		require.LessOrEqual(t, state.Spent, state.Prepaid)
 	}
 	require.LessOrEqual(t, c.tokensRun(t), int64(prepaid))
@@ -361,7 +361,7 @@
 		code, body := c.chat(i, "", prompt("warm up", 200))
 		require.Equal(t, http.StatusOK, code, string(body))
 	}
-	require.Eventually(t, func() bool { return c.budget(t, 0).Held[c.holder(t, 0)] > 100 }, patience, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return c.budget(t).Held[c.holder(t, 0)] > 100 }, patience, 50*time.Millisecond)
 	setFaults(t, c.store, standin.StoreFaults{Down: true})
 	code, body := c.chat(0, "", prompt("x", 20))
 	require.Equal(t, http.StatusOK, code, string(body))
