Replay recorded budget traces; announce a new witness at once

Cause: a witness that was never asked for a raise held no pledge and so never sealed the account of a lost holder; a witness that had not read the record planned the seal but never read it. Change: a holder asks a new witness at once; a planned seal reads the record. Steps of the fuzz test are now recorded, so that a failed run can be kept.

--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -33,7 +33,7 @@
 func (h *Holder) draw(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
 	if !a.known {
-		if len(a.waiting) == 0 && len(a.answers) == 0 {
+		if len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 {
 			return h.closeUnused(a)
 		}
 		return []Action{h.load(a)}
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -1,8 +1,13 @@
 package budget
 
 import (
+	"bufio"
+	"encoding/json"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -74,9 +79,10 @@
 	run      int64   // Tokens run by endpoints, less refunds.
 	billed   []int64 // Bills that were not refunded.
 	finals   map[string]int
-	asked    map[string]bool
 	origins  map[string]origin
 	answered map[string]bool // Forwards and recalls whose answer was sent.
+	trace    []step
+	home     map[string]string // Holder by request that a caller sent.
 	next     int
 	fate     int // Of the envelope that is delivered.
 }
@@ -85,7 +91,7 @@
 	m := &fleetMachine{
 		holders: map[string]*Holder{}, offset: map[string]time.Duration{}, now: start,
 		running: map[string]int64{}, reserved: map[string]int64{}, finals: map[string]int{},
-		asked: map[string]bool{}, origins: map[string]origin{}, answered: map[string]bool{},
+		origins: map[string]origin{}, answered: map[string]bool{}, home: map[string]string{},
 	}
 	m.store.record.Budget = testBudget
 	for range 3 {
@@ -118,7 +124,11 @@
 		if o.peer != victim || m.answered[id] {
 			continue
 		}
-		m.transit = append(m.transit, envelope{holder: o.holder, event: o.lost()})
+		lost := o.lost()
+		if taken, ok := lost.(ForwardTaken); ok {
+			m.finals[taken.Request]++
+		}
+		m.transit = append(m.transit, envelope{holder: o.holder, event: lost})
 	}
 	m.addHolder()
 }
@@ -164,6 +174,9 @@
 		return false
 	}
 	m.answered[request] = true
+	if taken {
+		m.finals[o.request]++
+	}
 	var ev Event = ForwardRefused{o.request, o.peer}
 	if taken {
 		ev = ForwardTaken{o.request}
@@ -263,7 +276,7 @@
 
 func (m *fleetMachine) request(holder string, tokens int64) {
 	id := m.id("request")
-	m.asked[id] = true
+	m.home[id] = holder
 	m.reserved[id] = tokens
 	m.handle(holder, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: m.now.Add(time.Hour)})
 }
@@ -290,7 +303,9 @@
 	m.store.put(m.store.version, next)
 }
 
-func (m *fleetMachine) check(t *rapid.T) {
+func (m *fleetMachine) check(t *rapid.T) { m.verify(t) }
+
+func (m *fleetMachine) verify(t require.TestingT) {
 	require.NoError(t, m.store.record.Check())
 	require.LessOrEqual(t, m.run, m.store.record.Prepaid(), "tokens run by endpoints exceed the prepaid tokens")
 	for request, n := range m.finals {
@@ -298,7 +313,7 @@
 	}
 }
 
-func (m *fleetMachine) heal(t *rapid.T) {
+func (m *fleetMachine) heal(t require.TestingT) {
 	m.late = nil
 	for _, name := range m.names {
 		m.tellPeers(name, "")
@@ -328,79 +343,99 @@
 	return first
 }
 
+// step is one event of a trace; fields that its Op does not need are zero.
+type step struct {
+	Op           string
+	Holder       string `json:",omitempty"`
+	Tokens       int64  `json:",omitempty"`
+	Index        int    `json:",omitempty"`
+	Fate         int    `json:",omitempty"`
+	Milliseconds int64  `json:",omitempty"`
+	Missed       string `json:",omitempty"`
+}
+
+// apply carries out one step; a step for which nothing is there does nothing.
+func (m *fleetMachine) apply(t require.TestingT, s step) {
+	m.trace = append(m.trace, s)
+	switch s.Op {
+	case "Request":
+		m.request(s.Holder, s.Tokens)
+	case "Deliver":
+		if s.Index < len(m.transit) {
+			m.deliver(s.Index, s.Fate)
+		}
+	case "Run":
+		for n := s.Index; n > 0 && len(m.transit) > 0; n-- {
+			m.deliver(0, 0)
+		}
+	case "LandLate":
+		if s.Index < len(m.late) {
+			m.store.put(m.late[s.Index].Version, m.late[s.Index].Record)
+		}
+	case "Settle":
+		if key := sampleKey(m.running); key != "" {
+			m.settle(key, min(s.Tokens, m.running[key]))
+		}
+	case "Refund":
+		if s.Index < len(m.billed) {
+			m.refund(s.Holder, s.Index)
+		}
+	case "Miss":
+		m.tellPeers(s.Holder, s.Missed)
+	case "Tick":
+		m.now = m.now.Add(time.Duration(s.Milliseconds) * time.Millisecond)
+		m.handle(s.Holder, Tick{})
+	case "ClockStep":
+		m.offset[s.Holder] = time.Duration(s.Milliseconds) * time.Millisecond
+	case "TopUp":
+		m.topUp(t, m.id("top-up"), s.Tokens)
+	case "TopUpAgain":
+		for id, tokens := range m.store.record.TopUps {
+			m.topUp(t, id, tokens)
+		}
+	case "Kill":
+		m.kill(slices.Index(m.names, s.Holder))
+	}
+}
+
 func TestSpendNeverExceedsPrepaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFleetMachine()
-		m.topUp(t, "first", rapid.Int64Range(1, 4000).Draw(t, "prepaid"))
+		defer m.save(t)
+		draw := func(label string, low, high int64) int64 { return rapid.Int64Range(low, high).Draw(t, label) }
 		holder := func() string { return rapid.SampledFrom(m.names).Draw(t, "holder") }
+		act := func(s step) { m.apply(t, s) }
+		act(step{Op: "TopUp", Tokens: draw("prepaid", 1, 4000)})
 		t.Repeat(map[string]func(*rapid.T){
-			"": m.check,
-			"request": func(t *rapid.T) {
-				m.request(holder(), rapid.Int64Range(1, 900).Draw(t, "tokens"))
-			},
+			"":        m.check,
+			"request": func(*rapid.T) { act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900)}) },
 			"deliver": func(t *rapid.T) {
 				if len(m.transit) == 0 {
 					t.Skip("nothing in transit")
 				}
-				i := rapid.IntRange(0, len(m.transit)-1).Draw(t, "envelope")
-				m.deliver(i, rapid.IntRange(0, 3).Draw(t, "fate"))
-			},
-			"run": func(t *rapid.T) {
-				for n := rapid.IntRange(1, 8).Draw(t, "deliveries"); n > 0 && len(m.transit) > 0; n-- {
-					m.deliver(0, 0)
-				}
-			},
-			"land late": func(t *rapid.T) {
-				if len(m.late) == 0 {
-					t.Skip("no late write")
-				}
-				i := rapid.IntRange(0, len(m.late)-1).Draw(t, "late")
-				m.store.put(m.late[i].Version, m.late[i].Record)
-			},
-			"settle": func(t *rapid.T) {
-				key := sampleKey(m.running)
-				if key == "" {
-					t.Skip("nothing runs")
-				}
-				m.settle(key, rapid.Int64Range(0, m.running[key]).Draw(t, "used"))
-			},
-			"miss": func(t *rapid.T) {
-				m.tellPeers(holder(), holder())
-			},
-			"refund": func(t *rapid.T) {
-				if len(m.billed) == 0 {
-					t.Skip("no bill")
-				}
-				m.refund(holder(), rapid.IntRange(0, len(m.billed)-1).Draw(t, "bill"))
-			},
-			"time": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms")) * time.Millisecond)
-				m.handle(holder(), Tick{})
-			},
-			"clock step": func(t *rapid.T) {
-				m.offset[holder()] = time.Duration(rapid.IntRange(-60, 60).Draw(t, "s")) * time.Second
-			},
-			"top up": func(t *rapid.T) {
-				m.topUp(t, "first", m.store.record.TopUps["first"])
-				m.topUp(t, m.id("top-up"), rapid.Int64Range(1, 500).Draw(t, "tokens"))
-			},
-			"kill": func(t *rapid.T) {
-				i := rapid.IntRange(0, len(m.names)-1).Draw(t, "victim")
-				m.kill(i)
+				act(step{Op: "Deliver", Index: int(draw("envelope", 0, int64(len(m.transit)-1))), Fate: int(draw("fate", 0, 3))})
 			},
+			"run":          func(*rapid.T) { act(step{Op: "Run", Index: int(draw("deliveries", 1, 8))}) },
+			"land late":    func(*rapid.T) { act(step{Op: "LandLate", Index: int(draw("late", 0, 3))}) },
+			"settle":       func(*rapid.T) { act(step{Op: "Settle", Tokens: draw("used", 0, 900)}) },
+			"refund":       func(*rapid.T) { act(step{Op: "Refund", Holder: holder(), Index: int(draw("bill", 0, 3))}) },
+			"miss":         func(*rapid.T) { act(step{Op: "Miss", Holder: holder(), Missed: holder()}) },
+			"tick":         func(*rapid.T) { act(step{Op: "Tick", Holder: holder(), Milliseconds: draw("ms", 1, 20000)}) },
+			"clock step":   func(*rapid.T) { act(step{Op: "ClockStep", Holder: holder(), Milliseconds: draw("ms", -60000, 60000)}) },
+			"top up":       func(*rapid.T) { act(step{Op: "TopUp", Tokens: draw("tokens", 1, 500)}) },
+			"top up again": func(*rapid.T) { act(step{Op: "TopUpAgain"}) },
+			"kill":         func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
 		})
 		m.finish(t)
 	})
 }
 
 // finish heals every fault and checks that each request ended once and that only what lost holders could have spent stays held.
-func (m *fleetMachine) finish(t *rapid.T) {
-	dead := map[string]int64{}
-	for key, n := range m.running {
+func (m *fleetMachine) finish(t require.TestingT) {
+	for key := range m.running {
 		var holder, request string
 		_, _ = fmt.Sscan(key, &holder, &request)
 		if m.holders[holder] == nil {
-			dead[holder] += n
 			delete(m.running, key)
 		}
 	}
@@ -409,7 +444,12 @@
 		m.handle(name, Drain{})
 	}
 	m.heal(t)
-	m.check(t)
+	m.verify(t)
+	for request, holder := range m.home {
+		if m.holders[holder] != nil {
+			require.Equal(t, 1, m.finals[request], "request %s of %s must have one outcome", request, holder)
+		}
+	}
 	r := m.store.record
 	for _, name := range m.names {
 		require.True(t, m.holders[name].Drained(), "holder %s has not drained: %+v", name, m.holders[name].accounts[testBudget])
@@ -450,3 +490,68 @@
 	require.Contains(t, h.Handle(m.now, Committed{testBudget, NoEffect, 0}), Load{testBudget})
 	require.Contains(t, h.Handle(m.now, Loaded{testBudget, m.store.version, m.store.record}), Refuse{"x", refusal.BudgetUnavailable})
 }
+
+var traceFile = flag.String("trace.save", "", "file for the trace of a failed run")
+
+// save writes the trace of a failed run, so that it can be kept under testdata.
+func (m *fleetMachine) save(t *rapid.T) {
+	if !t.Failed() || *traceFile == "" {
+		return
+	}
+	f, err := os.Create(*traceFile)
+	if err != nil {
+		t.Logf("trace not saved: %v", err)
+		return
+	}
+	defer func() { _ = f.Close() }()
+	for _, s := range m.trace {
+		_ = json.NewEncoder(f).Encode(s)
+	}
+}
+
+// outcome is the last line of a trace: the state after all faults are healed and all routers have drained, in tokens.
+type outcome struct {
+	Prepaid int64
+	Spent   int64
+	Free    int64
+	Held    int64 // By routers that were killed.
+}
+
+// TestTraces replays every recorded trace and compares the end with its stated outcome.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/traces/*.jsonl")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			m := newFleetMachine()
+			want := m.replay(t, file)
+			m.finish(t)
+			r := m.store.record
+			got := outcome{Prepaid: r.Prepaid(), Spent: r.Spent(), Free: r.Free()}
+			for _, a := range r.Holders {
+				got.Held += a.Held()
+			}
+			require.Equal(t, want, got)
+		})
+	}
+}
+
+func (m *fleetMachine) replay(t *testing.T, file string) outcome {
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer func() { _ = f.Close() }()
+	var want struct{ Outcome *outcome }
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &want))
+		if want.Outcome != nil {
+			return *want.Outcome
+		}
+		var s step
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &s))
+		m.apply(t, s)
+		m.verify(t)
+	}
+	t.Fatal("the trace states no outcome")
+	return outcome{}
+}
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -113,9 +113,11 @@
 }
 
 // raise asks the witness for a higher ceiling when less than half a step is usable or a request waits for it.
+//
+// A new witness is asked at once: it seals only the accounts that it was asked about.
 func (h *Holder) raise(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
-	enough := a.usable() >= a.step(p)/2 && !h.awaitsRaise(a)
+	enough := a.acked > 0 && a.usable() >= a.step(p)/2 && !h.awaitsRaise(a)
 	above := a.mine.Granted > a.ceiling()
 	if enough || !above || a.raising || h.switching(a) || a.mine.Witness == "" {
 		return nil
