Estimate the other routers' load on an endpoint from what this router did since the report

Cause: three routers that saw the same report, a second late, all sent to the fastest engines, which then queued. Change: the other routers are taken to have done since the report what this router did; the cost is the time to the first token plus a twentieth of the output time. The test now asserts that no baseline is better. Found by fuzzing: a request that ran was told NoEndpoint; a waiting copy of a condemned request was still sent. The pool now makes refusals truthful itself, condemns waiting copies and lets only one copy of a suspect run.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
@@ -32,11 +33,12 @@
 		}
 	}
 	if changed {
-		m.tellBudgets(now)
+		m.tellDeciders(now)
 	}
 }
 
-func (m *members) tellBudgets(now time.Time) {
+// tellDeciders brings the set of live routers to the deciders that act on it.
+func (m *members) tellDeciders(now time.Time) {
 	var changed budget.PeersChanged
 	for _, p := range m.peers() {
 		changed.Peers = append(changed.Peers, p.Name())
@@ -45,6 +47,7 @@
 		}
 	}
 	m.r.budgets.handle(now, changed)
+	m.r.backends.handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
 }
 
 func (m *members) tick(now time.Time) {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -165,13 +165,13 @@
 		case <-gone:
 			if w.key == "" {
 				r.backends.handle(time.Now(), endpoint.Withdrawn{ID: w.id})
-				return w.refusal(refusal.AnswerBroken, 0)
+				return refusal.New(refusal.AnswerBroken, "the caller has gone")
 			}
 			gone = nil // A keyed request goes on for the caller's retry.
 		case decision := <-decisions:
 			switch decision := decision.(type) {
 			case endpoint.Refuse:
-				return w.refusal(decision.Kind, decision.After)
+				return &refusal.Error{Kind: decision.Kind, After: decision.After}
 			case endpoint.Send:
 				if done, refused := r.tryEndpoint(w, decision); done {
 					return refused
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -181,19 +181,13 @@
 func (r *Router) runRepeatable(c *serviceCall) callResult {
 	decisions := r.backends.decisions.open(c.id)
 	defer r.backends.decisions.close(c.id)
-	sent := false
 	r.submitCall(c)
 	for decision := range decisions {
 		switch decision := decision.(type) {
 		case endpoint.Refuse:
-			kind := decision.Kind
-			if sent && kind.Answer().Ran == refusal.NotRun {
-				kind = refusal.AnswerBroken
-			}
-			return callResult{refused: &refusal.Error{Kind: kind, After: decision.After}}
+			return callResult{refused: &refusal.Error{Kind: decision.Kind, After: decision.After}}
 		case endpoint.Send:
 			answer, outcome := r.callOnce(c, decision)
-			sent = sent || outcome != endpoint.Rejected
 			r.backends.handle(time.Now(), endpoint.Ended{ID: c.id, Outcome: outcome})
 			if outcome == endpoint.Finished {
 				return callResult{answer: answer}
--- a/internal/router/work.go
+++ b/internal/router/work.go
@@ -89,14 +89,6 @@
 // abandon tells the worker that the caller has gone.
 func (w *work) abandon() { w.leave.Do(func() { close(w.gone) }) }
 
-// refusal returns the truthful refusal: a request that may have run is never told that it did not.
-func (w *work) refusal(kind refusal.Kind, after time.Duration) *refusal.Error {
-	if w.sent && kind.Answer().Ran == refusal.NotRun {
-		return &refusal.Error{Kind: refusal.AnswerBroken, Detail: "after " + kind.String()}
-	}
-	return &refusal.Error{Kind: kind, After: after}
-}
-
 // worstCase is the upper bound of what the request can cost, in tokens.
 func (w *work) worstCase() int64 { return w.request.PromptBound() + w.request.MaxTokens }
 
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -22,9 +22,9 @@
 
 	running map[string]*job // This router's attempts in flight.
 
-	report      Load
-	reportAt    time.Time
-	ownAtReport int // This router's attempts in flight when the report came.
+	report   Load
+	reportAt time.Time // When the endpoint counted, as far as known.
+	changes  []change  // This router's recent sends and ends, oldest first.
 
 	tokenTime  float64 // Seconds for each output token, measured.
 	promptTime float64 // Seconds for each prompt token, measured.
@@ -65,31 +65,63 @@
 	return b.deaths == 0 || len(b.running) == 0
 }
 
-// others estimates the requests of other routers on the endpoint; a report counts less as it ages.
-func (b *backend) others(now time.Time, trust time.Duration) float64 {
-	seen := float64(b.report.Running + b.report.Waiting - b.ownAtReport)
-	if seen <= 0 {
-		return 0
+// change is a send (+1) or an end (-1) of one of this router's attempts.
+type change struct {
+	at    time.Time
+	delta int
+}
+
+// changesKept is the age up to which changes are remembered; an older report is not corrected by them.
+const changesKept = 10 * time.Second
+
+func (b *backend) noteChange(now time.Time, delta int) {
+	b.changes = append(b.changes, change{now, delta})
+	old := 0
+	for old < len(b.changes) && now.Sub(b.changes[old].at) > changesKept {
+		old++
+	}
+	b.changes = b.changes[old:]
+}
+
+// netSince returns how many attempts this router has more in flight than at t.
+func (b *backend) netSince(t time.Time) int {
+	net := 0
+	for i := len(b.changes) - 1; i >= 0 && b.changes[i].at.After(t); i-- {
+		net += b.changes[i].delta
+	}
+	return net
+}
+
+// others estimates the requests of other routers on the endpoint.
+//
+// The report lags. What this router did since it was made is known, and the
+// other routers are taken to have done the same.
+func (b *backend) others(now time.Time, peers int, p Policy) float64 {
+	if b.reportAt.IsZero() {
+		return float64(len(b.running) * peers)
 	}
+	net := b.netSince(b.reportAt)
+	seen := float64(b.report.Running + b.report.Waiting - len(b.running) + net)
 	age := now.Sub(b.reportAt).Seconds()
-	return seen * math.Exp2(-age/trust.Seconds())
+	seen *= math.Exp2(-max(0, age-p.ReportTrust.Seconds()) / p.ReportTrust.Seconds())
+	return max(0, seen+float64(net*peers))
 }
 
-func (b *backend) occupied(now time.Time, p Policy) float64 {
-	return float64(len(b.running)) + b.others(now, p.ReportTrust)
+func (b *backend) occupied(now time.Time, peers int, p Policy) float64 {
+	return float64(len(b.running)) + b.others(now, peers, p)
 }
 
-func (b *backend) hasSlot(now time.Time, p Policy) bool {
-	return b.occupied(now, p)+1 <= float64(b.Slots)*(1+p.SlotTolerance)
+func (b *backend) hasSlot(now time.Time, peers int, p Policy) bool {
+	return b.occupied(now, peers, p)+1 <= float64(b.Slots)*(1+p.SlotTolerance)
 }
 
 // startTime estimates the seconds until the first token of r if it is sent now.
-func (b *backend) startTime(now time.Time, r *Request, p Policy) float64 {
+func (b *backend) startTime(now time.Time, r *Request, peers int, p Policy) float64 {
 	prompt := float64(r.PromptTokens) * b.promptTime
 	if r.Prefix != 0 && b.prefixes.Contains(r.Prefix) {
 		prompt *= 1 - p.CacheBenefit
 	}
-	over := b.occupied(now, p) + 1 - float64(b.Slots)
+	over := b.occupied(now, peers, p) + 1 - float64(b.Slots)
 	if over <= 0 {
 		return prompt
 	}
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -9,7 +9,7 @@
 
 // dispatch sends every waiting request for which an endpoint has room and refuses those whose deadline cannot be met.
 func (p *Pool) dispatch(now time.Time) []Action {
-	var actions []Action
+	actions := p.condemn(now)
 	for {
 		var chosen *backend
 		j := p.queue.next(func(j *job) bool {
@@ -27,6 +27,19 @@
 	return append(actions, p.shed(now)...)
 }
 
+// condemn refuses the waiting requests that have been in flight at too many deaths.
+func (p *Pool) condemn(now time.Time) []Action {
+	var actions []Action
+	for _, j := range slices.Clone(p.queue.waiting) {
+		if p.suspects.deaths(now, j.Fingerprint) > deathsAllowed {
+			p.queue.remove(j)
+			delete(p.jobs, j.ID)
+			actions = append(actions, j.refuse(refusal.Suspect, 0))
+		}
+	}
+	return actions
+}
+
 func (p *Pool) send(now time.Time, j *job, b *backend) Action {
 	p.queue.remove(j)
 	p.queue.charge(j)
@@ -36,17 +49,21 @@
 	j.sentAt = now
 	j.firstAt = time.Time{}
 	b.running[j.ID] = j
+	b.noteChange(now, 1)
 	return Send{ID: j.ID, Endpoint: b.Name, Attempt: j.attempts}
 }
 
 // choose returns the usable endpoint with room whose first token is expected soonest, or nil.
 func (p *Pool) choose(now time.Time, j *job) *backend {
 	suspect := p.suspects.deaths(now, j.Fingerprint) > 0
+	if suspect && p.onTrial(j.Fingerprint) {
+		return nil
+	}
 	var best *backend
 	var least float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.serves(j.Serves) || !b.usable(now) || !b.hasSlot(now, p.Policy) {
+		if !b.serves(j.Serves) || !b.usable(now) || !b.hasSlot(now, p.peers, p.Policy) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
@@ -61,10 +78,22 @@
 	return best
 }
 
-// cost estimates the seconds until the request is answered: its first token, and its output at the endpoint's speed.
+// onTrial reports whether a request with this fingerprint is in flight, so that the next one waits for what becomes of it.
+func (p *Pool) onTrial(fingerprint uint64) bool {
+	for _, name := range p.names {
+		for _, j := range p.backends[name].running {
+			if j.Fingerprint == fingerprint {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// cost estimates the seconds until the first token and adds a part of the output time, so that fast endpoints are preferred among free ones.
 func (p *Pool) cost(now time.Time, b *backend, j *job) float64 {
 	const tieBreak = 0.02
-	seconds := b.startTime(now, &j.Request, p.Policy) + float64(j.OutputTokens)*b.tokenTime
+	seconds := b.startTime(now, &j.Request, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
 	return seconds * (1 + tieBreak*p.random.Float64())
 }
 
@@ -76,16 +105,13 @@
 		if now.Add(wait).After(j.Deadline) {
 			p.queue.remove(j)
 			delete(p.jobs, j.ID)
-			actions = append(actions, Refuse{j.ID, p.shedKind(now, j), max(wait, time.Second)})
+			actions = append(actions, j.refuse(p.shedKind(now, j), max(wait, time.Second)))
 		}
 	}
 	return actions
 }
 
 func (p *Pool) shedKind(now time.Time, j *job) refusal.Kind {
-	if j.attempts > 0 {
-		return refusal.AnswerBroken
-	}
 	if kind, ok := p.hopeless(now, j); ok {
 		return kind
 	}
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -100,6 +100,9 @@
 // Withdrawn ends a request that waits or that will not be tried again.
 type Withdrawn struct{ ID string }
 
+// RoutersCounted gives the number of routers that send to the same endpoints, this one included.
+type RoutersCounted struct{ Routers int }
+
 // Reported carries an endpoint's load.
 type Reported struct {
 	Endpoint string
@@ -128,18 +131,19 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Configured) isEvent()   {}
-func (Submitted) isEvent()    {}
-func (Retried) isEvent()      {}
-func (FirstToken) isEvent()   {}
-func (Ended) isEvent()        {}
-func (Withdrawn) isEvent()    {}
-func (Reported) isEvent()     {}
-func (Unreachable) isEvent()  {}
-func (LeavingSeen) isEvent()  {}
-func (CacheSeen) isEvent()    {}
-func (SuspectHeard) isEvent() {}
-func (Tick) isEvent()         {}
+func (Configured) isEvent()     {}
+func (Submitted) isEvent()      {}
+func (Retried) isEvent()        {}
+func (FirstToken) isEvent()     {}
+func (Ended) isEvent()          {}
+func (Withdrawn) isEvent()      {}
+func (RoutersCounted) isEvent() {}
+func (Reported) isEvent()       {}
+func (Unreachable) isEvent()    {}
+func (LeavingSeen) isEvent()    {}
+func (CacheSeen) isEvent()      {}
+func (SuspectHeard) isEvent()   {}
+func (Tick) isEvent()           {}
 
 // Action is something that a Pool wants done.
 type Action interface{ isAction() }
--- a/pkg/endpoint/load_test.go
+++ b/pkg/endpoint/load_test.go
@@ -48,9 +48,10 @@
 	Endpoint
 	slow    float64
 	dead    bool
-	running int
+	running []*flight
 	waiting []*flight
 	cached  []uint64
+	epoch   int // Raised by each death.
 }
 
 // flight is one request on its way through a run.
@@ -62,6 +63,7 @@
 	first   time.Time
 	end     time.Time
 	refused refusal.Kind
+	bad     bool // Kills each endpoint that runs it.
 }
 
 func (f *flight) deadline() time.Time {
@@ -104,6 +106,7 @@
 	router  []balancer
 	random  *rand.Rand
 	deaths  int
+	prepare func(*flight) // Called for each flight before it starts; may be nil.
 }
 
 // balancer is a router's way to place requests; sent and ended are told to it.
@@ -160,6 +163,9 @@
 	gap := b.gap(load, share)
 	for i, a := range load {
 		f := &flight{arrival: a, id: fmt.Sprint("request-", i), router: i % len(b.router)}
+		if b.prepare != nil {
+			b.prepare(f)
+		}
 		b.flights = append(b.flights, f)
 		b.after(time.Duration(a.At*float64(gap)), func() {
 			f.arrived = b.now
@@ -187,7 +193,7 @@
 func (b *bench) reports() {
 	for _, name := range b.names {
 		e := b.engines[name]
-		l := Load{Running: e.running, Waiting: len(e.waiting)}
+		l := Load{Running: len(e.running), Waiting: len(e.waiting)}
 		if e.dead {
 			continue
 		}
@@ -211,16 +217,31 @@
 	b.begin(e)
 }
 
+// die breaks everything on an engine, which comes back after a while.
+func (b *bench) die(e *engine) {
+	const deadTime = 5 * time.Second
+	b.deaths++
+	e.epoch++
+	e.dead = true
+	broken := append(e.running, e.waiting...)
+	e.running, e.waiting, e.cached = nil, nil, nil
+	b.after(deadTime, func() { e.dead = false })
+	for _, f := range broken {
+		f.first = time.Time{}
+		b.router[f.router].ended(b, f, true)
+	}
+}
+
 func rank(f *flight) int {
 	class, _ := ParseClass(f.Class)
 	return int(class)
 }
 
 func (b *bench) begin(e *engine) {
-	for e.running < e.Slots && len(e.waiting) > 0 {
+	for len(e.running) < e.Slots && len(e.waiting) > 0 {
 		f := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		e.running++
+		e.running = append(e.running, f)
 		prompt := float64(f.PromptTokens) / e.PromptPerSecond * e.slow
 		if slices.Contains(e.cached, f.Prefix) {
 			prompt *= 0.2
@@ -228,13 +249,24 @@
 		e.cached = append([]uint64{f.Prefix}, slices.DeleteFunc(e.cached, func(p uint64) bool { return p == f.Prefix })...)
 		e.cached = e.cached[:min(len(e.cached), 6)]
 		output := float64(f.OutputTokens) / e.TokensPerSecond * e.slow
+		epoch := e.epoch
 		b.after(seconds(prompt), func() {
+			if e.epoch != epoch {
+				return
+			}
+			if f.bad {
+				b.die(e)
+				return
+			}
 			f.first = b.now
 			b.router[f.router].first(b, f)
 		})
 		b.after(seconds(prompt+output), func() {
+			if e.epoch != epoch {
+				return
+			}
 			f.end = b.now
-			e.running--
+			e.running = slices.DeleteFunc(e.running, func(other *flight) bool { return other == f })
 			b.router[f.router].ended(b, f, false)
 			b.begin(e)
 		})
@@ -245,11 +277,13 @@
 type poolBalancer struct {
 	pool    Pool
 	flights map[string]*flight
+	blind   bool // Suspects are not recognized.
 }
 
 func newPoolBalancer(b *bench, seed uint64) *poolBalancer {
 	p := &poolBalancer{pool: Pool{Policy: Policy{Seed: seed}}, flights: map[string]*flight{}}
 	p.handle(b, Configured{b.endpoints()})
+	p.handle(b, RoutersCounted{len(b.router)})
 	return p
 }
 
@@ -260,6 +294,12 @@
 			b.send(p.flights[action.ID], action.Endpoint)
 		case Refuse:
 			p.flights[action.ID].refused = action.Kind
+		case TellSuspect:
+			for _, other := range b.router {
+				if other != balancer(p) && !p.blind {
+					b.after(5*time.Millisecond, func() { other.(*poolBalancer).handle(b, SuspectHeard(action)) })
+				}
+			}
 		}
 	}
 }
@@ -267,8 +307,12 @@
 func (p *poolBalancer) arrive(b *bench, f *flight) {
 	p.flights[f.id] = f
 	class, _ := ParseClass(f.Class)
+	fingerprint := uint64(b.seq)
+	if f.bad && !p.blind {
+		fingerprint = 1
+	}
 	p.handle(b, Submitted{Request{ID: f.id, Serves: "m", Account: f.Account, Weight: f.Weight, Class: class, PromptTokens: f.PromptTokens,
-		OutputTokens: f.Limit, Prefix: f.Prefix, Deadline: f.deadline(), Fingerprint: uint64(b.seq), Repeatable: true}})
+		OutputTokens: f.Limit, Prefix: f.Prefix, Deadline: f.deadline(), Fingerprint: fingerprint, Repeatable: true}})
 }
 
 func (p *poolBalancer) first(b *bench, f *flight) { p.handle(b, FirstToken{f.id}) }
@@ -456,10 +500,44 @@
 			b.engines["writer-02"].dead = true
 		}},
 	} {
+		pool := runMethod(load, c.share, 0, c.prepare)
 		for i := range methods {
 			r := runMethod(load, c.share, i, c.prepare)
+			require.GreaterOrEqual(t, pool.goodput, r.goodput, "%s at %s", methods[i].name, c.name)
 			t.Logf("%-24s | %-15s | first token p50 %v p95 %v p99 %v | goodput %.1f%%, interactive %.1f%% | worst share %.2f | refused %v",
 				c.name, methods[i].name, r.p50, r.p95, r.p99, 100*r.goodput, 100*r.interactive, r.worstShare, r.refused)
 		}
 	}
 }
+
+// TestCrashSuspects lets one bad request, sent again and again to every router, kill the engines that run it.
+func TestCrashSuspects(t *testing.T) {
+	load := readLoad(t)[:1200]
+	for i := 100; i < len(load); i += 60 {
+		load[i].Account = "bad"
+	}
+	for _, blind := range []bool{false, true} {
+		b := newBench(make([]balancer, 3))
+		for k := range b.router {
+			p := newPoolBalancer(b, uint64(k))
+			p.blind = blind
+			b.router[k] = p
+		}
+		b.prepare = func(f *flight) { f.bad = f.Account == "bad" }
+		b.run(load, 0.5)
+		bad, innocent := 0, 0
+		for _, f := range b.flights {
+			switch {
+			case f.bad:
+				bad++
+			case f.end.IsZero():
+				innocent++
+			}
+		}
+		t.Logf("suspects recognized: %t | bad request sent %d times | engines died %d times | innocent requests lost or refused %d of %d",
+			!blind, bad, b.deaths, innocent, len(load)-bad)
+		if !blind {
+			require.LessOrEqual(t, b.deaths, deathsAllowed+1, "the bad request killed more engines than it may")
+		}
+	}
+}
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -5,6 +5,8 @@
 // Policy tunes a Pool; zero fields take the defaults.
 type Policy struct {
 	Seed          uint64        // Of the tie breaks.
+	ReportLag     time.Duration // Between an endpoint's count and its arrival here.
+	OutputWeight  float64       // Of the output time beside the time to the first token.
 	MaxAttempts   int           // Sends of one request.
 	RetryRatio    float64       // Retries earned by each finished request.
 	RetryReserve  float64       // Largest number of retries saved up.
@@ -20,6 +22,8 @@
 // Defaults of a Policy.
 const (
 	DefaultMaxAttempts  = 3
+	DefaultOutputWeight = 0.05
+	DefaultReportLag    = time.Second
 	DefaultRetryRatio   = 0.1
 	DefaultRetryReserve = 10
 	DefaultDownFor      = time.Second
@@ -31,11 +35,13 @@
 )
 
 func (p Policy) withDefaults() Policy {
+	orFloat(&p.OutputWeight, DefaultOutputWeight)
 	orInt(&p.MaxAttempts, DefaultMaxAttempts)
 	orInt(&p.MaxQueue, DefaultMaxQueue)
 	orFloat(&p.RetryRatio, DefaultRetryRatio)
 	orFloat(&p.RetryReserve, DefaultRetryReserve)
 	orFloat(&p.CacheBenefit, DefaultCacheBenefit)
+	orDuration(&p.ReportLag, DefaultReportLag)
 	orDuration(&p.DownFor, DefaultDownFor)
 	orDuration(&p.MaxDownFor, DefaultMaxDownFor)
 	orDuration(&p.SuspectFor, DefaultSuspectFor)
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -21,6 +21,7 @@
 	queue    queue
 	suspects suspects
 	retries  float64 // Retries saved up.
+	peers    int     // Other routers that send to the same endpoints.
 	random   *rand.Rand
 }
 
@@ -51,8 +52,11 @@
 	case Ended:
 		return p.ended(now, ev)
 	case Withdrawn:
-		p.withdraw(ev.ID)
+		p.withdraw(now, ev.ID)
 		return p.dispatch(now)
+	case RoutersCounted:
+		p.peers = max(0, ev.Routers-1)
+		return nil
 	case Reported:
 		p.reported(now, ev)
 		return p.dispatch(now)
@@ -69,7 +73,7 @@
 		return nil
 	case SuspectHeard:
 		p.suspects.hear(now, ev.Suspect)
-		return nil
+		return p.dispatch(now)
 	case Tick:
 		p.suspects.expire(now)
 		return p.dispatch(now)
@@ -132,7 +136,7 @@
 	}
 	j := &job{Request: r, arrived: now}
 	if kind, ok := p.hopeless(now, j); ok {
-		return []Action{Refuse{r.ID, kind, 0}}
+		return []Action{j.refuse(kind, 0)}
 	}
 	p.jobs[r.ID] = j
 	p.queue.add(j)
@@ -175,17 +179,15 @@
 	kind, refused := p.hopeless(now, j)
 	switch {
 	case refused:
-	case !j.Repeatable || j.attempts >= p.Policy.MaxAttempts:
-		kind = refusal.AnswerBroken
-	case p.retries < 1:
-		kind = refusal.AnswerBroken
+	case !j.Repeatable && j.ran, j.attempts >= p.Policy.MaxAttempts, p.retries < 1:
+		kind = refusal.NoEndpoint
 	default:
 		p.retries--
 		p.queue.add(j)
 		return p.dispatch(now)
 	}
 	delete(p.jobs, id)
-	return []Action{Refuse{id, kind, 0}}
+	return []Action{j.refuse(kind, 0)}
 }
 
 func (p *Pool) firstToken(now time.Time, id string) {
@@ -210,7 +212,9 @@
 	}
 	b := j.on
 	delete(b.running, ev.ID)
+	b.noteChange(now, -1)
 	j.on = nil
+	j.ran = j.ran || ev.Outcome != Rejected
 	var actions []Action
 	switch ev.Outcome {
 	case Finished:
@@ -238,13 +242,14 @@
 	delete(p.jobs, j.ID)
 }
 
-func (p *Pool) withdraw(id string) {
+func (p *Pool) withdraw(now time.Time, id string) {
 	j, ok := p.jobs[id]
 	if !ok {
 		return
 	}
 	if j.on != nil {
 		delete(j.on.running, id)
+		j.on.noteChange(now, -1)
 	}
 	p.queue.remove(j)
 	delete(p.jobs, id)
@@ -256,8 +261,7 @@
 		return
 	}
 	b.report = ev.Load
-	b.reportAt = now
-	b.ownAtReport = len(b.running)
+	b.reportAt = now.Add(-p.Policy.ReportLag)
 	b.leavingByReport = ev.Load.Leaving
 }
 
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
 // job is a request that a Pool knows.
@@ -12,11 +14,20 @@
 	arrived  time.Time
 	attempts int
 	suspect  bool
+	ran      bool     // An attempt may have run.
 	on       *backend // Where an attempt is in flight.
 	sentAt   time.Time
 	firstAt  time.Time
 }
 
+// refuse returns the truthful refusal: a request that may have run is never told that it did not.
+func (j *job) refuse(kind refusal.Kind, after time.Duration) Refuse {
+	if j.ran && kind.Answer().Ran == refusal.NotRun {
+		return Refuse{j.ID, refusal.AnswerBroken, 0}
+	}
+	return Refuse{j.ID, kind, after}
+}
+
 func (j *job) weight() float64 {
 	if j.Weight <= 0 {
 		return 1
