--- a/internal/chat/chunk.go
+++ b/internal/chat/chunk.go
@@ -137,7 +137,7 @@
 		}
 		var c Chunk
 		if err := json.Unmarshal(data, &c); err != nil {
-			return Chunk{}, errors.Mark(errors.Wrap(err, "decoding a chunk"), ErrMalformed)
+			return Chunk{}, errors.Wrapf(ErrMalformed, "decoding a chunk: %v", err)
 		}
 		return c, nil
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -137,10 +137,10 @@
 
 func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, wait time.Duration) error {
 	if err := ctx.Err(); err != nil {
-		return errors.Mark(err, ErrUnavailable)
+		return errors.Wrapf(ErrUnavailable, "calling the store: %v", err)
 	}
 	if err := c.http.DoTimeout(req, resp, c.Timeout+wait); err != nil {
-		return errors.Mark(errors.Wrap(err, "calling the store"), ErrUnavailable)
+		return errors.Wrapf(ErrUnavailable, "calling the store: %v", err)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,150 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/standin"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+)
+
+const callTimeout = 30 * time.Second // Long, so that no verdict depends on the machine's speed.
+
+// TestEachCallIsSentOnce counts what reaches a server that reads a request and closes the connection.
+func TestEachCallIsSentOnce(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if n, _ := conn.Read(make([]byte, 4096)); n > 0 {
+				requests.Add(1)
+			}
+			_ = conn.Close()
+		}
+	}()
+	client := platform.NewHTTPClient(callTimeout, 8)
+	for i, method := range []string{fasthttp.MethodPut, fasthttp.MethodGet, fasthttp.MethodPost, fasthttp.MethodDelete} {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://" + ln.Addr().String() + "/Keys/a")
+		require.Error(t, client.DoTimeout(req, resp, callTimeout))
+		require.EqualValues(t, i+1, requests.Load(), method)
+	}
+}
+
+// stores are the two forms of the store, which must behave alike.
+func stores(t *testing.T) (map[string]platform.Store, *standin.Store) {
+	served := &standin.Store{}
+	s, err := standin.Serve("127.0.0.1:0", served.Handle)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return map[string]platform.Store{"memory": &platform.Memory{}, "client": platform.NewClient(s.Address, callTimeout)}, served
+}
+
+func TestConditionalWrites(t *testing.T) {
+	all, _ := stores(t)
+	for name, store := range all {
+		ctx := context.Background()
+		key := "Settings/Tree/Teams/polish & шеберлер/1"
+		first, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("one")})
+		require.NoError(t, err, name)
+		require.Equal(t, budget.TookEffect, first.Outcome, name)
+		again, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("two")})
+		require.NoError(t, err, name)
+		require.Equal(t, budget.NoEffect, again.Outcome, name)
+		next, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("two"), IfVersion: first.Version})
+		require.NoError(t, err, name)
+		require.Greater(t, next.Version, first.Version, name)
+		entry, err := store.Get(ctx, key)
+		require.NoError(t, err, name)
+		require.Equal(t, platform.Entry{Key: key, Value: []byte("two"), Version: next.Version}, entry, name)
+		missing, err := store.Get(ctx, "none")
+		require.NoError(t, err, name)
+		require.Zero(t, missing.Version, name)
+		list, err := store.List(ctx, "Settings/")
+		require.NoError(t, err, name)
+		require.Len(t, list, 1, name)
+		large, err := store.Put(ctx, platform.Put{Key: "large", Value: make([]byte, platform.MaxValue+1)})
+		require.ErrorIs(t, err, platform.ErrTooLarge, name)
+		require.Equal(t, budget.NoEffect, large.Outcome, name)
+	}
+}
+
+func TestWatchSeesTheNextWrite(t *testing.T) {
+	all, _ := stores(t)
+	for name, store := range all {
+		ctx := context.Background()
+		seen := make(chan platform.Entry, 1)
+		go func() {
+			entry, _ := store.Watch(ctx, "head", 0, callTimeout)
+			seen <- entry
+		}()
+		_, err := store.Put(ctx, platform.Put{Key: "head", Value: []byte("1")})
+		require.NoError(t, err, name)
+		require.Equal(t, []byte("1"), (<-seen).Value, name)
+	}
+}
+
+func TestLostAnswerIsUnknownAndLimitHasNoEffect(t *testing.T) {
+	all, served := stores(t)
+	store := all["client"]
+	ctx := context.Background()
+	served.SetFaults(standin.StoreFaults{LoseWriteAnswers: 1})
+	written, err := store.Put(ctx, platform.Put{Key: "a", Value: []byte("1")})
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.Equal(t, budget.OutcomeUnknown, written.Outcome)
+	entry, err := store.Get(ctx, "a")
+	require.NoError(t, err)
+	require.NotZero(t, entry.Version, "the write took effect")
+
+	limited := platform.NewGuarded(store, 1, 1)
+	_, err = limited.Put(ctx, platform.Put{Key: "b"})
+	require.NoError(t, err)
+	written, err = limited.Put(ctx, platform.Put{Key: "c"})
+	require.ErrorIs(t, err, platform.ErrLimited)
+	require.Equal(t, budget.NoEffect, written.Outcome)
+	entry, err = store.Get(ctx, "c")
+	require.NoError(t, err)
+	require.Zero(t, entry.Version)
+}
+
+func TestBreakerSparesAStoreThatIsDown(t *testing.T) {
+	all, served := stores(t)
+	guarded := platform.NewGuarded(all["client"], 1000, 1000)
+	served.SetFaults(standin.StoreFaults{Down: true})
+	for range 50 {
+		_, err := guarded.Get(context.Background(), "a")
+		require.Error(t, err)
+	}
+	served.SetFaults(standin.StoreFaults{})
+	require.Eventually(t, func() bool {
+		_, err := guarded.Get(context.Background(), "a")
+		return err == nil
+	}, callTimeout, 10*time.Millisecond)
+}
+
+func FuzzParseETag(f *testing.F) {
+	f.Add(`"12"`)
+	f.Add(`W/"1"`)
+	f.Fuzz(func(t *testing.T, tag string) {
+		version, err := platform.ParseETag(tag)
+		if err == nil {
+			again, err := platform.ParseETag(platform.ETag(version))
+			require.NoError(t, err)
+			require.Equal(t, version, again)
+		}
+	})
+}
--- a/internal/router/config_follower.go
+++ b/internal/router/config_follower.go
@@ -205,7 +205,7 @@
 			return head, nil
 		}
 	}
-	return settings.Head{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	return settings.Head{}, errors.Wrapf(platform.ErrUnavailable, "changing the settings: %v", ctx.Err())
 }
 
 func decodeHead(entry platform.Entry) (settings.Head, error) {
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/order"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+)
+
+const testPeerKey = "a-shared-peer-key"
+
+// testRouter starts a router with an in-memory store and one engine that cannot be reached.
+func testRouter(t testing.TB) *Router {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	tree := settings.Tree{
+		Fleet: settings.Fleet{
+			Name: "test", PeerKey: testPeerKey, AdminSHA256: hashKey("admin"), DataCentres: []string{"a"},
+			VMs:       []settings.VM{{Name: "vm-1", DataCentre: "a", Address: address, Size: 1}},
+			Endpoints: []settings.Endpoint{{Name: "e", DataCentre: "a", Address: "127.0.0.1:1", Serves: []string{"m", "orders"}, Slots: 1}},
+			Services:  []settings.Service{{Name: "orders", Calls: []settings.Call{{Name: "place", Path: "/place"}}}},
+			Limits:    settings.Limits{BodyBytes: 4096, OutputTokens: 100, EntryKeepSeconds: 1, FirstTokenSeconds: 1},
+		},
+		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: hashKey("secret")}}}},
+	}
+	r, err := New(Config{VM: "vm-1", Listen: ln, Initial: tree, Store: &platform.Memory{}})
+	require.NoError(t, err)
+	require.NoError(t, r.Start(t.Context()))
+	t.Cleanup(r.Kill)
+	return r
+}
+
+// ask sends one request and returns its refusal, or nil when it was answered.
+func ask(t testing.TB, r *Router, method, path string, headers map[string]string, body string) *refusal.Error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + r.Address() + path)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	req.SetBodyString(body)
+	require.NoError(t, fasthttp.DoTimeout(req, resp, time.Minute))
+	if resp.StatusCode() < fasthttp.StatusBadRequest {
+		return nil
+	}
+	refused := refusal.Parse(resp.Body())
+	require.Equal(t, refused.Kind.Answer().Status, resp.StatusCode())
+	require.Equal(t, refusal.Seconds(refused.RetryAfter()) > 0, len(resp.Header.Peek(fasthttp.HeaderRetryAfter)) > 0)
+	return refused
+}
+
+func TestRefusalsAreTypedAndSayNotRun(t *testing.T) {
+	r := testRouter(t)
+	key := map[string]string{"Authorization": "Bearer secret"}
+	good := `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	for _, c := range []struct {
+		name, method, path string
+		headers            map[string]string
+		body               string
+		kind               refusal.Kind
+	}{
+		{"no key", "POST", chat.Path, nil, good, refusal.Unauthenticated},
+		{"wrong key", "POST", chat.Path, map[string]string{"Authorization": "Bearer sEcret"}, good, refusal.Unauthenticated},
+		{"malformed", "POST", chat.Path, key, `{"model":`, refusal.BadRequest},
+		{"wrong type", "POST", chat.Path, key, `{"model":["m"]}`, refusal.BadRequest},
+		{"unknown field", "POST", chat.Path, key, `{"model":"m","n":2,"messages":[]}`, refusal.BadRequest},
+		{"unknown model", "POST", chat.Path, key, `{"model":"z","messages":[{"role":"user","content":"x"}]}`, refusal.UnknownModel},
+		{"large body", "POST", chat.Path, key, good + string(make([]byte, 5000)), refusal.TooLarge},
+		{"large output", "POST", chat.Path, key, `{"model":"m","max_tokens":101,"messages":[{"role":"user","content":"x"}]}`, refusal.TooLarge},
+		{"no budget", "POST", chat.Path, key, good, refusal.BudgetExhausted},
+		{"order without key", "POST", "/v1/services/orders/place", key, `{}`, refusal.KeyRequired},
+		{"unknown call", "POST", "/v1/services/orders/burn", key, `{}`, refusal.UnknownService},
+		{"unknown path", "GET", "/nothing", nil, "", refusal.NotFound},
+		{"admin without key", "GET", AdminStatusPath, key, "", refusal.Forbidden},
+		{"peer without key", "POST", probePath, nil, "[]", refusal.Forbidden},
+		{"peer with a malformed message", "POST", probePath, map[string]string{headerPeerKey: testPeerKey}, "{", refusal.BadRequest},
+		{"unknown account", "POST", chat.Path, map[string]string{headerPeerKey: testPeerKey, headerAccount: "t/y"}, good, refusal.Unauthenticated},
+	} {
+		refused := ask(t, r, c.method, c.path, c.headers, c.body)
+		require.NotNil(t, refused, c.name)
+		require.Equal(t, c.kind.String(), refused.Kind.String(), c.name)
+		require.Equal(t, refusal.NotRun, refused.Kind.Answer().Ran, c.name)
+	}
+}
+
+// TestUnreachableEndpointIsNotRun checks that a failed dial is told as not run and leaves the order key free.
+func TestUnreachableEndpointIsNotRun(t *testing.T) {
+	r := testRouter(t)
+	headers := map[string]string{"Authorization": "Bearer secret", chat.HeaderIdempotencyKey: "order-1"}
+	for range 2 {
+		refused := ask(t, r, "POST", "/v1/services/orders/place", headers, `{}`)
+		require.NotNil(t, refused)
+		require.Equal(t, refusal.NotRun, refused.Kind.Answer().Ran, refused.Error())
+	}
+}
+
+// FuzzMessages decodes what other routers and the store send.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"Budget":"t","Holders":{"a":{"Granted":5,"Ceiling":9}}}`))
+	f.Add([]byte(`[{"VM":"a","Incarnation":1,"State":9}]`))
+	f.Add([]byte(`{"Attempt":"x","State":2,"Answer":{"Body":"eA=="}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var record budget.Record
+		if decodeStrict(data, &record) == nil && record.Check() == nil {
+			require.GreaterOrEqual(t, record.Free(), int64(0))
+		}
+		_ = decodeStrict(data, &order.Claim{})
+		var message raiseMessage
+		_ = json.Unmarshal(data, &message)
+		var billed bill.Billed
+		_ = json.Unmarshal(data, &billed)
+		m := members{r: &Router{}}
+		_, _ = m.answer(data)
+		_, _ = DecodeStatus(data)
+	})
+}
--- a/internal/router/stream_client.go
+++ b/internal/router/stream_client.go
@@ -30,7 +30,7 @@
 	c.Dial = func(address string) (net.Conn, error) {
 		conn, err := fasthttp.DialTimeout(address, time.Second)
 		if err != nil {
-			return nil, errors.Mark(err, errNotSent)
+			return nil, errors.Wrapf(errNotSent, "dialling %s: %v", address, err)
 		}
 		return &stallConn{Conn: conn, stall: stall}, nil
 	}
--- a/pkg/endpoint/load_test.go
+++ b/pkg/endpoint/load_test.go
@@ -223,7 +223,7 @@
 	b.deaths++
 	e.epoch++
 	e.dead = true
-	broken := append(e.running, e.waiting...)
+	broken := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting, e.cached = nil, nil, nil
 	b.after(deadTime, func() { e.dead = false })
 	for _, f := range broken {
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -64,9 +64,7 @@
 		p.down(now, ev.Endpoint)
 		return nil
 	case LeavingSeen:
-		if b, ok := p.backends[ev.Endpoint]; ok {
-			b.leavingBySettings = ev.Leaving
-		}
+		p.leavingSeen(ev)
 		return p.dispatch(now)
 	case CacheSeen:
 		p.cacheSeen(ev)
@@ -277,6 +275,12 @@
 	b.prefixes.Purge()
 }
 
+func (p *Pool) leavingSeen(ev LeavingSeen) {
+	if b, ok := p.backends[ev.Endpoint]; ok {
+		b.leavingBySettings = ev.Leaving
+	}
+}
+
 func (p *Pool) cacheSeen(ev CacheSeen) {
 	b, ok := p.backends[ev.Endpoint]
 	switch {
