--- a/internal/chat/chunk.go
+++ b/internal/chat/chunk.go
@@ -17,7 +17,7 @@
 	ID       string          `json:"id"`
 	Object   string          `json:"object"`
 	Model    string          `json:"model,omitempty"`
-	Sequence int             `json:"sequence"`
+	Sequence *int            `json:"sequence,omitempty"` // Absent from engines that do not number their chunks.
 	Choices  []Choice        `json:"choices"`
 	Usage    *Usage          `json:"usage,omitempty"`
 	Error    *refusal.Detail `json:"error,omitempty"` // In place of the rest of an answer that cannot be completed.
@@ -53,7 +53,7 @@
 	if c.Finish != "" {
 		choice.FinishReason = &c.Finish
 	}
-	return Chunk{ID: id, Object: "chat.completion.chunk", Model: model, Sequence: c.Sequence, Choices: []Choice{choice}}
+	return Chunk{ID: id, Object: "chat.completion.chunk", Model: model, Sequence: &c.Sequence, Choices: []Choice{choice}}
 }
 
 // NewCompletion returns a whole answer.
@@ -62,9 +62,15 @@
 	return Completion{ID: id, Object: "chat.completion", Model: model, Choices: []Choice{choice}, Usage: usage}
 }
 
+// Unnumbered is the sequence number of a chunk that carries none.
+const Unnumbered = -1
+
 // Part returns the part of an answer that a chunk carries.
 func (c Chunk) Part() answer.Chunk {
-	part := answer.Chunk{Attempt: c.ID, Sequence: c.Sequence}
+	part := answer.Chunk{Attempt: c.ID, Sequence: Unnumbered}
+	if c.Sequence != nil {
+		part.Sequence = *c.Sequence
+	}
 	if len(c.Choices) == 0 {
 		return part
 	}
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -401,6 +401,22 @@
 	}
 }
 
+func TestEngineThatNumbersNoChunks(t *testing.T) {
+	c := startCluster(t, 1_000_000)
+	for _, e := range c.engines {
+		setFaults(t, e, standin.EngineFaults{NoNumbers: true})
+	}
+	code, body := c.chat(0, "", prompt("one two", 10))
+	require.Equal(t, http.StatusOK, code, string(body))
+	require.Equal(t, words(10), completion(t, body).Choices[0].Message.Content)
+	for _, e := range c.engines {
+		setFaults(t, e, standin.EngineFaults{NoNumbers: true, CutAfterChunks: 3})
+	}
+	code, body = c.chat(0, "", prompt("one two", 10))
+	require.Equal(t, http.StatusBadGateway, code, string(body))
+	require.Equal(t, refusal.AnswerBroken, refusal.Parse(body).Kind)
+}
+
 func TestSettingsChangeIsInForceEverywhere(t *testing.T) {
 	c := startCluster(t, 1_000_000)
 	team := c.tree.Teams[0]
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -52,11 +52,11 @@
 		return endpoint.Incomplete, refusal.New(refusal.BadRequest, "the endpoint refused it: "+string(body))
 	}
 	w.sent = true
-	outcome := r.receive(w, answered)
+	outcome, refused := r.receive(w, answered, id, from)
 	if outcome == endpoint.Finished && !w.assembler.Capped() {
 		answered.drain()
 	}
-	return outcome, nil
+	return outcome, refused
 }
 
 // failedCall tells what a call without an answer means; only a failed dial proves that the request did not run.
@@ -68,28 +68,39 @@
 }
 
 // receive hands the chunks of a stream on in order until the answer is whole or the stream breaks.
-func (r *Router) receive(w *work, answered *reply) endpoint.Outcome {
+func (r *Router) receive(w *work, answered *reply, attempt string, from int) (endpoint.Outcome, *refusal.Error) {
+	limit := w.arrived.Add(time.Duration(r.snapshot().limits.AnswerSeconds) * time.Second)
 	reader := chat.NewReader(answered.stream())
-	for {
+	for n := 0; ; n++ {
 		c, err := reader.Next()
 		switch {
 		case errors.Is(err, chat.ErrDone), errors.Is(err, chat.ErrMalformed):
-			return endpoint.Incomplete
+			return endpoint.Incomplete, nil
 		case err != nil:
-			return endpoint.Died
+			return endpoint.Died, nil
+		case time.Now().After(limit):
+			return endpoint.Abandoned, refusal.New(refusal.DeadlineExceeded, "the answer took too long")
 		}
-		ready, err := w.assembler.Take(c.Part())
+		part := c.Part()
+		if part.Sequence == chat.Unnumbered {
+			if from > 0 {
+				return endpoint.Incomplete, refusal.New(refusal.AnswerBroken, "the endpoint cannot resume an answer")
+			}
+			part.Attempt = attempt
+			part.Sequence = n
+		}
+		ready, err := w.assembler.Take(part)
 		if err != nil {
-			return endpoint.Incomplete
+			return endpoint.Incomplete, nil
 		}
 		if c.Usage != nil && len(ready) > 0 {
 			w.usage = *c.Usage
 		}
 		if !r.handOn(w, ready) {
-			return endpoint.Abandoned
+			return endpoint.Abandoned, nil
 		}
 		if w.assembler.Whole() {
-			return endpoint.Finished
+			return endpoint.Finished, nil
 		}
 	}
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -217,7 +217,8 @@
 	if p.chunk != nil {
 		return chat.NewChunk(w.id, w.request.Model, *p.chunk)
 	}
-	event := chat.NewChunk(w.id, w.request.Model, answer.Chunk{Sequence: -1})
+	event := chat.NewChunk(w.id, w.request.Model, answer.Chunk{})
+	event.Sequence = nil
 	event.Choices = []chat.Choice{}
 	event.Usage = p.usage
 	if p.refused != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -28,6 +28,7 @@
 	DoubleChunks     bool
 	SwapChunks       bool // Each pair of neighbouring chunks is sent in the wrong order.
 	ForeignChunks    bool // Chunks of another request are mixed in.
+	NoNumbers        bool // Chunks carry neither the attempt nor a sequence number, as with a plain engine.
 	Leaving          bool
 }
 
@@ -116,6 +117,9 @@
 			return
 		}
 		event := chat.NewChunk(part.Attempt, r.Model, part)
+		if faults.NoNumbers {
+			event.ID, event.Sequence = "chatcmpl-1", nil
+		}
 		if part.Finish != "" {
 			event.Usage = &chat.Usage{PromptTokens: promptTokens(r), CompletionTokens: int64(part.Sequence + 1)}
 		}
