--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -417,6 +417,34 @@
 	require.Equal(t, refusal.AnswerBroken, refusal.Parse(body).Kind)
 }
 
+// TestLeavingEndpointGetsNoNewWork marks one engine as leaving by its own report and counts what it serves from then on.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	c := startCluster(t, 1_000_000)
+	served := func() int {
+		_, body := send(http.MethodGet, "http://"+c.engines[0].address+"/Counts", "", "", nil)
+		var counts standin.EngineCounts
+		require.NoError(t, json.Unmarshal(body, &counts))
+		return counts.Served
+	}
+	setFaults(t, c.engines[0], standin.EngineFaults{Leaving: true})
+	for i := range c.routers {
+		require.Eventually(t, func() bool {
+			for _, e := range c.status(t, i).Endpoints {
+				if e.Name == "engine-0" {
+					return e.Leaving
+				}
+			}
+			return false
+		}, patience, 20*time.Millisecond)
+	}
+	before := served()
+	for i := range 12 {
+		code, body := c.chat(i%3, "", prompt("one two", 10))
+		require.Equal(t, http.StatusOK, code, string(body))
+	}
+	require.Equal(t, before, served(), "a leaving engine got new work")
+}
+
 func TestSettingsChangeIsInForceEverywhere(t *testing.T) {
 	c := startCluster(t, 1_000_000)
 	team := c.tree.Teams[0]
--- a/internal/command/report_page.go
+++ b/internal/command/report_page.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
@@ -40,22 +41,30 @@
 
 // burnPlot draws the burn rates of both windows as bars, as a PNG.
 func burnPlot(report burn.Report) ([]byte, error) {
-	const width, height = 24 * vg.Centimeter, 10 * vg.Centimeter
+	const (
+		width, height = 24 * vg.Centimeter, 10 * vg.Centimeter
+		leastRange    = 2    // Burn rates that the axis shows at least.
+		legendRoom    = 1.25 // Part of the axis above the highest bar.
+	)
 	p := plot.New()
 	p.Y.Label.Text = "burn rate (1 uses the error budget up exactly)"
 	p.Legend.Top = true
+	p.Y.Min = 0
+	p.Y.Max = leastRange
 	var short, long plotter.Values
 	var names []string
 	for _, row := range report.Rows {
 		short = append(short, row.Rate(row.Short))
 		long = append(long, row.Rate(row.Long))
-		names = append(names, row.Team+"\n"+string(row.Level))
+		names = append(names, row.Team+"\n"+row.Service+"\n"+string(row.Level))
 	}
 	if len(names) > 0 {
 		if err := addBars(p, short, long); err != nil {
 			return nil, err
 		}
 		p.NominalX(names...)
+		p.Y.Max *= legendRoom
+		p.X.Min, p.X.Max = -0.5, float64(len(names))-0.5
 	}
 	to, err := p.WriterTo(width, height, "png")
 	if err != nil {
@@ -78,7 +87,8 @@
 	}
 	shortBars.Offset = -vg.Points(barWidth / 2)
 	longBars.Offset = vg.Points(barWidth / 2)
-	longBars.Color = plotter.DefaultLineStyle.Color
+	shortBars.Color = plotutil.Color(0)
+	longBars.Color = plotutil.Color(1)
 	p.Add(shortBars, longBars)
 	p.Legend.Add("5 minutes", shortBars)
 	p.Legend.Add("1 hour", longBars)
--- a/internal/router/config_follower.go
+++ b/internal/router/config_follower.go
@@ -141,6 +141,13 @@
 		pause(settingsPeriod, c.r.stop)
 		return version
 	}
+	if entry.Version == 0 {
+		// The store was away when this router started, or is empty.
+		if err := c.seed(ctx); err != nil {
+			c.r.log.Warn("initial settings not stored", zap.Error(err))
+		}
+		return version
+	}
 	c.takeHead(entry.Value, true)
 	return max(version, entry.Version)
 }
--- a/pkg/refusal/error.go
+++ b/pkg/refusal/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,7 +86,9 @@
 	if !ok {
 		return New(Internal, "the refusal has an unknown kind")
 	}
-	return &Error{Kind: k, Detail: b.Error.Message, After: time.Duration(b.Error.RetryAfterSeconds) * time.Second}
+	detail := strings.TrimPrefix(b.Error.Message, New(k, "").Error())
+	detail = strings.TrimPrefix(detail, ": ")
+	return &Error{Kind: k, Detail: detail, After: time.Duration(b.Error.RetryAfterSeconds) * time.Second}
 }
 
 // Seconds rounds d up to whole seconds, the unit of the Retry-After header.
--- a/pkg/refusal/refusal_test.go
+++ b/pkg/refusal/refusal_test.go
@@ -33,6 +33,7 @@
 		sent := New(k, "Teams/polish")
 		got := Parse(sent.JSON())
 		require.Equal(t, k, got.Kind)
+		require.Equal(t, "Teams/polish", got.Detail)
 		require.Equal(t, Seconds(sent.RetryAfter()), Seconds(got.RetryAfter()))
 	}
 }
