--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -5,10 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
@@ -39,9 +37,9 @@
 }
 
 func runDev(ctx context.Context, c *cli.Command) error {
-	ln, err := net.Listen("tcp4", c.String("listen"))
+	ln, err := listen(c.String("listen"))
 	if err != nil {
-		return errors.Wrap(err, "listening")
+		return err
 	}
 	tree, err := devTree(ln.Addr().String())
 	if err != nil {
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"time"
 
@@ -42,6 +43,7 @@
 		Flags: []cli.Flag{
 			settingsFlag(),
 			&cli.StringFlag{Name: "vm", Usage: "`NAME` of this VM in the settings", Sources: cli.EnvVars("FOXTAILLANDING_VM"), Required: true},
+			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on, when it is not the one that the settings give to others"},
 			&cli.DurationFlag{Name: "drain", Usage: "longest `TIME` that a shutdown may take", Value: 10 * time.Minute},
 		},
 		Action: runRouter,
@@ -57,10 +59,15 @@
 	if err != nil {
 		return err
 	}
+	ln, err := listen(c.String("listen"))
+	if err != nil {
+		return err
+	}
 	store := tree.Fleet.Store
 	timeout := time.Duration(store.TimeoutMilliseconds) * time.Millisecond
 	r, err := router.New(router.Config{
 		VM:      c.String("vm"),
+		Listen:  ln,
 		Initial: tree,
 		Store:   platform.NewGuarded(platform.NewClient(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
 		Log:     log,
@@ -80,6 +87,15 @@
 	return r.Shutdown(limited)
 }
 
+// listen opens the given address; none leaves the choice to the settings.
+func listen(address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp4", address)
+	return ln, errors.Wrapf(err, "listening on %s", address)
+}
+
 // newLog returns a logger that writes JSON lines to standard error.
 func newLog() (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
