--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -78,6 +80,7 @@
 		{"unknown field", "POST", chat.Path, key, `{"model":"m","n":2,"messages":[]}`, refusal.BadRequest},
 		{"unknown model", "POST", chat.Path, key, `{"model":"z","messages":[{"role":"user","content":"x"}]}`, refusal.UnknownModel},
 		{"large body", "POST", chat.Path, key, good + string(make([]byte, 5000)), refusal.TooLarge},
+		{"large header", "POST", chat.Path, map[string]string{"X-Large": strings.Repeat("x", 2*maxHeaderBytes)}, good, refusal.TooLarge},
 		{"large output", "POST", chat.Path, key, `{"model":"m","max_tokens":101,"messages":[{"role":"user","content":"x"}]}`, refusal.TooLarge},
 		{"no budget", "POST", chat.Path, key, good, refusal.BudgetExhausted},
 		{"order without key", "POST", "/v1/services/orders/place", key, `{}`, refusal.KeyRequired},
@@ -124,5 +127,7 @@
 		m := members{r: &Router{}}
 		_, _ = m.answer(data)
 		_, _ = DecodeStatus(data)
+		_ = json.Unmarshal(data, &endpoint.Load{})
+		_ = json.Unmarshal(data, &vmList{})
 	})
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -63,7 +64,8 @@
 // refuseUnreadable answers requests that the HTTP library could not read.
 func refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	kind := refusal.BadRequest
-	if err == fasthttp.ErrBodyTooLarge {
+	var header *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &header) {
 		kind = refusal.TooLarge
 	}
 	writeRefusal(ctx, refusal.New(kind, err.Error()))
--- a/pkg/endpoint/pool_test.go
+++ b/pkg/endpoint/pool_test.go
@@ -148,6 +148,26 @@
 	})
 }
 
+// TestRequestThatRanIsNotToldNotRun keeps a failure that fuzzing found: the only endpoint died and the retry was refused as NoEndpoint.
+func TestRequestThatRanIsNotToldNotRun(t *testing.T) {
+	var p Pool
+	p.Handle(start, Configured{testEndpoints[1:2]})
+	r := Request{ID: "x", Serves: "m", OutputTokens: 1, Fingerprint: 1, Repeatable: true, Deadline: start.Add(time.Minute)}
+	require.Equal(t, []Action{Send{"x", "b", 1}}, p.Handle(start, Submitted{r}))
+	p.Handle(start, Ended{"x", Died, 0})
+	require.Equal(t, []Action{Refuse{"x", refusal.AnswerBroken, 0}}, p.Handle(start, Retried{"x"}))
+}
+
+// TestWaitingCopyOfACondemnedRequestIsRefused keeps a failure that fuzzing found: a copy that waited was sent after the second death.
+func TestWaitingCopyOfACondemnedRequestIsRefused(t *testing.T) {
+	var p Pool
+	p.Handle(start, Configured{[]Endpoint{{Name: "only", Serves: []string{"m"}, Slots: 1}}})
+	p.Handle(start, Submitted{Request{ID: "busy", Serves: "m", OutputTokens: 1, Fingerprint: 1, Deadline: start.Add(time.Minute)}})
+	p.Handle(start, Submitted{Request{ID: "copy", Serves: "m", OutputTokens: 1, Fingerprint: 2, Deadline: start.Add(time.Minute)}})
+	heard := SuspectHeard{Suspicion{Fingerprint: 2, Deaths: 2, Until: start.Add(time.Minute)}}
+	require.Equal(t, []Action{Refuse{"copy", refusal.Suspect, 0}}, p.Handle(start, heard))
+}
+
 // finish ends everything in flight, lets all deadlines pass and checks that each request ended once.
 func (m *poolMachine) finish(t require.TestingT) {
 	for range 20 {
