--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -38,8 +38,9 @@
 	TokensPerSecond float64       // Of one stream. Zero takes 200.
 	FirstToken      time.Duration // Time to the first token.
 
+	faults switched[EngineFaults]
+
 	mu        sync.Mutex
-	faults    EngineFaults  // Guarded by mu.
 	running   int           // Guarded by mu.
 	waiting   int           // Guarded by mu.
 	served    int           // Guarded by mu; streams begun.
@@ -61,7 +62,7 @@
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		serveFaults(ctx, e.Faults, e.SetFaults)
+		e.faults.serve(ctx)
 		return
 	case "/Counts":
 		writeJSON(ctx, e.Counts())
@@ -217,48 +218,44 @@
 
 // dies breaks all streams when the request carries the mark.
 func (e *Engine) dies(body string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.faults.DieOnMark == "" || !strings.Contains(body, e.faults.DieOnMark) {
+	faults := e.Faults()
+	if faults.DieOnMark == "" || !strings.Contains(body, faults.DieOnMark) {
 		return false
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.epoch++
 	e.deaths++
-	e.deadUntil = time.Now().Add(time.Duration(e.faults.DeadMilliseconds) * time.Millisecond)
+	e.deadUntil = time.Now().Add(time.Duration(faults.DeadMilliseconds) * time.Millisecond)
 	return true
 }
 
 func (e *Engine) broken(epoch int) bool {
+	down := e.Faults().Down
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.epoch != epoch || e.faults.Down
+	return e.epoch != epoch || down
 }
 
 func (e *Engine) dead(now time.Time) bool {
+	down := e.Faults().Down
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.Down || now.Before(e.deadUntil)
+	return down || now.Before(e.deadUntil)
 }
 
 func (e *Engine) load() endpoint.Load {
+	leaving := e.Faults().Leaving
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return endpoint.Load{Running: e.running, Waiting: e.waiting, Leaving: e.faults.Leaving}
+	return endpoint.Load{Running: e.running, Waiting: e.waiting, Leaving: leaving}
 }
 
 // Faults returns the faults in force.
-func (e *Engine) Faults() EngineFaults {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.faults
-}
+func (e *Engine) Faults() EngineFaults { return e.faults.get() }
 
 // SetFaults replaces the faults.
-func (e *Engine) SetFaults(f EngineFaults) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = f
-}
+func (e *Engine) SetFaults(f EngineFaults) { e.faults.set(f) }
 
 // Counts returns what the engine did so far.
 func (e *Engine) Counts() EngineCounts {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,18 +60,43 @@
 
 func (silentLogger) Printf(string, ...any) {}
 
-// serveFaults reads or replaces the faults of a stand-in; set keeps them under its own lock.
-func serveFaults[F any](ctx *fasthttp.RequestCtx, get func() F, set func(F)) {
+// switched is a value that is read and replaced over HTTP, such as the faults of a stand-in.
+type switched[F any] struct {
+	mu    sync.Mutex
+	value F // Guarded by mu.
+}
+
+func (s *switched[F]) get() F {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value
+}
+
+func (s *switched[F]) set(value F) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = value
+}
+
+// update changes the value under the lock.
+func (s *switched[F]) update(change func(*F)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.value)
+}
+
+// serve reads the value, or replaces it with the body of a PUT.
+func (s *switched[F]) serve(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsPut() {
-		writeJSON(ctx, get())
+		writeJSON(ctx, s.get())
 		return
 	}
-	var faults F
-	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+	var value F
+	if err := json.Unmarshal(ctx.PostBody(), &value); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	set(faults)
+	s.set(value)
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -19,8 +19,9 @@
 
 // Service is the order-and-stock stand-in; it counts the runs of each call body.
 type Service struct {
+	faults switched[ServiceFaults]
+
 	mu      sync.Mutex
-	faults  ServiceFaults  // Guarded by mu.
 	runs    map[string]int // Guarded by mu; by path and body.
 	running int            // Guarded by mu.
 }
@@ -29,7 +30,7 @@
 func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		serveFaults(ctx, s.Faults, s.SetFaults)
+		s.faults.serve(ctx)
 	case "/Counts":
 		writeJSON(ctx, s.Runs())
 	case LoadPath:
@@ -66,10 +67,10 @@
 	}
 	s.runs[call]++
 	s.running++
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-		lost = true
-	}
+	s.faults.update(func(f *ServiceFaults) {
+		lost = f.LoseAnswers > 0
+		f.LoseAnswers = max(0, f.LoseAnswers-1)
+	})
 	return s.runs[call], lost
 }
 
@@ -80,9 +81,10 @@
 }
 
 func (s *Service) load() endpoint.Load {
+	leaving := s.Faults().Leaving
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return endpoint.Load{Running: s.running, Leaving: s.faults.Leaving}
+	return endpoint.Load{Running: s.running, Leaving: leaving}
 }
 
 // Runs returns how often each call ran, by path and body.
@@ -97,15 +99,7 @@
 }
 
 // Faults returns the faults in force.
-func (s *Service) Faults() ServiceFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
+func (s *Service) Faults() ServiceFaults { return s.faults.get() }
 
 // SetFaults replaces the faults.
-func (s *Service) SetFaults(f ServiceFaults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
+func (s *Service) SetFaults(f ServiceFaults) { s.faults.set(f) }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -40,8 +40,9 @@
 	WritesPerSecond int // Zero takes the default.
 	ReadsPerSecond  int // Zero takes the default.
 
+	faults switched[StoreFaults]
+
 	mu     sync.Mutex
-	faults StoreFaults // Guarded by mu.
 	counts StoreCounts // Guarded by mu.
 	second int64       // Guarded by mu; the second that reads and writes count in.
 	reads  int         // Guarded by mu.
@@ -53,7 +54,7 @@
 	path := string(ctx.Path())
 	switch path {
 	case FaultsPath:
-		serveFaults(ctx, s.Faults, s.SetFaults)
+		s.faults.serve(ctx)
 		return
 	case "/Counts":
 		writeJSON(ctx, s.Counts())
@@ -176,29 +177,19 @@
 	return n
 }
 
-func (s *Store) loseAnswer() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.LoseWriteAnswers <= 0 {
-		return false
-	}
-	s.faults.LoseWriteAnswers--
-	return true
+func (s *Store) loseAnswer() (lost bool) {
+	s.faults.update(func(f *StoreFaults) {
+		lost = f.LoseWriteAnswers > 0
+		f.LoseWriteAnswers = max(0, f.LoseWriteAnswers-1)
+	})
+	return lost
 }
 
 // Faults returns the faults in force.
-func (s *Store) Faults() StoreFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
+func (s *Store) Faults() StoreFaults { return s.faults.get() }
 
 // SetFaults replaces the faults.
-func (s *Store) SetFaults(f StoreFaults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
+func (s *Store) SetFaults(f StoreFaults) { s.faults.set(f) }
 
 // Counts returns the calls seen so far.
 func (s *Store) Counts() StoreCounts {
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -1,10 +1,6 @@
 package standin
 
-import (
-	"sync"
-
-	"github.com/valyala/fasthttp"
-)
+import "github.com/valyala/fasthttp"
 
 // VMsPath is where the platform lists VMs.
 const VMsPath = "/VMs"
@@ -17,32 +13,17 @@
 
 // VMs serves a VMList.
 type VMs struct {
-	mu   sync.Mutex
-	list VMList // Guarded by mu.
+	list switched[VMList]
 }
 
 // Handle serves one call.
 func (v *VMs) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		serveFaults(ctx, v.List, v.SetList)
+		v.list.serve(ctx)
 	case VMsPath:
-		writeJSON(ctx, v.List())
+		writeJSON(ctx, v.list.get())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
 }
-
-// List returns the list that is served.
-func (v *VMs) List() VMList {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.list
-}
-
-// SetList replaces the list that is served.
-func (v *VMs) SetList(l VMList) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.list = l
-}
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Policy sizes the grants of a holder; zero fields take the defaults.
 type Policy struct {
@@ -33,26 +36,16 @@
 )
 
 func (p Policy) withDefaults() Policy {
-	setDuration(&p.Horizon, DefaultHorizon)
-	setDuration(&p.Step, DefaultStep)
-	setDuration(&p.SealAfter, DefaultSealAfter)
-	setDuration(&p.FlushEvery, DefaultFlushEvery)
-	setDuration(&p.ReturnAfter, DefaultReturnAfter)
-	setDuration(&p.RetireAfter, DefaultRetireAfter)
-	setDuration(&p.FreshFor, DefaultFreshFor)
-	setDuration(&p.RecallEvery, DefaultRecallEvery)
-	setDuration(&p.Backoff, DefaultBackoff)
-	if p.ShareParts <= 0 {
-		p.ShareParts = DefaultShareParts
-	}
-	if p.MaxForwards <= 0 {
-		p.MaxForwards = DefaultMaxForwards
-	}
+	p.Horizon = cmp.Or(p.Horizon, DefaultHorizon)
+	p.Step = cmp.Or(p.Step, DefaultStep)
+	p.SealAfter = cmp.Or(p.SealAfter, DefaultSealAfter)
+	p.ShareParts = cmp.Or(p.ShareParts, DefaultShareParts)
+	p.FlushEvery = cmp.Or(p.FlushEvery, DefaultFlushEvery)
+	p.ReturnAfter = cmp.Or(p.ReturnAfter, DefaultReturnAfter)
+	p.RetireAfter = cmp.Or(p.RetireAfter, DefaultRetireAfter)
+	p.FreshFor = cmp.Or(p.FreshFor, DefaultFreshFor)
+	p.RecallEvery = cmp.Or(p.RecallEvery, DefaultRecallEvery)
+	p.Backoff = cmp.Or(p.Backoff, DefaultBackoff)
+	p.MaxForwards = cmp.Or(p.MaxForwards, DefaultMaxForwards)
 	return p
 }
-
-func setDuration(d *time.Duration, otherwise time.Duration) {
-	if *d <= 0 {
-		*d = otherwise
-	}
-}
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -48,9 +49,9 @@
 
 func (b *backend) describe(e Endpoint) {
 	b.Endpoint = e
-	orFloat(&b.TokensPerSecond, defaultSpeed)
-	orFloat(&b.PromptPerSecond, defaultPromptRate)
-	orInt(&b.Slots, 1)
+	b.TokensPerSecond = cmp.Or(b.TokensPerSecond, defaultSpeed)
+	b.PromptPerSecond = cmp.Or(b.PromptPerSecond, defaultPromptRate)
+	b.Slots = cmp.Or(b.Slots, 1)
 }
 
 func (b *backend) leaving() bool { return b.leavingBySettings || b.leavingByReport }
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Policy tunes a Pool; zero fields take the defaults.
 type Policy struct {
@@ -35,34 +38,16 @@
 )
 
 func (p Policy) withDefaults() Policy {
-	orFloat(&p.OutputWeight, DefaultOutputWeight)
-	orInt(&p.MaxAttempts, DefaultMaxAttempts)
-	orInt(&p.MaxQueue, DefaultMaxQueue)
-	orFloat(&p.RetryRatio, DefaultRetryRatio)
-	orFloat(&p.RetryReserve, DefaultRetryReserve)
-	orFloat(&p.CacheBenefit, DefaultCacheBenefit)
-	orDuration(&p.ReportLag, DefaultReportLag)
-	orDuration(&p.DownFor, DefaultDownFor)
-	orDuration(&p.MaxDownFor, DefaultMaxDownFor)
-	orDuration(&p.SuspectFor, DefaultSuspectFor)
-	orDuration(&p.ReportTrust, DefaultReportTrust)
+	p.ReportLag = cmp.Or(p.ReportLag, DefaultReportLag)
+	p.OutputWeight = cmp.Or(p.OutputWeight, DefaultOutputWeight)
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, DefaultMaxAttempts)
+	p.RetryRatio = cmp.Or(p.RetryRatio, DefaultRetryRatio)
+	p.RetryReserve = cmp.Or(p.RetryReserve, DefaultRetryReserve)
+	p.DownFor = cmp.Or(p.DownFor, DefaultDownFor)
+	p.MaxDownFor = cmp.Or(p.MaxDownFor, DefaultMaxDownFor)
+	p.SuspectFor = cmp.Or(p.SuspectFor, DefaultSuspectFor)
+	p.ReportTrust = cmp.Or(p.ReportTrust, DefaultReportTrust)
+	p.MaxQueue = cmp.Or(p.MaxQueue, DefaultMaxQueue)
+	p.CacheBenefit = cmp.Or(p.CacheBenefit, DefaultCacheBenefit)
 	return p
 }
-
-func orInt(n *int, otherwise int) {
-	if *n <= 0 {
-		*n = otherwise
-	}
-}
-
-func orFloat(f *float64, otherwise float64) {
-	if *f <= 0 {
-		*f = otherwise
-	}
-}
-
-func orDuration(d *time.Duration, otherwise time.Duration) {
-	if *d <= 0 {
-		*d = otherwise
-	}
-}
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -1,5 +1,7 @@
 package settings
 
+import "cmp"
+
 // Tree is the whole of the settings; its fields are the names used in TOML.
 type Tree struct {
 	Fleet Fleet
@@ -126,33 +128,27 @@
 
 // WithDefaults returns l with its zero fields filled in.
 func (l Limits) WithDefaults() Limits {
-	fill(&l.BodyBytes, DefaultBodyBytes)
-	fill(&l.OutputTokens, DefaultOutputTokens)
-	fill(&l.FirstTokenSeconds, DefaultFirstTokenSeconds)
-	fill(&l.AnswerSeconds, DefaultAnswerSeconds)
-	fill(&l.StallSeconds, DefaultStallSeconds)
-	fill(&l.EntryKeepSeconds, DefaultEntryKeepSeconds)
-	fill(&l.GrantHorizonSeconds, DefaultGrantHorizonSeconds)
-	fill(&l.CeilingStepSeconds, DefaultCeilingStepSeconds)
-	fill(&l.ConcurrentRequests, DefaultConcurrentRequests)
-	fill(&l.OrderRetentionSeconds, DefaultOrderRetentionSeconds)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.OutputTokens = cmp.Or(l.OutputTokens, DefaultOutputTokens)
+	l.FirstTokenSeconds = cmp.Or(l.FirstTokenSeconds, DefaultFirstTokenSeconds)
+	l.AnswerSeconds = cmp.Or(l.AnswerSeconds, DefaultAnswerSeconds)
+	l.StallSeconds = cmp.Or(l.StallSeconds, DefaultStallSeconds)
+	l.EntryKeepSeconds = cmp.Or(l.EntryKeepSeconds, DefaultEntryKeepSeconds)
+	l.GrantHorizonSeconds = cmp.Or(l.GrantHorizonSeconds, DefaultGrantHorizonSeconds)
+	l.CeilingStepSeconds = cmp.Or(l.CeilingStepSeconds, DefaultCeilingStepSeconds)
+	l.ConcurrentRequests = cmp.Or(l.ConcurrentRequests, DefaultConcurrentRequests)
+	l.OrderRetentionSeconds = cmp.Or(l.OrderRetentionSeconds, DefaultOrderRetentionSeconds)
 	return l
 }
 
 // WithDefaults returns l with its zero fields filled in.
 func (l Levels) WithDefaults() Levels {
-	fill(&l.FirstTokenMilliseconds, DefaultFirstTokenMillis)
-	fill(&l.BetweenTokensMilliseconds, DefaultBetweenTokensMillis)
-	fill(&l.TargetPercent, DefaultTargetPercent)
+	l.FirstTokenMilliseconds = cmp.Or(l.FirstTokenMilliseconds, DefaultFirstTokenMillis)
+	l.BetweenTokensMilliseconds = cmp.Or(l.BetweenTokensMilliseconds, DefaultBetweenTokensMillis)
+	l.TargetPercent = cmp.Or(l.TargetPercent, DefaultTargetPercent)
 	return l
 }
 
-func fill[T int | int64 | float64](field *T, otherwise T) {
-	if *field == 0 {
-		*field = otherwise
-	}
-}
-
 // VM returns the VM with the given name.
 func (f Fleet) VM(name string) (VM, bool) {
 	for _, vm := range f.VMs {
