--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -275,8 +275,14 @@
 			answers <- string(body)
 		}()
 	}
-	for range 6 {
-		require.Equal(t, words(10), completion(t, []byte(<-answers)).Choices[0].Message.Content)
+	var usage chat.Usage
+	for i := range 6 {
+		answer := completion(t, []byte(<-answers))
+		require.Equal(t, words(10), answer.Choices[0].Message.Content)
+		if i == 0 {
+			usage = answer.Usage
+		}
+		require.Equal(t, usage, answer.Usage, "the callers are told different bills")
 	}
 	require.EqualValues(t, 10, c.tokensRun(t), "the request ran more than once")
 	c.drainAll(t)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -192,6 +192,7 @@
 			return refusal.New(kind, "at the router that served it")
 		}
 		if c.Usage != nil && w.assembler.Whole() {
+			w.billed = c.Usage
 			w.emit(piece{usage: c.Usage})
 			return nil
 		}
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -18,10 +18,7 @@
 }
 
 func (b *backends) handle(now time.Time, ev endpoint.Event) {
-	b.mu.Lock()
-	actions := b.pool.Handle(now, ev)
-	b.mu.Unlock()
-	for _, action := range actions {
+	for _, action := range locked(&b.mu, b.pool.Handle, now, ev) {
 		b.perform(now, action)
 	}
 }
--- a/internal/router/bills.go
+++ b/internal/router/bills.go
@@ -21,10 +21,7 @@
 }
 
 func (b *bills) handle(now time.Time, ev bill.Event) {
-	b.mu.Lock()
-	actions := b.ledger.Handle(now, ev)
-	b.mu.Unlock()
-	for _, action := range actions {
+	for _, action := range locked(&b.mu, b.ledger.Handle, now, ev) {
 		switch action := action.(type) {
 		case bill.Start:
 			b.decisions.send(action.Request, action)
--- a/internal/router/budgets.go
+++ b/internal/router/budgets.go
@@ -29,10 +29,7 @@
 }
 
 func (b *budgets) handle(now time.Time, ev budget.Event) {
-	b.mu.Lock()
-	actions := b.holder.Handle(now, ev)
-	b.mu.Unlock()
-	for _, action := range actions {
+	for _, action := range locked(&b.mu, b.holder.Handle, now, ev) {
 		b.perform(now, action)
 	}
 }
--- a/internal/router/config_follower.go
+++ b/internal/router/config_follower.go
@@ -31,10 +31,7 @@
 }
 
 func (c *config) handle(now time.Time, ev settings.Event) {
-	c.mu.Lock()
-	actions := c.follower.Handle(now, ev)
-	c.mu.Unlock()
-	for _, action := range actions {
+	for _, action := range locked(&c.mu, c.follower.Handle, now, ev) {
 		switch action := action.(type) {
 		case settings.ReadSubtree:
 			c.r.background(func() { c.read(action) })
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -20,11 +20,8 @@
 }
 
 func (m *members) handle(now time.Time, ev fleet.Event) {
-	m.mu.Lock()
-	actions := m.roster.Handle(now, ev)
-	m.mu.Unlock()
 	changed := false
-	for _, action := range actions {
+	for _, action := range locked(&m.mu, m.roster.Handle, now, ev) {
 		switch action := action.(type) {
 		case fleet.Probe:
 			m.r.background(func() { m.probe(action) })
@@ -58,6 +55,8 @@
 		Draining: m.r.draining.Load(),
 	})
 	m.handle(now, fleet.Tick{})
+	// Two changes that were told at once may have arrived in the wrong order.
+	m.tellDeciders(now)
 }
 
 func (m *members) probe(action fleet.Probe) {
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -23,10 +23,7 @@
 }
 
 func (o *orders) handle(now time.Time, ev order.Event) {
-	o.mu.Lock()
-	actions := o.keeper.Handle(now, ev)
-	o.mu.Unlock()
-	for _, action := range actions {
+	for _, action := range locked(&o.mu, o.keeper.Handle, now, ev) {
 		o.perform(now, action)
 	}
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -15,12 +15,18 @@
 
 // run carries a model request from arrival to its final piece.
 func (r *Router) run(w *work) {
+	defer close(w.pieces)
+	defer func() {
+		if problem := recover(); problem != nil {
+			r.log.Error("panic", zap.String("Request", w.id), zap.Any("Problem", problem), zap.Stack("Stack"))
+			w.emit(piece{refused: refusal.New(refusal.Internal, "")})
+		}
+	}()
 	refused := r.runKeyed(w)
 	r.observe(w, refused)
 	if refused != nil {
 		w.emit(piece{refused: refused})
 	}
-	close(w.pieces)
 }
 
 // runKeyed attaches a request with an Idempotency-Key to earlier runs of the key at its home.
--- a/internal/router/slice.go
+++ b/internal/router/slice.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// locked applies an event to a decider under its mutex and returns the decider's actions.
+func locked[E, A any](mu *sync.Mutex, handle func(time.Time, E) []A, now time.Time, ev E) []A {
+	mu.Lock()
+	defer mu.Unlock()
+	return handle(now, ev)
+}
+
 // every calls f at each period until stop is closed.
 func every(period time.Duration, stop <-chan struct{}, f func(now time.Time)) {
 	ticker := time.NewTicker(period)
--- a/internal/router/work.go
+++ b/internal/router/work.go
@@ -37,8 +37,9 @@
 	leave  sync.Once
 
 	assembler answer.Assembler
-	sent      bool // An attempt may have reached an endpoint.
-	usage     chat.Usage
+	sent      bool        // An attempt may have reached an endpoint.
+	usage     chat.Usage  // As the endpoint reported it.
+	billed    *chat.Usage // As the router that served it billed it; nil when that is this one.
 	firstAt   time.Time
 	lastAt    time.Time
 	content   []byte // The answer so far, kept for keyed requests.
@@ -106,6 +107,9 @@
 
 // finalUsage is the usage that the caller is told, which is what it is billed.
 func (w *work) finalUsage() chat.Usage {
+	if w.billed != nil {
+		return *w.billed
+	}
 	total := w.cost()
 	output := int64(w.assembler.Next())
 	return chat.Usage{PromptTokens: total - output, CompletionTokens: output, TotalTokens: total}
