--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -44,7 +45,8 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/foxtaillanding", "../../cmd/standin")
+	args := append([]string{"build", "-o", dir}, buildFlags...)
+	build := exec.Command("go", append(args, "../../cmd/foxtaillanding", "../../cmd/standin")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -58,15 +60,21 @@
 type process struct {
 	cmd     *exec.Cmd
 	address string
+	log     bytes.Buffer // Read only after the process has ended.
+	killed  sync.Once
 }
 
 func startProcess(t *testing.T, name string, args ...string) *process {
 	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...)}
-	p.cmd.Stderr = io.Discard
+	p.cmd.Stderr = &p.log
 	out, err := p.cmd.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, p.cmd.Start())
-	t.Cleanup(p.kill)
+	t.Cleanup(func() {
+		p.kill()
+		require.NotContains(t, p.log.String(), "DATA RACE")
+		require.NotContains(t, p.log.String(), "panic")
+	})
 	line, err := bufio.NewReader(out).ReadString('\n')
 	require.NoError(t, err, "%s did not start", name)
 	p.address = strings.TrimSpace(strings.TrimPrefix(line, "serving on "))
@@ -74,8 +82,10 @@
 }
 
 func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	_ = p.cmd.Wait()
+	p.killed.Do(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
 }
 
 func (p *process) signal(t *testing.T, s os.Signal) { require.NoError(t, p.cmd.Process.Signal(s)) }
