--- a/pkg/budget/script_test.go
+++ b/pkg/budget/script_test.go
@@ -23,6 +23,11 @@
 	figures figures
 	running int64 // Reserved by requests that endpoints run.
 	spent   int64
+
+	sequence int // Numbers events, recalls and raises.
+	pending  map[string]ask
+	recalls  map[string]func()
+	raises   map[string]func(bool)
 }
 
 // figures are what a script measures.
@@ -90,11 +95,9 @@
 	return last
 }
 
-var sequence int
-
 func (s *script) after(d time.Duration, run func()) {
-	sequence++
-	heap.Push(&s.events, timed{s.now.Add(d), sequence, run})
+	s.sequence++
+	heap.Push(&s.events, timed{s.now.Add(d), s.sequence, run})
 }
 
 const (
@@ -110,7 +113,8 @@
 )
 
 func runScript(seed uint64, m method, cover float64) figures {
-	s := &script{random: rand.New(rand.NewPCG(seed, 1)), now: start, method: m}
+	s := &script{random: rand.New(rand.NewPCG(seed, 1)), now: start, method: m,
+		pending: map[string]ask{}, recalls: map[string]func(){}, raises: map[string]func(bool){}}
 	s.store.record.Budget = testBudget
 	weights := []float64{2, 1, 2, 1, 1, 0.5}
 	var sum float64
@@ -225,239 +229,6 @@
 	return held
 }
 
-// escrow is the method of this package.
-type escrow struct{ policy Policy }
-
-func (e escrow) holder(s *script, r *scriptRouter) *Holder {
-	if r.holder != nil {
-		return r.holder
-	}
-	h := &Holder{Name: e.name(r), Policy: e.policy}
-	r.holder = h
-	epoch := r.epoch
-	var tick func()
-	tick = func() {
-		if r.epoch != epoch {
-			return
-		}
-		e.handle(s, r, PeersChanged{Peers: e.peers(s, r)})
-		e.handle(s, r, Tick{})
-		s.after(50*time.Millisecond, tick)
-	}
-	s.after(0, tick)
-	return h
-}
-
-func (e escrow) name(r *scriptRouter) string { return routerName(r) }
-
-func routerName(r *scriptRouter) string { return fmt.Sprintf("vm-%d.%d", r.index, r.epoch) }
-
-func (e escrow) peers(s *script, r *scriptRouter) []string {
-	var peers []string
-	for _, other := range s.routers {
-		if other != r && !other.dead && !other.cut && !r.cut {
-			peers = append(peers, e.name(other))
-		}
-	}
-	return peers
-}
-
-func (e escrow) request(s *script, r *scriptRouter, id string, tokens int64) {
-	e.holder(s, r)
-	e.handle(s, r, PeersChanged{Peers: e.peers(s, r)})
-	e.ask(s, r, id, tokens, false, func(taken bool) {
-		if !taken {
-			s.refuse(tokens)
-		}
-	})
-}
-
-// ask reserves at one router; answer is called once.
-func (e escrow) ask(s *script, r *scriptRouter, id string, tokens int64, forwarded bool, answer func(taken bool)) {
-	pending[id+e.name(r)] = ask{tokens, answer}
-	e.handle(s, r, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: s.now.Add(10 * time.Second), Forwarded: forwarded})
-}
-
-type ask struct {
-	tokens int64
-	answer func(bool)
-}
-
-var pending = map[string]ask{}
-
-func (e escrow) handle(s *script, r *scriptRouter, ev Event) {
-	epoch := r.epoch
-	later := func(d time.Duration, ev Event) {
-		s.after(d, func() {
-			if r.epoch == epoch {
-				e.handle(s, r, ev)
-			}
-		})
-	}
-	for _, action := range e.holder(s, r).Handle(s.now, ev) {
-		switch action := action.(type) {
-		case Dispatch:
-			p := pending[action.Request+e.name(r)]
-			s.dispatch(r, action.Request, p.tokens)
-			p.answer(true)
-		case Refuse:
-			pending[action.Request+e.name(r)].answer(false)
-		case Load:
-			if s.down || r.cut {
-				later(storeDelay, LoadFailed{action.Budget})
-				continue
-			}
-			later(storeDelay, Loaded{action.Budget, s.store.version, s.store.record})
-		case Commit:
-			later(storeDelay, e.commit(s, r, action))
-		case Forward:
-			e.forward(s, r, action, later)
-		case Recall:
-			e.recall(s, r, action, later)
-		case Raise:
-			e.raise(s, r, action, later)
-		case AnswerRaise:
-			raises[action.ID](action.Acknowledged)
-		case AnswerRecall:
-			recalls[action.ID]()
-		}
-	}
-}
-
-var recalls = map[string]func(){}
-
-func (e escrow) commit(s *script, r *scriptRouter, c Commit) Event {
-	s.figures.writes++
-	switch {
-	case s.down || r.cut:
-		return Committed{Budget: c.Budget}
-	case s.store.put(c.Version, c.Record):
-		return Committed{c.Budget, TookEffect, s.store.version}
-	default:
-		return Committed{Budget: c.Budget, Outcome: NoEffect}
-	}
-}
-
-func (e escrow) peer(s *script, r *scriptRouter, name string) *scriptRouter {
-	for _, other := range s.routers {
-		if e.name(other) == name && !other.dead && !other.cut && !r.cut {
-			return other
-		}
-	}
-	return nil
-}
-
-func (e escrow) forward(s *script, r *scriptRouter, f Forward, later func(time.Duration, Event)) {
-	p := pending[f.Request+e.name(r)]
-	other := e.peer(s, r, f.Peer)
-	if other == nil {
-		later(peerDelay, ForwardRefused{f.Request, f.Peer})
-		return
-	}
-	s.after(peerDelay, func() {
-		if other.dead {
-			later(0, ForwardRefused{f.Request, f.Peer})
-			return
-		}
-		e.ask(s, other, f.Request+">"+f.Peer, p.tokens, true, func(taken bool) {
-			if taken {
-				later(peerDelay, ForwardTaken{f.Request})
-				return
-			}
-			later(peerDelay, ForwardRefused{f.Request, f.Peer})
-		})
-	})
-}
-
-func (e escrow) recall(s *script, r *scriptRouter, c Recall, later func(time.Duration, Event)) {
-	other := e.peer(s, r, c.Peer)
-	if other == nil {
-		later(peerDelay, RecallDone{c.Budget, c.Peer})
-		return
-	}
-	sequence++
-	id := fmt.Sprint("recall-", sequence)
-	answered := false
-	done := func() {
-		if !answered {
-			answered = true
-			later(peerDelay, RecallDone{c.Budget, c.Peer})
-		}
-	}
-	recalls[id] = done
-	s.after(time.Second, done)
-	e.handle(s, other, RecallWanted{c.Budget, id})
-}
-
-var raises = map[string]func(bool){}
-
-func (e escrow) raise(s *script, r *scriptRouter, raise Raise, later func(time.Duration, Event)) {
-	s.figures.raises++
-	other := e.peer(s, r, raise.Witness)
-	if other == nil {
-		later(peerDelay, RaiseDone{raise, false})
-		return
-	}
-	sequence++
-	id := fmt.Sprint("raise-", sequence)
-	raises[id] = func(ok bool) { later(2*peerDelay, RaiseDone{raise, ok}) }
-	e.handle(s, other, RaiseWanted{raise.Budget, e.name(r), raise.Seals, raise.Ceiling, raise.Spent, id})
-}
-
-func (e escrow) settled(s *script, r *scriptRouter, id string, used, _ int64) {
-	e.handle(s, r, Settle{id, used})
-}
-
-func (e escrow) stranded(s *script, holder string) int64 {
-	return s.store.record.Holders[holder].Held()
-}
-
-// equalSplit is the baseline in which each router owns a fixed part of every top-up.
-type equalSplit struct{ used []int64 }
-
-func (e *equalSplit) request(s *script, r *scriptRouter, id string, tokens int64) {
-	if s.store.record.Prepaid()/int64(len(s.routers))-e.used[r.index] < tokens {
-		s.refuse(tokens)
-		return
-	}
-	e.used[r.index] += tokens
-	s.dispatch(r, id, tokens)
-}
-
-func (e *equalSplit) settled(_ *script, r *scriptRouter, _ string, used, tokens int64) {
-	e.used[r.index] -= tokens - used
-}
-
-// stranded is the rest of the dead router's part: nobody knows how much of it was used.
-func (e *equalSplit) stranded(s *script, holder string) int64 {
-	var index int
-	_, _ = fmt.Sscanf(holder, "vm-%d.", &index)
-	share := s.store.record.Prepaid() / int64(len(s.routers))
-	rest := share - e.used[index]
-	e.used[index] = share
-	return rest
-}
-
-// writeEach is the baseline with one store write before and one after each request.
-type writeEach struct{ reserved int64 }
-
-func (w *writeEach) request(s *script, r *scriptRouter, id string, tokens int64) {
-	s.figures.writes++
-	if s.down || r.cut || s.store.record.Prepaid()-w.reserved < tokens {
-		s.refuse(tokens)
-		return
-	}
-	w.reserved += tokens
-	s.dispatch(r, id, tokens)
-}
-
-func (w *writeEach) settled(s *script, _ *scriptRouter, _ string, used, tokens int64) {
-	s.figures.writes++
-	w.reserved -= tokens - used
-}
-
-func (w *writeEach) stranded(*script, string) int64 { return 0 }
-
 var scriptSeeds = flag.Int("script.seeds", 4, "fault scripts for each sharing method")
 
 // TestSharingMethodsOverFaultScripts measures the escrow with each user's policy against the baselines; run it with -v for the table.
