--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -26,6 +26,7 @@
 	ForeignChunks        bool // Chunks of another request are mixed in.
 	CacheLagMilliseconds int  // Cache events are reported this late.
 	CacheGapEvery        int  // Each event whose number this divides is lost.
+	IgnoreFencing        bool // Control orders with an old fencing number are obeyed.
 	NoNumbers            bool // Chunks carry neither the attempt nor a sequence number, as with a plain engine.
 	Leaving              bool
 }
@@ -39,6 +40,8 @@
 	faults switched[EngineFaults]
 	cache  prefixCache
 
+	control control
+
 	mu        sync.Mutex
 	running   int           // Guarded by mu.
 	waiting   int           // Guarded by mu.
@@ -76,6 +79,8 @@
 		writeJSON(ctx, e.load(ctx.QueryArgs().GetUintOrZero("After")))
 	case chat.Path:
 		e.complete(ctx)
+	case ControlPath:
+		e.control.serve(ctx, e.Faults().IgnoreFencing)
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -33,7 +33,7 @@
 func (h *Holder) draw(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
 	if !a.known {
-		if len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 {
+		if a.mine == (Account{}) && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 {
 			return h.closeUnused(a)
 		}
 		return []Action{h.load(a)}
@@ -75,7 +75,7 @@
 	unreported := a.mine.Spent > row.Spent || a.mine.Refunded > row.Refunded
 	switch {
 	case h.draining, h.retires(now, a, p):
-		return h.close(a)
+		return h.close(now, a)
 	case headroom < target/2 && !idle:
 		if extra := h.extra(a, p, headroom); extra > target/4 {
 			return h.commit(now, a, extra, 0)
@@ -133,7 +133,7 @@
 	next.Ceiling = h.nextCeiling(a, next, back)
 	record, err := a.record.Set(h.Name, next)
 	if err != nil {
-		return []Action{h.load(a)}
+		return h.doubt(now, a)
 	}
 	w := &write{record: record, before: a.mine}
 	if back > 0 {
@@ -145,6 +145,13 @@
 	return h.send(a, w)
 }
 
+// doubt pauses the store calls of a budget whose record does not allow what the holder needs; it is read again then.
+func (h *Holder) doubt(now time.Time, a *account) []Action {
+	a.known = false
+	a.retryAt = now.Add(h.Policy.withDefaults().Backoff)
+	return nil
+}
+
 // nextCeiling returns the ceiling of an account that is to be written.
 //
 // A return is taken from above the ceiling first. Without a witness the whole
@@ -177,7 +184,7 @@
 }
 
 // close starts the write that ends the holder's account; nothing is reserved or waiting.
-func (h *Holder) close(a *account) []Action {
+func (h *Holder) close(now time.Time, a *account) []Action {
 	if a.reserved > 0 {
 		return nil
 	}
@@ -190,7 +197,7 @@
 		record, err = record.Close(h.Name)
 	}
 	if err != nil {
-		return []Action{h.load(a)}
+		return h.doubt(now, a)
 	}
 	w := &write{record: record, before: a.mine, closing: true}
 	a.mine.Returned += a.headroom()
