--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -117,7 +117,7 @@
 		case budget.Refuse:
 			return refusal.New(decision.Kind, "budget "+w.caller.team.Budget)
 		case budget.Forward:
-			if done, refused := r.runAtLender(w, decision.Peer); done {
+			if done, refused := r.runAtPeerWithTokens(w, decision.Peer); done {
 				return refused
 			}
 		}
@@ -125,7 +125,7 @@
 	return refusal.New(refusal.Internal, "no decision on the budget")
 }
 
-func (r *Router) runAtLender(w *work, peer string) (done bool, refused *refusal.Error) {
+func (r *Router) runAtPeerWithTokens(w *work, peer string) (done bool, refused *refusal.Error) {
 	address, ok := r.members.address(peer)
 	if ok {
 		refused = r.forward(w, address, stageBudget)
--- a/pkg/budget/doc.go
+++ b/pkg/budget/doc.go
@@ -13,6 +13,7 @@
 //     holder can be told apart by reading the record again.
 //   - The sum over all holders of Granted less Returned, plus Retired, never
 //     exceeds the sum of the distinct top-ups. Record.Check verifies it on every write.
+//   - The ceiling that a holder acts on is never above the higher of the store's and its witness's.
 //   - A holder debits a return before it sends the write, and credits a grant
 //     only after a read or an answer proved it.
 //   - A write of unknown outcome blocks further writes of that budget until a
@@ -21,6 +22,12 @@
 // The caller of Handle answers each Load, Commit, Forward and Recall with
 // exactly one event, also when the other side cannot be reached or dies.
 //
-// No clock is trusted: a holder that was paused for any time still owns what it
-// was granted, and tokens of a dead holder stay held until an operator frees them.
+// A holder spends only below the Ceiling of its account, which the store or the
+// account's Witness, a peer that the record names, acknowledged. The witness of a
+// holder that has been absent for long acknowledges nothing more and seals the
+// account: what lies above the ceiling becomes free.
+//
+// No clock is trusted: a holder that was paused for any time still owns what lies
+// below its ceiling, and that part stays held after a death until an operator
+// closes the account.
 package budget
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	if a.fenced {
-		return h.turnAway(a)
+		return h.refuseAll(a)
 	}
 	actions := h.serve(a)
 	actions = append(actions, h.raise(now, a)...)
@@ -40,7 +40,7 @@
 	}
 	if len(a.recalls) > 0 {
 		// Two routers that recall from each other must both give back.
-		return h.giveBack(now, a)
+		return h.returnUnused(now, a)
 	}
 	if actions := h.seal(a); len(actions) > 0 {
 		return actions
@@ -61,7 +61,7 @@
 		return h.seek(now, a)
 	}
 	if len(a.answers) > 0 {
-		return h.giveBack(now, a)
+		return h.returnUnused(now, a)
 	}
 	return h.keepUp(now, a, p)
 }
@@ -77,7 +77,7 @@
 	case h.draining, h.retires(now, a, p):
 		return h.close(now, a)
 	case headroom < target/2 && !idle:
-		if extra := h.extra(a, p, headroom); extra > target/4 {
+		if extra := h.extra(a, p, 0); extra > target/4 {
 			return h.commit(now, a, extra, 0)
 		}
 	case headroom > 2*target && headroom > 0 && idle:
@@ -133,7 +133,7 @@
 	next.Ceiling = h.nextCeiling(a, next, back)
 	record, err := a.record.Set(h.Name, next)
 	if err != nil {
-		return h.doubt(now, a)
+		return h.pauseStoreCalls(now, a)
 	}
 	w := &write{record: record, before: a.mine}
 	if back > 0 {
@@ -145,8 +145,8 @@
 	return h.send(a, w)
 }
 
-// doubt pauses the store calls of a budget whose record does not allow what the holder needs; it is read again then.
-func (h *Holder) doubt(now time.Time, a *account) []Action {
+// pauseStoreCalls pauses the store calls of a budget whose record does not allow what the holder needs; it is read again then.
+func (h *Holder) pauseStoreCalls(now time.Time, a *account) []Action {
 	a.known = false
 	a.retryAt = now.Add(h.Policy.withDefaults().Backoff)
 	return nil
@@ -197,7 +197,7 @@
 		record, err = record.Close(h.Name)
 	}
 	if err != nil {
-		return h.doubt(now, a)
+		return h.pauseStoreCalls(now, a)
 	}
 	w := &write{record: record, before: a.mine, closing: true}
 	a.mine.Returned += a.headroom()
@@ -235,8 +235,8 @@
 	}
 }
 
-// giveBack returns all unused tokens because a peer needs them.
-func (h *Holder) giveBack(now time.Time, a *account) []Action {
+// returnUnused returns all unused tokens because a peer needs them.
+func (h *Holder) returnUnused(now time.Time, a *account) []Action {
 	if len(a.answers) == 0 {
 		return nil
 	}
@@ -334,8 +334,8 @@
 	return h.answerRecalls(a)
 }
 
-// turnAway refuses all waiting requests of a fenced account.
-func (h *Holder) turnAway(a *account) []Action {
+// refuseAll refuses all waiting requests of a fenced account.
+func (h *Holder) refuseAll(a *account) []Action {
 	actions := h.answerRecalls(a)
 	for len(a.waiting) > 0 {
 		actions = append(actions, h.refuse(a, h.requests[a.waiting[0]], refusal.BudgetUnavailable))
--- a/pkg/budget/seek.go
+++ b/pkg/budget/seek.go
@@ -24,7 +24,7 @@
 	if r.Forwarded {
 		return []Action{h.refuse(a, r, refusalKind(cut))}
 	}
-	if peer, ok := h.lender(a, r, cut); ok {
+	if peer, ok := h.peerWithTokens(a, r, cut); ok {
 		a.dropWaiting(r.Request)
 		return []Action{Forward{r.Request, peer}}
 	}
@@ -47,11 +47,11 @@
 	return refusal.BudgetExhausted
 }
 
-// lender picks the untried peer that is believed to hold the most tokens of the budget.
+// peerWithTokens picks the untried peer that is believed to hold the most tokens of the budget.
 //
 // With the store at hand the record must show enough of them; cut off from
 // the store the record is old, so that every reachable peer is worth a try.
-func (h *Holder) lender(a *account, r *reservation, cut bool) (string, bool) {
+func (h *Holder) peerWithTokens(a *account, r *reservation, cut bool) (string, bool) {
 	if len(r.tried) >= h.Policy.withDefaults().MaxForwards {
 		return "", false
 	}
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -9,7 +9,7 @@
 
 // dispatch sends every waiting request for which an endpoint has room.
 func (p *Pool) dispatch(now time.Time) []Action {
-	actions := p.condemn(now)
+	actions := p.refuseSuspects(now)
 	rooms := map[string]bool{} // Whether an endpoint for a model or service may have room.
 	for {
 		var chosen *backend
@@ -55,8 +55,8 @@
 	return b.serves(serves) && b.usable(now) && b.hasSlot(now, p.peers, p.Policy)
 }
 
-// condemn refuses the waiting requests that have been in flight at too many deaths.
-func (p *Pool) condemn(now time.Time) []Action {
+// refuseSuspects refuses the waiting requests that have been in flight at too many deaths.
+func (p *Pool) refuseSuspects(now time.Time) []Action {
 	if len(p.suspects.known) == 0 {
 		return nil
 	}
@@ -87,7 +87,7 @@
 // choose returns the usable endpoint with room whose first token is expected soonest, or nil.
 func (p *Pool) choose(now time.Time, j *job) *backend {
 	suspect := p.suspects.deaths(now, j.Fingerprint) > 0
-	if suspect && p.onTrial(j.Fingerprint) {
+	if suspect && p.copyInFlight(j.Fingerprint) {
 		return nil
 	}
 	var best *backend
@@ -109,8 +109,8 @@
 	return best
 }
 
-// onTrial reports whether a request with this fingerprint is in flight, so that the next one waits for what becomes of it.
-func (p *Pool) onTrial(fingerprint uint64) bool {
+// copyInFlight reports whether a request with this fingerprint is in flight, so that the next one waits for what becomes of it.
+func (p *Pool) copyInFlight(fingerprint uint64) bool {
 	for _, name := range p.names {
 		for _, j := range p.backends[name].running {
 			if j.Fingerprint == fingerprint {
@@ -166,8 +166,8 @@
 	}
 	p.queue.remove(j)
 	delete(p.jobs, j.ID)
-	kind, hopeless := p.hopeless(now, j)
-	if !hopeless {
+	kind, unservable := p.unservable(now, j)
+	if !unservable {
 		kind = refusal.DeadlineUnreachable
 	}
 	return j.refuse(kind, max(wait, time.Second)), true
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	j := &job{Request: r, arrived: now}
-	if kind, ok := p.hopeless(now, j); ok {
+	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
 	p.jobs[r.ID] = j
@@ -141,8 +141,8 @@
 	return append(p.dispatch(now), p.shedNew(now, r.ID)...)
 }
 
-// hopeless tells why a request cannot be served, if so.
-func (p *Pool) hopeless(now time.Time, j *job) (refusal.Kind, bool) {
+// unservable tells why a request cannot be served, if so.
+func (p *Pool) unservable(now time.Time, j *job) (refusal.Kind, bool) {
 	if p.suspects.deaths(now, j.Fingerprint) > deathsAllowed {
 		return refusal.Suspect, true
 	}
@@ -174,7 +174,7 @@
 	if !ok || j.on != nil {
 		return nil
 	}
-	kind, refused := p.hopeless(now, j)
+	kind, refused := p.unservable(now, j)
 	switch {
 	case refused:
 	case !j.Repeatable && j.ran, j.attempts >= p.Policy.MaxAttempts, p.retries < 1:
