--- a/internal/router/config_follower.go
+++ b/internal/router/config_follower.go
@@ -145,11 +145,11 @@
 		}
 		return version
 	}
-	c.takeHead(entry.Value, true)
+	c.takeHead(entry.Value)
 	return max(version, entry.Version)
 }
 
-func (c *config) takeHead(value []byte, fromStore bool) {
+func (c *config) takeHead(value []byte) {
 	if len(value) == 0 {
 		return
 	}
@@ -158,7 +158,7 @@
 		c.r.log.Error("settings head not readable", zap.Error(err))
 		return
 	}
-	c.handle(time.Now(), settings.HeadSeen{Head: head, FromStore: fromStore})
+	c.handle(time.Now(), settings.HeadSeen{Head: head})
 }
 
 // askPeers asks the routers whose revision is higher for their head.
@@ -170,7 +170,7 @@
 			continue
 		}
 		if value, err := c.r.peers.head(p.Address, mine); err == nil {
-			c.takeHead(value, false)
+			c.takeHead(value)
 		}
 	}
 }
@@ -195,7 +195,7 @@
 		if err != nil {
 			return head, err
 		}
-		c.handle(time.Now(), settings.HeadSeen{Head: head, FromStore: true})
+		c.handle(time.Now(), settings.HeadSeen{Head: head})
 		if c.revision() != head.Revision {
 			pause(catchUp, ctx.Done())
 			continue
@@ -205,7 +205,7 @@
 			return head, err
 		}
 		if done {
-			c.handle(time.Now(), settings.HeadSeen{Head: head, FromStore: true})
+			c.handle(time.Now(), settings.HeadSeen{Head: head})
 			return head, nil
 		}
 	}
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -29,7 +29,7 @@
 	s := &snapshot{
 		revision: revision,
 		tree:     tree,
-		limits:   tree.Fleet.Limits.WithDefaults(),
+		limits:   tree.Fleet.EffectiveLimits(),
 		byKey:    map[string]caller{},
 		byName:   map[string]caller{},
 		address:  map[string]string{},
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -109,9 +109,6 @@
 	Load     Load
 }
 
-// Unreachable reports that an endpoint did not answer a load query.
-type Unreachable struct{ Endpoint string }
-
 // LeavingSeen reports that the settings or the VM list show an endpoint as leaving or as staying.
 type LeavingSeen struct {
 	Endpoint string
@@ -139,7 +136,6 @@
 func (Withdrawn) isEvent()      {}
 func (RoutersCounted) isEvent() {}
 func (Reported) isEvent()       {}
-func (Unreachable) isEvent()    {}
 func (LeavingSeen) isEvent()    {}
 func (CacheSeen) isEvent()      {}
 func (SuspectHeard) isEvent()   {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -60,9 +60,6 @@
 	case Reported:
 		p.reported(now, ev)
 		return p.dispatch(now)
-	case Unreachable:
-		p.down(now, ev.Endpoint)
-		return nil
 	case LeavingSeen:
 		p.leavingSeen(ev)
 		return p.dispatch(now)
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -118,7 +118,6 @@
 	ProbesEach      = 2 // Probes in a period.
 	UpdatesEach     = 9 // Updates in a message, the sender's own included.
 	SuspectPeriod   = 3 * time.Second
-	DeadFor         = 10 * time.Minute // Time for which a dead VM is remembered.
 	ReprobeDead     = 5 * time.Second
 	tellFactor      = 3 // Times that an update is told, for each doubling of the fleet.
 	entryListLength = 4
--- a/pkg/settings/follower.go
+++ b/pkg/settings/follower.go
@@ -10,10 +10,7 @@
 type Event interface{ isEvent() }
 
 // HeadSeen carries a head from the store or from a peer.
-type HeadSeen struct {
-	Head      Head
-	FromStore bool
-}
+type HeadSeen struct{ Head Head }
 
 // SubtreeRead carries the content of one accepted version of a subtree.
 type SubtreeRead struct {
@@ -71,7 +68,6 @@
 	contents map[string]content // By path.
 	reading  map[string]Version
 	retryAt  time.Time
-	freshAt  time.Time
 	rejected uint64
 }
 
@@ -88,7 +84,7 @@
 	}
 	switch ev := ev.(type) {
 	case HeadSeen:
-		return f.headSeen(now, ev)
+		return f.headSeen(ev)
 	case SubtreeRead:
 		return f.subtreeRead(ev)
 	case SubtreeFailed:
@@ -113,19 +109,10 @@
 // Head returns the head in force.
 func (f *Follower) Head() Head { return f.inForce }
 
-// Wanted returns the highest revision seen, which is above Revision while its subtrees are read.
-func (f *Follower) Wanted() uint64 { return f.target.Revision }
-
 // Content returns the TOML in force at a path.
 func (f *Follower) Content(path string) []byte { return f.contents[path].text }
 
-// FreshAt returns the last time at which the store was seen not to hold a higher revision.
-func (f *Follower) FreshAt() time.Time { return f.freshAt }
-
-func (f *Follower) headSeen(now time.Time, ev HeadSeen) []Action {
-	if ev.FromStore && ev.Head.Revision >= f.target.Revision {
-		f.freshAt = now
-	}
+func (f *Follower) headSeen(ev HeadSeen) []Action {
 	if ev.Head.Revision <= f.target.Revision {
 		return nil
 	}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -39,6 +39,13 @@
 	}
 }
 
+func TestWeightsChooseTheCeilingStep(t *testing.T) {
+	require.Equal(t, DefaultCeilingStepSeconds, Fleet{Weighs: "Overspend"}.EffectiveLimits().CeilingStepSeconds)
+	require.Equal(t, LongCeilingStepSeconds, Fleet{Weighs: "FalseRefusals"}.EffectiveLimits().CeilingStepSeconds)
+	given := Fleet{Weighs: "FalseRefusals", Limits: Limits{CeilingStepSeconds: 9}}
+	require.Equal(t, 9, given.EffectiveLimits().CeilingStepSeconds)
+}
+
 func TestProblemsNameTheirPlace(t *testing.T) {
 	good := string(deployment(t, "goldfields"))
 	lineOf := func(text, part string) int {
@@ -152,7 +159,7 @@
 			},
 		})
 		for i, f := range followers {
-			handle(i, HeadSeen{Head: head, FromStore: true})
+			handle(i, HeadSeen{Head: head})
 			for range 3 {
 				for len(reads[i]) > 0 {
 					read(i, false)
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -119,6 +119,7 @@
 	DefaultEntryKeepSeconds      = 5
 	DefaultGrantHorizonSeconds   = 180
 	DefaultCeilingStepSeconds    = 5
+	LongCeilingStepSeconds       = 60 // Where false refusals weigh more.
 	DefaultConcurrentRequests    = 4096
 	DefaultOrderRetentionSeconds = 72 * 3600
 	DefaultFirstTokenMillis      = 1700
@@ -149,6 +150,18 @@
 	return l
 }
 
+// weighsFalseRefusals is the value of Fleet.Weighs of operators who would rather strand more tokens than refuse more.
+const weighsFalseRefusals = "FalseRefusals"
+
+// EffectiveLimits returns the limits with zero fields filled in, by what the operators weigh more.
+func (f Fleet) EffectiveLimits() Limits {
+	l := f.Limits
+	if f.Weighs == weighsFalseRefusals {
+		l.CeilingStepSeconds = cmp.Or(l.CeilingStepSeconds, LongCeilingStepSeconds)
+	}
+	return l.WithDefaults()
+}
+
 // VM returns the VM with the given name.
 func (f Fleet) VM(name string) (VM, bool) {
 	for _, vm := range f.VMs {
