--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -192,7 +192,9 @@
 		h.closed(a, nil)
 		return nil
 	}
-	record, err := a.record.Set(h.Name, a.mine)
+	last := a.mine
+	last.Ceiling = a.ceiling()
+	record, err := a.record.Set(h.Name, last)
 	if err == nil {
 		record, err = record.Close(h.Name)
 	}
