--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -192,7 +192,7 @@
 	outcome, refused := r.attempt(w, send)
 	r.log.Info("attempt",
 		zap.String("Request", w.id), zap.String("Team", w.caller.team.Name), zap.String("Endpoint", send.Endpoint),
-		zap.Int("Attempt", send.Attempt), zap.Uint8("Outcome", uint8(outcome)), zap.Int("Chunks", w.assembler.Next()))
+		zap.Int("Attempt", send.Attempt), zap.Stringer("Outcome", outcome), zap.Int("Chunks", w.assembler.Next()))
 	r.backends.handle(time.Now(), endpoint.Ended{ID: w.id, Outcome: outcome, Tokens: int64(w.assembler.Next())})
 	if refused != nil || outcome == endpoint.Finished || outcome == endpoint.Abandoned {
 		r.backends.handle(time.Now(), endpoint.Withdrawn{ID: w.id})
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -68,6 +68,11 @@
 	Abandoned                 // The router or the caller ended it.
 )
 
+var outcomeNames = [...]string{"Died", "Finished", "Rejected", "Incomplete", "Abandoned"}
+
+// String returns the name of the outcome as logs spell it.
+func (o Outcome) String() string { return outcomeNames[min(o, Abandoned)] }
+
 // Load is an endpoint's own report.
 type Load struct {
 	Running int
