--- a/internal/command/partition_test.go
+++ b/internal/command/partition_test.go
@@ -96,3 +96,39 @@
 	}, patience, 50*time.Millisecond)
 	require.LessOrEqual(t, c.tokensRun(t), int64(prepaid+topUp))
 }
+
+// TestRouterKilledDuringStoreOutage kills a router with streams and an order open while the store is down, and brings the store back losing answers.
+func TestRouterKilledDuringStoreOutage(t *testing.T) {
+	const prepaid = 700
+	c := startCluster(t, prepaid, "--speed", "50")
+	storm := func() {
+		for i := range 9 {
+			_, _ = c.chat(i%3, fmt.Sprint("note-", i), prompt("one two", 10))
+			_, _ = c.order(i%3, "storm")
+		}
+	}
+	storm()
+	before := c.tokensRun(t)
+	for i := range 4 {
+		go c.chat(2, "", prompt("one two three four five six", 30))
+		go c.order(2, fmt.Sprint("open-", i))
+	}
+	require.Eventually(t, func() bool { return c.tokensRun(t) > before }, patience, time.Millisecond)
+	setFaults(t, c.store, standin.StoreFaults{Down: true})
+	c.routers[2].kill()
+	storm()
+	setFaults(t, c.store, standin.StoreFaults{LoseWriteAnswers: 5})
+	c.routers[2] = c.startRouter(t, 2)
+	c.topUp(t, 0, "first", prepaid)
+	storm()
+	for i := range 4 {
+		_, _ = c.order(i%3, fmt.Sprint("open-", i))
+	}
+	for call, n := range c.orderRuns(t) {
+		require.Equal(t, 1, n, "order %s", call)
+	}
+	state := c.budget(t)
+	require.EqualValues(t, prepaid, state.Prepaid, "the top-up sent again counts once")
+	require.LessOrEqual(t, state.Spent, state.Prepaid)
+	require.LessOrEqual(t, c.tokensRun(t), int64(prepaid))
+}
