Never apply older settings in the daemon

Cause, found by reading: the follower emits Apply under its mutex but the router carries it out after releasing it, so that revision 5 could be applied after 6. Change: Router.apply takes only a revision that is not lower, under a mutex of its own. Test: TestOlderSettingsAreNotApplied (fails without the check). The settings slice is called configuration, since Config stood beside it.

--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -104,7 +104,7 @@
 	views, suspects, waiting := r.backends.views(time.Now())
 	return Status{
 		VM:         r.cfg.VM,
-		Revision:   r.config.revision(),
+		Revision:   r.configuration.revision(),
 		Draining:   r.draining.Load(),
 		InFlight:   r.inFlight.Load(),
 		Waiting:    waiting,
@@ -118,9 +118,9 @@
 
 func (r *Router) serveSettings(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.QueryArgs().Peek("Path"))
-	head := r.config.head()
+	head := r.configuration.head()
 	version, ok := head.Paths[path]
-	content, inForce := r.config.subtree(path, version)
+	content, inForce := r.configuration.subtree(path, version)
 	if !ok || !inForce {
 		writeRefusal(ctx, refusal.New(refusal.NotFound, "settings path "+path))
 		return
@@ -147,7 +147,7 @@
 	}
 	limited, cancel := context.WithTimeout(context.Background(), 3*storeTimeout)
 	defer cancel()
-	head, err := r.config.change(limited, change)
+	head, err := r.configuration.change(limited, change)
 	if err != nil {
 		writeRefusal(ctx, changeRefusal(err))
 		return
--- a/internal/router/config_follower.go
+++ b/internal/router/configuration.go
@@ -22,15 +22,15 @@
 // watchersEach is the number of routers in a data centre that watch the store; the others ask these.
 const watchersEach = 2
 
-// config carries out what the settings follower decides.
-type config struct {
+// configuration carries out what the settings follower decides.
+type configuration struct {
 	r *Router
 
 	mu       sync.Mutex
 	follower settings.Follower // Guarded by mu.
 }
 
-func (c *config) handle(now time.Time, ev settings.Event) {
+func (c *configuration) handle(now time.Time, ev settings.Event) {
 	for _, action := range locked(&c.mu, c.follower.Handle, now, ev) {
 		switch action := action.(type) {
 		case settings.ReadSubtree:
@@ -44,7 +44,7 @@
 }
 
 // read fetches a subtree from the store or, when the store fails, from a peer that has it in force.
-func (c *config) read(action settings.ReadSubtree) {
+func (c *configuration) read(action settings.ReadSubtree) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	entry, err := c.r.cfg.Store.Get(ctx, subtreeKey(action.Path, action.Version.Change))
@@ -62,26 +62,26 @@
 	c.handle(time.Now(), settings.SubtreeFailed{Path: action.Path, Version: action.Version})
 }
 
-func (c *config) revision() uint64 {
+func (c *configuration) revision() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Revision()
 }
 
-func (c *config) head() settings.Head {
+func (c *configuration) head() settings.Head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Head()
 }
 
-func (c *config) content(path string) []byte {
+func (c *configuration) content(path string) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Content(path)
 }
 
 // subtree returns a path's content if it is in force with the given version.
-func (c *config) subtree(path string, version settings.Version) ([]byte, bool) {
+func (c *configuration) subtree(path string, version settings.Version) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.follower.Head().Paths[path] != version {
@@ -91,7 +91,7 @@
 }
 
 // run keeps up with the settings until stop is closed.
-func (c *config) run(stop <-chan struct{}) {
+func (c *configuration) run(stop <-chan struct{}) {
 	var version uint64
 	for {
 		select {
@@ -117,7 +117,7 @@
 }
 
 // watches reports whether this router is one of its data centre's watchers.
-func (c *config) watches() bool {
+func (c *configuration) watches() bool {
 	before := 0
 	self := c.r.self
 	for _, m := range c.r.members.all() {
@@ -129,7 +129,7 @@
 }
 
 // watch waits for a head above version in the store and returns the version that was seen.
-func (c *config) watch(version uint64) uint64 {
+func (c *configuration) watch(version uint64) uint64 {
 	ctx, cancel := context.WithTimeout(context.Background(), watchPeriod+storeTimeout)
 	defer cancel()
 	entry, err := c.r.cfg.Store.Watch(ctx, headKey, version, watchPeriod)
@@ -149,7 +149,7 @@
 	return max(version, entry.Version)
 }
 
-func (c *config) takeHead(value []byte) {
+func (c *configuration) takeHead(value []byte) {
 	if len(value) == 0 {
 		return
 	}
@@ -162,7 +162,7 @@
 }
 
 // askPeers asks the routers whose revision is higher for their head.
-func (c *config) askPeers() {
+func (c *configuration) askPeers() {
 	mine := c.revision()
 	for _, p := range c.r.members.peers() {
 		asks := p.Revision > mine || p.DataCentre == c.r.self.DataCentre
@@ -180,7 +180,7 @@
 // The tree is checked as it would be with the change, on the same head that
 // the conditional write is based on. A write of the head whose answer was lost
 // is settled by reading the head again.
-func (c *config) change(ctx context.Context, change settings.Change) (settings.Head, error) {
+func (c *configuration) change(ctx context.Context, change settings.Change) (settings.Head, error) {
 	const catchUp = 20 * time.Millisecond
 	put := platform.Put{Key: subtreeKey(change.Path, change.ID), Value: change.Content}
 	if _, err := c.r.cfg.Store.Put(ctx, put); err != nil {
@@ -221,7 +221,7 @@
 }
 
 // propose writes the head that accepts the change; done is false when the write lost a race or its outcome is unknown.
-func (c *config) propose(ctx context.Context, version uint64, head settings.Head, change settings.Change) (settings.Head, bool, error) {
+func (c *configuration) propose(ctx context.Context, version uint64, head settings.Head, change settings.Change) (settings.Head, bool, error) {
 	if head.Accepted(change.ID) {
 		return head, true, nil
 	}
@@ -247,7 +247,7 @@
 }
 
 // validate checks the tree in force as it would be with the change.
-func (c *config) validate(change settings.Change) error {
+func (c *configuration) validate(change settings.Change) error {
 	texts := map[string][]byte{}
 	for path := range c.head().Paths {
 		texts[path] = c.content(path)
@@ -258,7 +258,7 @@
 }
 
 // seed puts the initial settings into a store that holds none; several routers may do so at once.
-func (c *config) seed(ctx context.Context) error {
+func (c *configuration) seed(ctx context.Context) error {
 	entry, err := c.r.cfg.Store.Get(ctx, headKey)
 	if err != nil || entry.Version != 0 {
 		return err
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -51,7 +51,7 @@
 	limit := m.r.snapshot().limits.ConcurrentRequests
 	m.handle(now, fleet.SelfChanged{
 		Load:     float64(m.r.inFlight.Load()) / float64(limit),
-		Revision: m.r.config.revision(),
+		Revision: m.r.configuration.revision(),
 		Draining: m.r.draining.Load(),
 	})
 	m.handle(now, fleet.Tick{})
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -98,7 +98,7 @@
 
 // serveHead answers with the head in force, or with no content when the asker has it.
 func (r *Router) serveHead(ctx *fasthttp.RequestCtx) {
-	head := r.config.head()
+	head := r.configuration.head()
 	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("After")), 10, 64)
 	if head.Revision > after {
 		writeJSON(ctx, head)
@@ -109,7 +109,7 @@
 	args := ctx.QueryArgs()
 	revision, _ := strconv.ParseUint(string(args.Peek("Revision")), 10, 64)
 	version := settings.Version{Revision: revision, Change: string(args.Peek("Change"))}
-	content, ok := r.config.subtree(string(args.Peek("Path")), version)
+	content, ok := r.configuration.subtree(string(args.Peek("Path")), version)
 	if !ok {
 		writeRefusal(ctx, refusal.New(refusal.NotFound, "not in force here"))
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	started time.Time
 
 	current  atomic.Pointer[snapshot]
+	applying sync.Mutex // Held while settings come into force.
 	inFlight atomic.Int64
 	draining atomic.Bool
 	closing  atomic.Bool // Set once new requests are refused.
@@ -40,12 +42,12 @@
 	server     *fasthttp.Server
 	listenAddr string
 
-	budgets  budgets
-	backends backends
-	bills    bills
-	orders   orders
-	members  members
-	config   config
+	budgets       budgets
+	backends      backends
+	bills         bills
+	orders        orders
+	members       members
+	configuration configuration
 }
 
 // New returns a router that is not yet started.
@@ -101,13 +103,13 @@
 	r.bills = bills{r: r}
 	r.orders = orders{r: r}
 	r.members = members{r: r, roster: fleet.Roster{Self: member, Seed: member.Incarnation}}
-	r.config = config{r: r}
+	r.configuration = configuration{r: r}
 }
 
 // Start listens, takes the settings over and serves until Shutdown.
 func (r *Router) Start(ctx context.Context) error {
 	r.apply(time.Now(), r.snapshot())
-	if err := r.config.seed(ctx); err != nil {
+	if err := r.configuration.seed(ctx); err != nil {
 		r.log.Warn("initial settings not stored", zap.Error(err))
 	}
 	ln, err := r.listen()
@@ -135,7 +137,7 @@
 }
 
 func (r *Router) startTimers() {
-	go r.config.run(r.stop)
+	go r.configuration.run(r.stop)
 	go every(fleet.ProbePeriod, r.stop, r.members.tick)
 	go every(reportPeriod, r.stop, r.backends.poll)
 	go every(vmListPeriod, r.stop, r.pollVMList)
@@ -158,8 +160,16 @@
 	return time.Duration(r.snapshot().limits.StallSeconds) * time.Second
 }
 
-// apply puts settings in force.
+// apply puts settings in force, unless newer ones are.
+//
+// Two Apply actions may be carried out in the wrong order, since that is done
+// outside the follower's mutex.
 func (r *Router) apply(now time.Time, s *snapshot) {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	if s.revision < r.snapshot().revision {
+		return
+	}
 	r.current.Store(s)
 	r.backends.configure(now, s)
 	r.members.configure(now, s)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -108,6 +108,14 @@
 	}
 }
 
+func TestOlderSettingsAreNotApplied(t *testing.T) {
+	r := testRouter(t)
+	tree := r.snapshot().tree
+	r.apply(time.Now(), newSnapshot(1006, tree))
+	r.apply(time.Now(), newSnapshot(1005, tree))
+	require.EqualValues(t, 1006, r.snapshot().revision)
+}
+
 // FuzzMessages decodes what other routers and the store send.
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte(`{"Budget":"t","Holders":{"a":{"Granted":5,"Ceiling":9}}}`))
