--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -18,7 +18,7 @@
 	defer close(w.pieces)
 	defer func() {
 		if problem := recover(); problem != nil {
-			r.log.Error("panic", zap.String("Request", w.id), zap.Any("Problem", problem), zap.Stack("Stack"))
+			r.logPanic(w.id, problem)
 			w.emit(piece{refused: refusal.New(refusal.Internal, "")})
 		}
 	}()
@@ -29,6 +29,10 @@
 	}
 }
 
+func (r *Router) logPanic(request string, problem any) {
+	r.log.Error("panic", zap.String("Request", request), zap.Any("Problem", problem), zap.Stack("Stack"))
+}
+
 // runKeyed attaches a request with an Idempotency-Key to earlier runs of the key at its home.
 func (r *Router) runKeyed(w *work) *refusal.Error {
 	if w.key == "" || w.stage == stageBudget {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -43,7 +43,7 @@
 	r.adminRoutes(routes)
 	routes.NotFound = func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, refusal.New(refusal.NotFound, string(ctx.Path()))) }
 	routes.PanicHandler = func(ctx *fasthttp.RequestCtx, problem any) {
-		r.log.Error("panic", zap.Any("Problem", problem), zap.Stack("Stack"))
+		r.logPanic("", problem)
 		writeRefusal(ctx, refusal.New(refusal.Internal, ""))
 	}
 	return &fasthttp.Server{
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -39,11 +39,7 @@
 		return
 	}
 	answers := make(chan callResult, 1)
-	run := r.runRepeatable
-	if !c.call.Repeatable {
-		run = r.runOrder
-	}
-	if r.workers.Submit(func() { answers <- run(c) }) != nil {
+	if r.workers.Submit(func() { answers <- r.runCall(c) }) != nil {
 		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
 		return
 	}
@@ -61,6 +57,20 @@
 	ctx.SetBody(result.answer.Body)
 }
 
+// runCall runs a call to its end; a fault of the router is told as one.
+func (r *Router) runCall(c *serviceCall) (result callResult) {
+	defer func() {
+		if problem := recover(); problem != nil {
+			r.logPanic(c.id, problem)
+			result = callResult{refused: refusal.New(refusal.Internal, "")}
+		}
+	}()
+	if c.call.Repeatable {
+		return r.runRepeatable(c)
+	}
+	return r.runOrder(c)
+}
+
 // callResult is a service's answer or the refusal in its place.
 type callResult struct {
 	answer   order.Answer
