Make one piece serve where two stood

Twins found by reading the change: the hash of a key (three times, now settings.HashKey), the platform's VM list (router and stand-in, now in platform), the revision headers as literals, the wanted ceiling of a commit and of a raise, the pause after a failed and after a stale read. Work in the wrong place: a refusal built the view of every budget to look at one; each request's body was copied for a fallback that cannot happen.

--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -122,7 +120,7 @@
 		service: startProcess(t, "standin", "service"),
 	}
 	f := settings.Fleet{
-		Name: "test", PeerKey: "test-peer-key-00", AdminSHA256: hashOf(testAdminKey),
+		Name: "test", PeerKey: "test-peer-key-00", AdminSHA256: settings.HashKey(testAdminKey),
 		Store:       settings.Store{Address: c.store.address, TimeoutMilliseconds: 1000},
 		DataCentres: []string{"a", "b", "c"},
 		Services:    []settings.Service{{Name: "orders", Calls: []settings.Call{{Name: "place", Path: "/place"}}}},
@@ -140,7 +138,7 @@
 		f.VMs = append(f.VMs, settings.VM{Name: "vm-" + dc, DataCentre: dc, Address: freeAddress(t), Size: 1})
 	}
 	c.tree = settings.Tree{Fleet: f, Teams: []settings.Team{{
-		Name: "team", Budget: testBudget, Accounts: []settings.Account{{Name: "desk", KeySHA256: hashOf(testAPIKey)}}}}}
+		Name: "team", Budget: testBudget, Accounts: []settings.Account{{Name: "desk", KeySHA256: settings.HashKey(testAPIKey)}}}}}
 	text, err := settings.Format(c.tree)
 	require.NoError(t, err)
 	c.file = filepath.Join(t.TempDir(), "test.toml")
@@ -153,11 +151,6 @@
 	return c
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 func (c *cluster) startRouter(t *testing.T, i int) *process {
 	return startProcess(t, "foxtaillanding", "router", "--settings", c.file, "--vm", c.tree.Fleet.VMs[i].Name, "--drain", patience.String())
 }
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -91,7 +89,7 @@
 	fleet := settings.Fleet{
 		Name:        "dev",
 		PeerKey:     "dev-peer-key-0000",
-		AdminSHA256: sha256Hex(devAdminKey),
+		AdminSHA256: settings.HashKey(devAdminKey),
 		DataCentres: []string{"dev"},
 		VMs:         []settings.VM{{Name: "dev-1", DataCentre: "dev", Address: address, Size: 1}},
 		Services: []settings.Service{{Name: "orders", Calls: []settings.Call{
@@ -119,12 +117,7 @@
 	})
 	team := settings.Team{
 		Name: "demo", Budget: "demo", Class: "Interactive",
-		Accounts: []settings.Account{{Name: "demo", KeySHA256: sha256Hex(devAPIKey)}},
+		Accounts: []settings.Account{{Name: "demo", KeySHA256: settings.HashKey(devAPIKey)}},
 	}
 	return settings.Tree{Fleet: fleet, Teams: []settings.Team{team}}, nil
 }
-
-func sha256Hex(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
@@ -88,8 +89,8 @@
 	}
 	answer = response{
 		body:         append([]byte(nil), resp.Body()...),
-		revision:     string(resp.Header.Peek("X-Revision")),
-		pathRevision: string(resp.Header.Peek("X-Path-Revision")),
+		revision:     string(resp.Header.Peek(router.HeaderRevision)),
+		pathRevision: string(resp.Header.Peek(router.HeaderPathRevision)),
 	}
 	return answer, true, nil
 }
--- a/internal/command/partition_test.go
+++ b/internal/command/partition_test.go
@@ -34,7 +34,7 @@
 	engine := startProcess(t, "standin", "engine")
 	c.engines = []*process{engine}
 	f := settings.Fleet{
-		Name: "test", PeerKey: "test-peer-key-00", AdminSHA256: hashOf(testAdminKey), DataCentres: []string{"a", "b", "c"},
+		Name: "test", PeerKey: "test-peer-key-00", AdminSHA256: settings.HashKey(testAdminKey), DataCentres: []string{"a", "b", "c"},
 		Limits: settings.Limits{EntryKeepSeconds: 1, FirstTokenSeconds: 30},
 		Endpoints: []settings.Endpoint{{
 			Name: "engine-0", DataCentre: "b", Address: engine.address, Serves: []string{"m"}, Slots: 16}},
@@ -48,7 +48,7 @@
 		listen = append(listen, address)
 		f.VMs = append(f.VMs, settings.VM{Name: "vm-" + dc, DataCentre: dc, Address: one.inward.Address, Size: 1})
 	}
-	team := settings.Team{Name: "team", Budget: testBudget, Accounts: []settings.Account{{Name: "desk", KeySHA256: hashOf(testAPIKey)}}}
+	team := settings.Team{Name: "team", Budget: testBudget, Accounts: []settings.Account{{Name: "desk", KeySHA256: settings.HashKey(testAPIKey)}}}
 	for i := range f.VMs {
 		f.Store = settings.Store{Address: cuttable[i].toStore.Address, TimeoutMilliseconds: 1000}
 		c.tree = settings.Tree{Fleet: f, Teams: []settings.Team{team}}
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -215,7 +215,7 @@
 func TestSettingsChangeIsInForceEverywhere(t *testing.T) {
 	c := startCluster(t, 1_000_000)
 	team := c.tree.Teams[0]
-	team.Accounts = append(team.Accounts, settings.Account{Name: "new", KeySHA256: hashOf("new-key")})
+	team.Accounts = append(team.Accounts, settings.Account{Name: "new", KeySHA256: settings.HashKey("new-key")})
 	text, err := settings.Format(team)
 	require.NoError(t, err)
 	put := func(i int, base int, change string) (int, []byte) {
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -91,7 +91,7 @@
 
 func (r *Router) adminOnly(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if !sameSecret(hashKey(bearer(ctx)), r.snapshot().tree.Fleet.AdminSHA256) {
+		if !sameSecret(settings.HashKey(bearer(ctx)), r.snapshot().tree.Fleet.AdminSHA256) {
 			writeRefusal(ctx, refusal.New(refusal.Forbidden, "the operators' key is needed"))
 			return
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -128,10 +128,7 @@
 func (w *work) streamedBody() []byte {
 	request := w.request
 	request.Stream = true
-	body, err := json.Marshal(request)
-	if err != nil {
-		return w.body
-	}
+	body, _ := json.Marshal(request) // A request that was decoded from JSON can be encoded.
 	return body
 }
 
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -26,11 +26,11 @@
 	require.NoError(b, err)
 	tree := settings.Tree{
 		Fleet: settings.Fleet{
-			Name: "bench", PeerKey: testPeerKey, AdminSHA256: hashKey("admin"), DataCentres: []string{"a"},
+			Name: "bench", PeerKey: testPeerKey, AdminSHA256: settings.HashKey("admin"), DataCentres: []string{"a"},
 			VMs:       []settings.VM{{Name: "vm-1", DataCentre: "a", Address: ln.Addr().String(), Size: 1}},
 			Endpoints: []settings.Endpoint{{Name: "e", DataCentre: "a", Address: engine.Address, Serves: []string{"m"}, Slots: 64}},
 		},
-		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: hashKey("secret")}}}},
+		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: settings.HashKey("secret")}}}},
 	}
 	store := &platform.Memory{}
 	record, err := budget.Record{Budget: "t"}.TopUp("first", 1<<50)
--- a/internal/router/budgets.go
+++ b/internal/router/budgets.go
@@ -137,6 +137,12 @@
 	return b.holder.Views()
 }
 
+func (b *budgets) view(name string) (budget.View, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.View(name)
+}
+
 func (b *budgets) drained() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -269,7 +269,7 @@
 	}
 	head := settings.Head{Revision: 1, Paths: map[string]settings.Version{}}
 	for path, text := range texts {
-		change := "initial-" + hashKey(string(text))
+		change := "initial-" + settings.HashKey(string(text))
 		if _, err := c.r.cfg.Store.Put(ctx, platform.Put{Key: subtreeKey(path, change), Value: text}); err != nil {
 			return err
 		}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -121,12 +121,8 @@
 
 // budgetHad reports whether the budget, as last read, had the tokens for a request that was refused.
 func (r *Router) budgetHad(w *work) bool {
-	for _, v := range r.budgets.views() {
-		if v.Budget == w.caller.team.Budget {
-			return v.Prepaid-v.Spent >= w.worstCase()
-		}
-	}
-	return false
+	v, ok := r.budgets.view(w.caller.team.Budget)
+	return ok && v.Prepaid-v.Spent >= w.worstCase()
 }
 
 func (r *Router) observeCall(c *serviceCall, result callResult) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -189,10 +190,10 @@
 		return
 	}
 	r.background(func() {
-		leaving, err := readVMList(r.peers.http, address)
+		list, err := platform.ReadVMList(r.peers.http, address)
 		if err != nil {
 			return // The list lags anyway; the last one stands.
 		}
-		r.members.handle(now, fleet.PlatformListed{Leaving: leaving})
+		r.members.handle(now, fleet.PlatformListed{Leaving: list.Leaving})
 	})
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -28,13 +28,13 @@
 	address := ln.Addr().String()
 	tree := settings.Tree{
 		Fleet: settings.Fleet{
-			Name: "test", PeerKey: testPeerKey, AdminSHA256: hashKey("admin"), DataCentres: []string{"a"},
+			Name: "test", PeerKey: testPeerKey, AdminSHA256: settings.HashKey("admin"), DataCentres: []string{"a"},
 			VMs:       []settings.VM{{Name: "vm-1", DataCentre: "a", Address: address, Size: 1}},
 			Endpoints: []settings.Endpoint{{Name: "e", DataCentre: "a", Address: "127.0.0.1:1", Serves: []string{"m", "orders"}, Slots: 1}},
 			Services:  []settings.Service{{Name: "orders", Calls: []settings.Call{{Name: "place", Path: "/place"}}}},
 			Limits:    settings.Limits{BodyBytes: 4096, OutputTokens: 100, EntryKeepSeconds: 1, FirstTokenSeconds: 1},
 		},
-		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: hashKey("secret")}}}},
+		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: settings.HashKey("secret")}}}},
 	}
 	r, err := New(Config{VM: "vm-1", Listen: ln, Initial: tree, Store: &platform.Memory{}})
 	require.NoError(t, err)
@@ -135,6 +135,6 @@
 		_, _ = m.answer(data)
 		_, _ = DecodeStatus(data)
 		_ = json.Unmarshal(data, &chat.LoadReport{})
-		_ = json.Unmarshal(data, &vmList{})
+		_ = json.Unmarshal(data, &platform.VMList{})
 	})
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -139,7 +139,6 @@
 		return nil, refusal.New(refusal.UnknownModel, request.Model)
 	}
 	w.request = request
-	w.body = append([]byte(nil), ctx.PostBody()...)
 	w.bodyHash = fingerprint(w.caller.name(), request)
 	w.assembler.Limit = int(request.MaxTokens)
 	return w, nil
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -1,9 +1,7 @@
 package router
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -59,15 +57,9 @@
 	return class
 }
 
-// hashKey returns the hash under which settings keep a key.
-func hashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // caller finds the account of an API key; the comparison takes the same time for every wrong key.
 func (s *snapshot) caller(key string) (caller, bool) {
-	hash := hashKey(key)
+	hash := settings.HashKey(key)
 	c, ok := s.byKey[hash]
 	return c, ok && sameSecret(hash, c.account.KeySHA256)
 }
--- a/internal/router/work.go
+++ b/internal/router/work.go
@@ -28,7 +28,6 @@
 	stage    stage
 	caller   caller
 	request  chat.Request
-	body     []byte
 	arrived  time.Time
 	deadline time.Time // Of the first token.
 
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -1,19 +1,14 @@
 package standin
 
-import "github.com/valyala/fasthttp"
+import (
+	"github.com/valyala/fasthttp"
 
-// VMsPath is where the platform lists VMs.
-const VMsPath = "/VMs"
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+)
 
-// VMList is the platform's list of VMs; it is switched as a whole, so that a test decides how far it lags.
-type VMList struct {
-	Live    []string
-	Leaving []string
-}
-
-// VMs serves a VMList.
+// VMs serves the platform's list of VMs; it is switched as a whole, so that a test decides how far it lags.
 type VMs struct {
-	list switched[VMList]
+	list switched[platform.VMList]
 }
 
 // Handle serves one call.
@@ -21,7 +16,7 @@
 	switch string(ctx.Path()) {
 	case FaultsPath:
 		v.list.serve(ctx)
-	case VMsPath:
+	case platform.VMsPath:
 		writeJSON(ctx, v.list.get())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -164,12 +164,12 @@
 	case back > 0:
 		return min(next.Granted, now+back)
 	}
-	wanted := a.used() + h.waitingTokens(a) + a.step(h.Policy.withDefaults())
-	return min(next.Granted, max(now, wanted))
+	return min(next.Granted, max(now, h.wantedCeiling(a)))
 }
 
-func (h *Holder) waitingTokens(a *account) int64 {
-	var sum int64
+// wantedCeiling returns the ceiling that covers what is used, what waits and one step.
+func (h *Holder) wantedCeiling(a *account) int64 {
+	sum := a.used() + a.step(h.Policy.withDefaults())
 	for _, id := range a.waiting {
 		sum += h.requests[id].Tokens
 	}
@@ -284,11 +284,10 @@
 	if !a.loading {
 		return nil
 	}
-	a.loading = false
 	if ev.Version < a.version {
-		a.retryAt = now.Add(h.Policy.withDefaults().Backoff)
-		return h.advance(now, a)
+		return h.loadFailed(now, LoadFailed{ev.Budget})
 	}
+	a.loading = false
 	if w := a.write; w != nil && ev.Version == w.base {
 		w.inFlight = true
 		return []Action{Commit{a.budget, w.base, w.record}}
@@ -324,16 +323,10 @@
 	case a.mine.Granted > 0 || (a.mine.Returned > 0 && w == nil):
 		a.fenced = true
 	}
-	actions := h.answerReturned(a, w)
-	return append(actions, h.advance(now, a)...)
-}
-
-// answerReturned answers the recalls once a write that could return tokens is settled.
-func (h *Holder) answerReturned(a *account, w *write) []Action {
 	if w == nil {
-		return nil
+		return h.advance(now, a)
 	}
-	return h.answerRecalls(a)
+	return append(h.answerRecalls(a), h.advance(now, a)...)
 }
 
 // refuseAll refuses all waiting requests of a fenced account.
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -103,22 +103,34 @@
 func (h *Holder) Views() []View {
 	views := make([]View, 0, len(h.accounts))
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
-		a := h.accounts[name]
-		views = append(views, View{
-			Budget:   name,
-			Account:  a.mine,
-			Reserved: a.reserved,
-			Headroom: a.headroom(),
-			Waiting:  len(a.waiting),
-			Prepaid:  a.record.Prepaid(),
-			Spent:    a.record.Spent(),
-			Free:     a.record.Free(),
-			Fenced:   a.fenced,
-		})
+		views = append(views, h.accounts[name].view())
 	}
 	return views
 }
 
+// View returns the state of one budget, and whether the holder keeps it.
+func (h *Holder) View(budget string) (View, bool) {
+	a, ok := h.accounts[budget]
+	if !ok {
+		return View{}, false
+	}
+	return a.view(), true
+}
+
+func (a *account) view() View {
+	return View{
+		Budget:   a.budget,
+		Account:  a.mine,
+		Reserved: a.reserved,
+		Headroom: a.headroom(),
+		Waiting:  len(a.waiting),
+		Prepaid:  a.record.Prepaid(),
+		Spent:    a.record.Spent(),
+		Free:     a.record.Free(),
+		Fenced:   a.fenced,
+	}
+}
+
 func (h *Holder) account(budget string) *account {
 	a, ok := h.accounts[budget]
 	if ok {
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -126,12 +126,11 @@
 		return nil
 	}
 	a.raising = true
-	wanted := a.used() + h.waitingTokens(a) + a.step(p)
 	return []Action{Raise{
 		Budget:  a.budget,
 		Witness: a.mine.Witness,
 		Seals:   a.mine.Seals,
-		Ceiling: min(a.mine.Granted, max(wanted, a.ceiling()+1)),
+		Ceiling: min(a.mine.Granted, max(h.wantedCeiling(a), a.ceiling()+1)),
 		Spent:   a.mine.Spent,
 	}}
 }
