Move the budgets' shell and the hand-over of decisions into packages of their own

Cause: the platform's request path needs both, and internal/router is the largest package. Ruled out: a copy beside it. Change: internal/ledger, internal/decision, internal/strict; no behaviour changes.

--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
@@ -48,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if err := router.PutRecord(ctx, store, record); err != nil {
+	if err := ledger.PutRecord(ctx, store, record); err != nil {
 		return err
 	}
 	log, err := newLog()
--- a/internal/router/slice.go
+++ b/internal/decision/waiters.go
@@ -1,12 +1,12 @@
-package router
+package decision
 
 import (
 	"sync"
 	"time"
 )
 
-// waiters hands decisions to the workers that wait for them, by request.
-type waiters[A any] struct {
+// Waiters hands decisions to the workers that wait for them, by request.
+type Waiters[A any] struct {
 	mu sync.Mutex
 	by map[string]chan A // Guarded by mu.
 }
@@ -14,7 +14,8 @@
 // decisionsKept is the number of decisions that may wait for a worker; a decider emits at most a few for a request before the worker reads them.
 const decisionsKept = 16
 
-func (w *waiters[A]) open(request string) <-chan A {
+// Open starts to collect the decisions about a request.
+func (w *Waiters[A]) Open(request string) <-chan A {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.by == nil {
@@ -25,14 +26,15 @@
 	return ch
 }
 
-func (w *waiters[A]) close(request string) {
+// Close ends the collection of decisions about a request.
+func (w *Waiters[A]) Close(request string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.by, request)
 }
 
-// send hands a decision over and reports whether somebody waits for it.
-func (w *waiters[A]) send(request string, action A) bool {
+// Send hands a decision over and reports whether somebody waits for it.
+func (w *Waiters[A]) Send(request string, action A) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ch, ok := w.by[request]
@@ -47,15 +49,15 @@
 	}
 }
 
-// locked applies an event to a decider under its mutex and returns the decider's actions.
-func locked[E, A any](mu *sync.Mutex, handle func(time.Time, E) []A, now time.Time, ev E) []A {
+// Locked applies an event to a decider under its mutex and returns the decider's actions.
+func Locked[E, A any](mu *sync.Mutex, handle func(time.Time, E) []A, now time.Time, ev E) []A {
 	mu.Lock()
 	defer mu.Unlock()
 	return handle(now, ev)
 }
 
-// every calls f at each period until stop is closed.
-func every(period time.Duration, stop <-chan struct{}, f func(now time.Time)) {
+// Every calls f at each period until stop is closed.
+func Every(period time.Duration, stop <-chan struct{}, f func(now time.Time)) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,219 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/strict"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+)
+
+// budgetKey is the store key of a budget's record.
+const (
+	storeTimeout  = 2 * time.Second
+	recallTimeout = 2 * time.Second // Longest wait of a peer for returned tokens.
+)
+
+func budgetKey(name string) string { return "Budgets/" + name }
+
+// Peers calls the other routers.
+type Peers interface {
+	// Recall asks a router to return its unused tokens of a budget.
+	Recall(peer, budget string) error
+	// Raise asks a witness to acknowledge a ceiling.
+	Raise(action budget.Raise) (bool, error)
+}
+
+// Ledger is one router's part of all budgets.
+type Ledger struct {
+	Store      platform.Store
+	Peers      Peers
+	Log        *zap.Logger
+	Background func(func())      // Runs a store or peer call.
+	Billed     func(budget.Bill) // Nil when nobody counts bills.
+
+	// Decisions takes what was decided about each request.
+	Decisions decision.Waiters[budget.Action]
+
+	recalls decision.Waiters[struct{}]
+	raises  decision.Waiters[bool]
+
+	mu     sync.Mutex
+	holder budget.Holder // Guarded by mu.
+}
+
+// Open sets the name of the holder, a router incarnation, and its policy before the first event.
+func (b *Ledger) Open(name string, policy budget.Policy) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder = budget.Holder{Name: name, Policy: policy}
+}
+
+// Handle applies one event and carries out what follows from it.
+func (b *Ledger) Handle(now time.Time, ev budget.Event) {
+	for _, action := range decision.Locked(&b.mu, b.holder.Handle, now, ev) {
+		b.perform(now, action)
+	}
+}
+
+func (b *Ledger) perform(now time.Time, action budget.Action) {
+	switch action := action.(type) {
+	case budget.Dispatch:
+		if !b.Decisions.Send(action.Request, action) {
+			b.Handle(now, budget.Settle{Request: action.Request})
+		}
+	case budget.Refuse:
+		b.Decisions.Send(action.Request, action)
+	case budget.Forward:
+		if !b.Decisions.Send(action.Request, action) {
+			b.Handle(now, budget.ForwardTaken{Request: action.Request})
+		}
+	case budget.Load:
+		b.Background(func() { b.load(action) })
+	case budget.Commit:
+		b.Background(func() { b.commit(action) })
+	case budget.Recall:
+		b.Background(func() { b.recall(action) })
+	case budget.Raise:
+		b.Background(func() { b.raise(action) })
+	case budget.AnswerRaise:
+		b.raises.Send(action.ID, action.Acknowledged)
+	case budget.AnswerRecall:
+		b.recalls.Send(action.ID, struct{}{})
+	case budget.Bill:
+		if b.Billed != nil {
+			b.Billed(action)
+		}
+		b.Log.Info("billed", zap.String("Request", action.Request), zap.String("Budget", action.Budget), zap.Int64("Tokens", action.Tokens))
+	}
+}
+
+func (b *Ledger) load(action budget.Load) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	record, version, err := ReadRecord(ctx, b.Store, action.Budget)
+	if err != nil {
+		b.Log.Warn("budget not read", zap.String("Budget", action.Budget), zap.Error(err))
+		b.Handle(time.Now(), budget.LoadFailed{Budget: action.Budget})
+		return
+	}
+	b.Handle(time.Now(), budget.Loaded{Budget: action.Budget, Version: version, Record: record})
+}
+
+func (b *Ledger) commit(action budget.Commit) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	written, err := WriteRecord(ctx, b.Store, action.Record, action.Version)
+	if err != nil {
+		b.Log.Warn("budget not written", zap.String("Budget", action.Budget), zap.Error(err))
+	}
+	b.Handle(time.Now(), budget.Committed{Budget: action.Budget, Outcome: written.Outcome, Version: written.Version})
+}
+
+func (b *Ledger) recall(action budget.Recall) {
+	err := b.Peers.Recall(action.Peer, action.Budget)
+	if err != nil {
+		b.Log.Warn("recall failed", zap.String("Peer", action.Peer), zap.Error(err))
+	}
+	b.Handle(time.Now(), budget.RecallDone{Budget: action.Budget, Peer: action.Peer})
+}
+
+// raise asks the witness of a budget for a higher ceiling.
+func (b *Ledger) raise(action budget.Raise) {
+	acknowledged, err := b.Peers.Raise(action)
+	if err != nil {
+		b.Log.Warn("ceiling not raised", zap.String("Witness", action.Witness), zap.Error(err))
+	}
+	b.Handle(time.Now(), budget.RaiseDone{Raise: action, Acknowledged: acknowledged})
+}
+
+// AnswerRaise decides as a witness on a peer's ceiling.
+func (b *Ledger) AnswerRaise(holder string, wanted budget.Raise) bool {
+	id := uuid.NewString()
+	done := b.raises.Open(id)
+	defer b.raises.Close(id)
+	b.Handle(time.Now(), budget.RaiseWanted{
+		Budget:  wanted.Budget,
+		Holder:  holder,
+		Seals:   wanted.Seals,
+		Ceiling: wanted.Ceiling,
+		Spent:   wanted.Spent,
+		ID:      id,
+	})
+	return <-done
+}
+
+// AnswerRecall returns unused tokens because a peer asked for them, and waits until that is done.
+func (b *Ledger) AnswerRecall(name string) {
+	id := uuid.NewString()
+	done := b.recalls.Open(id)
+	defer b.recalls.Close(id)
+	b.Handle(time.Now(), budget.RecallWanted{Budget: name, ID: id})
+	select {
+	case <-done:
+	case <-time.After(recallTimeout):
+	}
+}
+
+// Views returns the state of each budget that the holder has met.
+func (b *Ledger) Views() []budget.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Views()
+}
+
+// View returns the state of one budget, and whether the holder keeps it.
+func (b *Ledger) View(name string) (budget.View, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.View(name)
+}
+
+// Drained reports whether a draining holder has closed all its accounts.
+func (b *Ledger) Drained() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Drained()
+}
+
+// ReadRecord reads a budget's record; a budget that does not exist is an empty record of version 0.
+func ReadRecord(ctx context.Context, store platform.Store, name string) (budget.Record, uint64, error) {
+	record := budget.Record{Budget: name}
+	entry, err := store.Get(ctx, budgetKey(name))
+	if err != nil || entry.Version == 0 {
+		return record, 0, err
+	}
+	if err := strict.Decode(entry.Value, &record); err != nil {
+		return record, 0, err
+	}
+	return record, entry.Version, record.Check()
+}
+
+// WriteRecord writes a budget's record if its version is still the given one.
+func WriteRecord(ctx context.Context, store platform.Store, record budget.Record, version uint64) (platform.Written, error) {
+	if err := record.Check(); err != nil {
+		return platform.Written{Outcome: budget.NoEffect}, err
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return platform.Written{Outcome: budget.NoEffect}, err
+	}
+	return store.Put(ctx, platform.Put{Key: budgetKey(record.Budget), Value: value, IfVersion: version})
+}
+
+// PutRecord creates a budget's record; it fails when the budget exists.
+func PutRecord(ctx context.Context, store platform.Store, record budget.Record) error {
+	written, err := WriteRecord(ctx, store, record, 0)
+	if err == nil && written.Outcome != budget.TookEffect {
+		err = errors.Newf("budget %s exists", record.Budget)
+	}
+	return err
+}
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -11,7 +11,9 @@
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -111,7 +113,7 @@
 		Members:    r.members.states(),
 		Endpoints:  views,
 		Suspects:   suspects,
-		Budgets:    r.budgets.views(),
+		Budgets:    r.budgets.Views(),
 		OrdersOpen: r.orders.pending(),
 	}
 }
@@ -174,7 +176,7 @@
 	limited, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	name, _ := ctx.UserValue("budget").(string)
-	record, version, err := readRecord(limited, r.cfg.Store, name)
+	record, version, err := ledger.ReadRecord(limited, r.cfg.Store, name)
 	if err != nil {
 		writeRefusal(ctx, refusal.New(refusal.StoreUnavailable, err.Error()))
 		return
@@ -209,7 +211,7 @@
 
 func (r *Router) serveTopUp(ctx *fasthttp.RequestCtx) {
 	var topUp TopUp
-	if err := decodeStrict(ctx.PostBody(), &topUp); err != nil {
+	if err := strict.Decode(ctx.PostBody(), &topUp); err != nil {
 		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
@@ -220,7 +222,7 @@
 
 func (r *Router) serveClose(ctx *fasthttp.RequestCtx) {
 	var message Close
-	if err := decodeStrict(ctx.PostBody(), &message); err != nil {
+	if err := strict.Decode(ctx.PostBody(), &message); err != nil {
 		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
@@ -256,7 +258,7 @@
 
 func (r *Router) tryChange(ctx context.Context, name string, change func(budget.Record) (budget.Record, error)) (BudgetState, error) {
 	for ctx.Err() == nil {
-		record, version, err := readRecord(ctx, r.cfg.Store, name)
+		record, version, err := ledger.ReadRecord(ctx, r.cfg.Store, name)
 		if err != nil {
 			return BudgetState{}, err
 		}
@@ -264,7 +266,7 @@
 		if err != nil {
 			return BudgetState{}, err
 		}
-		written, err := writeRecord(ctx, r.cfg.Store, next, version)
+		written, err := ledger.WriteRecord(ctx, r.cfg.Store, next, version)
 		if written.Outcome == budget.TookEffect {
 			return r.budgetState(next), nil
 		}
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 )
 
@@ -15,11 +16,11 @@
 	pool      endpoint.Pool     // Guarded by mu.
 	cacheSeen map[string]uint64 // Guarded by mu; the last cache event taken over, by endpoint.
 
-	decisions waiters[endpoint.Action]
+	decisions decision.Waiters[endpoint.Action]
 }
 
 func (b *backends) handle(now time.Time, ev endpoint.Event) {
-	for _, action := range locked(&b.mu, b.pool.Handle, now, ev) {
+	for _, action := range decision.Locked(&b.mu, b.pool.Handle, now, ev) {
 		b.perform(now, action)
 	}
 }
@@ -27,11 +28,11 @@
 func (b *backends) perform(now time.Time, action endpoint.Action) {
 	switch action := action.(type) {
 	case endpoint.Send:
-		if !b.decisions.send(action.ID, action) {
+		if !b.decisions.Send(action.ID, action) {
 			b.handle(now, endpoint.Ended{ID: action.ID, Outcome: endpoint.Abandoned})
 		}
 	case endpoint.Refuse:
-		b.decisions.send(action.ID, action)
+		b.decisions.Send(action.ID, action)
 	case endpoint.TellSuspect:
 		b.r.background(func() { b.r.peers.tellSuspect(action.Suspect) })
 	}
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -35,7 +36,7 @@
 	store := &platform.Memory{}
 	record, err := budget.Record{Budget: "t"}.TopUp("first", 1<<50)
 	require.NoError(b, err)
-	require.NoError(b, PutRecord(context.Background(), store, record))
+	require.NoError(b, ledger.PutRecord(context.Background(), store, record))
 	r, err := New(Config{VM: "vm-1", Listen: ln, Initial: tree, Store: store})
 	require.NoError(b, err)
 	require.NoError(b, r.Start(b.Context()))
--- a/internal/router/bills.go
+++ b/internal/router/bills.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
@@ -17,21 +18,21 @@
 	mu     sync.Mutex
 	ledger bill.Ledger // Guarded by mu.
 
-	decisions waiters[bill.Action]
+	decisions decision.Waiters[bill.Action]
 }
 
 func (b *bills) handle(now time.Time, ev bill.Event) {
-	for _, action := range locked(&b.mu, b.ledger.Handle, now, ev) {
+	for _, action := range decision.Locked(&b.mu, b.ledger.Handle, now, ev) {
 		switch action := action.(type) {
 		case bill.Start:
-			b.decisions.send(action.Request, action)
+			b.decisions.Send(action.Request, action)
 		case bill.Replay:
-			b.decisions.send(action.Request, action)
+			b.decisions.Send(action.Request, action)
 		case bill.Refuse:
-			b.decisions.send(action.Request, action)
+			b.decisions.Send(action.Request, action)
 		case bill.Refund:
 			b.r.log.Info("refunded", zap.String("Budget", action.Budget), zap.Int64("Tokens", action.Tokens))
-			b.r.budgets.handle(now, budget.Refund{Budget: action.Budget, Tokens: action.Tokens})
+			b.r.budgets.Handle(now, budget.Refund{Budget: action.Budget, Tokens: action.Tokens})
 		}
 	}
 }
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -31,7 +32,7 @@
 }
 
 func (c *configuration) handle(now time.Time, ev settings.Event) {
-	for _, action := range locked(&c.mu, c.follower.Handle, now, ev) {
+	for _, action := range decision.Locked(&c.mu, c.follower.Handle, now, ev) {
 		switch action := action.(type) {
 		case settings.ReadSubtree:
 			c.r.background(func() { c.read(action) })
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -21,7 +22,7 @@
 
 func (m *members) handle(now time.Time, ev fleet.Event) {
 	changed := false
-	for _, action := range locked(&m.mu, m.roster.Handle, now, ev) {
+	for _, action := range decision.Locked(&m.mu, m.roster.Handle, now, ev) {
 		switch action := action.(type) {
 		case fleet.Probe:
 			m.r.background(func() { m.probe(action) })
@@ -43,7 +44,7 @@
 			changed.Witnesses = append(changed.Witnesses, p.Name())
 		}
 	}
-	m.r.budgets.handle(now, changed)
+	m.r.budgets.Handle(now, changed)
 	m.r.backends.handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -121,7 +121,7 @@
 
 // budgetHad reports whether the budget, as last read, had the tokens for a request that was refused.
 func (r *Router) budgetHad(w *work) bool {
-	v, ok := r.budgets.view(w.caller.team.Budget)
+	v, ok := r.budgets.View(w.caller.team.Budget)
 	return ok && v.Prepaid-v.Spent >= w.worstCase()
 }
 
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -8,7 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
 )
 
@@ -19,11 +21,11 @@
 	mu     sync.Mutex
 	keeper order.Keeper // Guarded by mu.
 
-	decisions waiters[order.Action]
+	decisions decision.Waiters[order.Action]
 }
 
 func (o *orders) handle(now time.Time, ev order.Event) {
-	for _, action := range locked(&o.mu, o.keeper.Handle, now, ev) {
+	for _, action := range decision.Locked(&o.mu, o.keeper.Handle, now, ev) {
 		o.perform(now, action)
 	}
 }
@@ -31,13 +33,13 @@
 func (o *orders) perform(now time.Time, action order.Action) {
 	switch action := action.(type) {
 	case order.Send:
-		if !o.decisions.send(action.Request, action) {
+		if !o.decisions.Send(action.Request, action) {
 			o.handle(now, order.Failed{Request: action.Request, Sent: false})
 		}
 	case order.Reply:
-		o.decisions.send(action.Request, action)
+		o.decisions.Send(action.Request, action)
 	case order.Refuse:
-		o.decisions.send(action.Request, action)
+		o.decisions.Send(action.Request, action)
 	case order.ReadClaim:
 		o.r.background(func() { o.read(action) })
 	case order.WriteClaim:
@@ -51,7 +53,7 @@
 	entry, err := o.r.cfg.Store.Get(ctx, action.Key)
 	var claim order.Claim
 	if err == nil && entry.Version != 0 {
-		err = decodeStrict(entry.Value, &claim)
+		err = strict.Decode(entry.Value, &claim)
 	}
 	if err != nil {
 		o.r.log.Warn("claim not read", zap.Error(err))
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -62,7 +62,7 @@
 func (r *Router) serveRecall(ctx *fasthttp.RequestCtx) {
 	var message recallMessage
 	if readMessage(ctx, &message) {
-		r.budgets.answerRecall(message.Budget)
+		r.budgets.AnswerRecall(message.Budget)
 	}
 }
 
@@ -71,7 +71,7 @@
 	if !readMessage(ctx, &message) {
 		return
 	}
-	acknowledged := message.Witness == r.members.self().Name() && r.budgets.answerRaise(message)
+	acknowledged := message.Witness == r.members.self().Name() && r.budgets.AnswerRaise(message.Holder, message.raise())
 	writeJSON(ctx, raiseAnswer{acknowledged})
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -96,7 +96,8 @@
 // recallMessage asks a router to return its unused tokens of a budget.
 type recallMessage struct{ Budget string }
 
-func (p *peers) recall(peer, name string) error {
+// Recall asks a router to return its unused tokens of a budget.
+func (p *peers) Recall(peer, name string) error {
 	address, ok := p.r.members.address(peer)
 	if !ok {
 		return errNotAPeer
@@ -114,9 +115,14 @@
 	Spent   int64
 }
 
+func (m raiseMessage) raise() budget.Raise {
+	return budget.Raise{Budget: m.Budget, Witness: m.Witness, Seals: m.Seals, Ceiling: m.Ceiling, Spent: m.Spent}
+}
+
 type raiseAnswer struct{ Acknowledged bool }
 
-func (p *peers) raise(action budget.Raise) (bool, error) {
+// Raise asks a witness to acknowledge a ceiling.
+func (p *peers) Raise(action budget.Raise) (bool, error) {
 	address, ok := p.r.members.address(action.Witness)
 	if !ok {
 		return false, errNotAPeer
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
@@ -43,7 +45,7 @@
 	server     *fasthttp.Server
 	listenAddr string
 
-	budgets       budgets
+	budgets       ledger.Ledger
 	backends      backends
 	bills         bills
 	orders        orders
@@ -99,7 +101,12 @@
 		policy.Horizon = time.Duration(r.snapshot().limits.GrantHorizonSeconds) * time.Second
 		policy.Step = time.Duration(r.snapshot().limits.CeilingStepSeconds) * time.Second
 	}
-	r.budgets = budgets{r: r, holder: budget.Holder{Name: member.Name(), Policy: policy}}
+	r.budgets.Store = r.cfg.Store
+	r.budgets.Peers = r.peers
+	r.budgets.Log = r.log
+	r.budgets.Background = r.background
+	r.budgets.Billed = func(bill budget.Bill) { r.metrics.billed(bill.Budget, bill.Tokens) }
+	r.budgets.Open(member.Name(), policy)
 	r.backends = backends{r: r, pool: endpoint.Pool{Policy: r.cfg.Endpoint}}
 	r.bills = bills{r: r}
 	r.orders = orders{r: r}
@@ -139,15 +146,15 @@
 
 func (r *Router) startTimers() {
 	go r.configuration.run(r.stop)
-	go every(fleet.ProbePeriod, r.stop, r.members.tick)
-	go every(reportPeriod, r.stop, r.backends.poll)
-	go every(vmListPeriod, r.stop, r.pollVMList)
-	go every(decidePeriod, r.stop, r.decide)
+	go decision.Every(fleet.ProbePeriod, r.stop, r.members.tick)
+	go decision.Every(reportPeriod, r.stop, r.backends.poll)
+	go decision.Every(vmListPeriod, r.stop, r.pollVMList)
+	go decision.Every(decidePeriod, r.stop, r.decide)
 }
 
 // decide lets time pass for the deciders that serve requests.
 func (r *Router) decide(now time.Time) {
-	r.budgets.handle(now, budget.Tick{})
+	r.budgets.Handle(now, budget.Tick{})
 	r.backends.handle(now, endpoint.Tick{})
 	r.orders.tick(now)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
@@ -140,10 +141,10 @@
 	f.Add([]byte(`{"Attempt":"x","State":2,"Answer":{"Body":"eA=="}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var record budget.Record
-		if decodeStrict(data, &record) == nil && record.Check() == nil {
+		if strict.Decode(data, &record) == nil && record.Check() == nil {
 			require.GreaterOrEqual(t, record.Free(), int64(0))
 		}
-		_ = decodeStrict(data, &order.Claim{})
+		_ = strict.Decode(data, &order.Claim{})
 		var message raiseMessage
 		_ = json.Unmarshal(data, &message)
 		var billed bill.Billed
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -41,8 +41,8 @@
 	if done, refused := r.runAtHome(w); done {
 		return refused
 	}
-	decisions := r.bills.decisions.open(w.id)
-	defer r.bills.decisions.close(w.id)
+	decisions := r.bills.decisions.Open(w.id)
+	defer r.bills.decisions.Close(w.id)
 	r.bills.handle(time.Now(), bill.Began{Request: w.id, Key: w.key, BodyHash: w.bodyHash})
 	for {
 		select {
@@ -103,9 +103,9 @@
 
 // runPaid reserves the worst case and runs the request here or where the tokens are.
 func (r *Router) runPaid(w *work) *refusal.Error {
-	decisions := r.budgets.decisions.open(w.id)
-	defer r.budgets.decisions.close(w.id)
-	r.budgets.handle(time.Now(), budget.Reserve{
+	decisions := r.budgets.Decisions.Open(w.id)
+	defer r.budgets.Decisions.Close(w.id)
+	r.budgets.Handle(time.Now(), budget.Reserve{
 		Request:   w.id,
 		Budget:    w.caller.team.Budget,
 		Tokens:    w.worstCase(),
@@ -136,17 +136,17 @@
 	}
 	notRun := !ok || (refused != nil && refused.Kind.Answer().Ran == refusal.NotRun && !w.sent)
 	if notRun {
-		r.budgets.handle(time.Now(), budget.ForwardRefused{Request: w.id, Peer: peer})
+		r.budgets.Handle(time.Now(), budget.ForwardRefused{Request: w.id, Peer: peer})
 		return false, nil
 	}
-	r.budgets.handle(time.Now(), budget.ForwardTaken{Request: w.id})
+	r.budgets.Handle(time.Now(), budget.ForwardTaken{Request: w.id})
 	return true, refused
 }
 
 // settle bills the request once and tells the key's home.
 func (r *Router) settle(w *work) {
 	tokens := w.cost()
-	r.budgets.handle(time.Now(), budget.Settle{Request: w.id, Tokens: tokens})
+	r.budgets.Handle(time.Now(), budget.Settle{Request: w.id, Tokens: tokens})
 	if w.key != "" && tokens > 0 {
 		r.bills.report(bill.Billed{Key: w.key, Request: w.id, Budget: w.caller.team.Budget, Tokens: tokens})
 	}
@@ -154,8 +154,8 @@
 
 // serve runs the request on endpoints until its answer is whole or given up.
 func (r *Router) serve(w *work) *refusal.Error {
-	decisions := r.backends.decisions.open(w.id)
-	defer r.backends.decisions.close(w.id)
+	decisions := r.backends.decisions.Open(w.id)
+	defer r.backends.decisions.Close(w.id)
 	r.backends.handle(time.Now(), endpoint.Submitted{Request: endpoint.Request{
 		ID:           w.id,
 		Serves:       w.request.Model,
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -117,8 +117,8 @@
 
 // runOrder runs a call that may not be repeated: claimed, sent at most once, its outcome recorded.
 func (r *Router) runOrder(c *serviceCall) callResult {
-	decisions := r.orders.decisions.open(c.id)
-	defer r.orders.decisions.close(c.id)
+	decisions := r.orders.decisions.Open(c.id)
+	defer r.orders.decisions.Close(c.id)
 	r.orders.handle(time.Now(), order.Placed{
 		Request:  c.id,
 		Key:      c.claimKey(),
@@ -160,8 +160,8 @@
 
 // place waits until an endpoint is chosen for the call.
 func (r *Router) place(c *serviceCall) (endpoint.Send, refusal.Kind, bool) {
-	decisions := r.backends.decisions.open(c.id)
-	defer r.backends.decisions.close(c.id)
+	decisions := r.backends.decisions.Open(c.id)
+	defer r.backends.decisions.Close(c.id)
 	r.submitCall(c)
 	switch decision := (<-decisions).(type) {
 	case endpoint.Send:
@@ -189,8 +189,8 @@
 
 // runRepeatable runs a call that may be repeated, on another endpoint when one fails.
 func (r *Router) runRepeatable(c *serviceCall) callResult {
-	decisions := r.backends.decisions.open(c.id)
-	defer r.backends.decisions.close(c.id)
+	decisions := r.backends.decisions.Open(c.id)
+	defer r.backends.decisions.Close(c.id)
 	r.submitCall(c)
 	for decision := range decisions {
 		switch decision := decision.(type) {
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -26,13 +26,13 @@
 	r.closing.Store(true)
 	r.waitUntil(ctx, func() bool { return r.inFlight.Load() == 0 })
 	r.waitUntil(ctx, func() bool { return r.orders.pending() == 0 })
-	r.budgets.handle(time.Now(), budget.Drain{})
-	r.waitUntil(ctx, r.budgets.drained)
+	r.budgets.Handle(time.Now(), budget.Drain{})
+	r.waitUntil(ctx, r.budgets.Drained)
 	err := r.server.ShutdownWithContext(ctx)
 	close(r.stop)
 	r.workers.Release()
 	r.calls.Release()
-	r.log.Info("stopped", zap.Bool("GrantsReturned", r.budgets.drained()))
+	r.log.Info("stopped", zap.Bool("GrantsReturned", r.budgets.Drained()))
 	return err
 }
 
--- a/internal/router/decode.go
+++ b/internal/strict/decode.go
@@ -1,4 +1,4 @@
-package router
+package strict
 
 import (
 	"bytes"
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// decodeStrict decodes JSON of one of the project's own formats, in which an unknown field is an error.
-func decodeStrict(data []byte, v any) error {
+// Decode decodes JSON of one of the project's own formats, in which an unknown field is an error.
+func Decode(data []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	return errors.Wrap(d.Decode(v), "decoding JSON")
