Place requests by the shared parts of their prompts; take prepaid totals into a budget's record

Cause: the platform describes a prompt by parts that servers cache in order, and gives budgets as totals. Change: Part chains and a rendezvous home in pkg/endpoint; event Prepaid in pkg/budget.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -18,7 +18,8 @@
 	budget   string
 	record   Record // As last read or written.
 	version  uint64
-	known    bool // record and version were read at least once.
+	total    int64 // Prepaid tokens as the configuration gives them; zero when only top-ups count.
+	known    bool  // record and version were read at least once.
 	loadedAt time.Time
 
 	mine     Account // Granted, Ceiling, Witness and Seals as proved, Spent as settled, Returned as debited.
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -310,7 +310,7 @@
 	w := a.write
 	row, ok := record.Holders[h.Name]
 	a.write = nil
-	a.record = record
+	a.record = record.withTotal(a.total)
 	a.version = version
 	a.known = true
 	a.loadedAt = now
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -30,6 +30,12 @@
 	Tokens int64
 }
 
+// Prepaid gives the total that was paid for a budget so far; a lower total than one heard before changes nothing.
+type Prepaid struct {
+	Budget string
+	Tokens int64
+}
+
 // Loaded carries a record that was read from the store; version 0 means that there is none.
 type Loaded struct {
 	Budget  string
@@ -110,6 +116,7 @@
 func (Reserve) isEvent()        {}
 func (Settle) isEvent()         {}
 func (Refund) isEvent()         {}
+func (Prepaid) isEvent()        {}
 func (Loaded) isEvent()         {}
 func (LoadFailed) isEvent()     {}
 func (Committed) isEvent()      {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -55,6 +55,8 @@
 		a := h.account(ev.Budget)
 		a.mine.Refunded += max(0, ev.Tokens)
 		return h.advance(now, a)
+	case Prepaid:
+		return h.prepaid(now, ev)
 	case Loaded:
 		return h.loaded(now, ev)
 	case LoadFailed:
@@ -164,6 +166,21 @@
 	return h.advance(now, a)
 }
 
+// prepaid takes over a higher total; a budget that is not known yet is read, so that its first request need not wait.
+func (h *Holder) prepaid(now time.Time, ev Prepaid) []Action {
+	a := h.account(ev.Budget)
+	if ev.Tokens <= a.total {
+		return nil
+	}
+	a.total = ev.Tokens
+	a.usedAt = now
+	a.record = a.record.withTotal(a.total)
+	if !a.known && !a.busy() {
+		return []Action{h.load(a)}
+	}
+	return h.advance(now, a)
+}
+
 // settle bills a reserved request once; a second settlement of it finds no reservation and does nothing.
 func (h *Holder) settle(now time.Time, ev Settle) []Action {
 	r, ok := h.requests[ev.Request]
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -118,6 +119,19 @@
 	return next, nil
 }
 
+// withTotal returns r with a top-up that raises the prepaid tokens to total; a total that is not higher changes nothing.
+func (r Record) withTotal(total int64) Record {
+	was := r.Prepaid()
+	if total <= was {
+		return r
+	}
+	next, err := r.TopUp("Total "+strconv.FormatInt(total, 10), total-was)
+	if err != nil {
+		return r // The same total was reached before by other top-ups; it stays as it is.
+	}
+	return next
+}
+
 func (a Account) fellFrom(was Account) bool {
 	return a.Granted < was.Granted || a.Ceiling < was.Ceiling || a.Spent < was.Spent ||
 		a.Returned < was.Returned || a.Refunded < was.Refunded || a.Seals < was.Seals
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -6,21 +6,25 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Limits of what is remembered and of how fast estimates follow measurements.
 const (
-	prefixesKept      = 512
+	prefixesKept      = 4096
 	speedSmoothing    = 0.2
 	defaultSpeed      = 50.0   // Tokens a second of one stream.
 	defaultPromptRate = 2000.0 // Prompt tokens a second.
+	leastMeasured     = 256    // Prompt tokens below which the time to the first token says little about the speed.
 )
 
 // backend is a Pool's state for one endpoint.
 type backend struct {
 	Endpoint
 
+	hash uint64 // Of the name.
+
 	running map[string]*job // This router's attempts in flight.
 
 	report   Load
@@ -40,7 +44,7 @@
 
 func newBackend(e Endpoint) *backend {
 	prefixes, _ := simplelru.NewLRU[uint64, struct{}](prefixesKept, nil)
-	b := &backend{running: map[string]*job{}, prefixes: prefixes}
+	b := &backend{hash: xxhash.Sum64String(e.Name), running: map[string]*job{}, prefixes: prefixes}
 	b.describe(e)
 	b.tokenTime = 1 / b.TokensPerSecond
 	b.promptTime = 1 / b.PromptPerSecond
@@ -117,16 +121,13 @@
 }
 
 // startTime estimates the seconds until the first token of r if it is sent now.
-func (b *backend) startTime(now time.Time, r *Request, peers int, p Policy) float64 {
-	prompt := float64(r.PromptTokens) * b.promptTime
-	if r.Prefix != 0 && b.prefixes.Contains(r.Prefix) {
-		prompt *= 1 - p.CacheBenefit
-	}
+func (b *backend) startTime(now time.Time, j *job, home bool, peers int, p Policy) float64 {
+	prompt := float64(b.prefill(j, home, p)+b.prefilling()) * b.promptTime
 	over := b.occupied(now, peers, p) + 1 - float64(b.Slots)
 	if over <= 0 {
 		return prompt
 	}
-	return prompt + over/float64(b.Slots)*b.serviceTime(r)
+	return prompt + over/float64(b.Slots)*b.serviceTime(&j.Request)
 }
 
 // serviceTime estimates the seconds for which r occupies a slot.
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -77,6 +77,7 @@
 	j.attempts++
 	j.suspect = p.suspects.deaths(now, j.Fingerprint) > 0
 	j.on = b
+	j.prefill = b.prefill(j, false, p.Policy)
 	j.sentAt = now
 	j.firstAt = time.Time{}
 	b.running[j.ID] = j
@@ -90,6 +91,7 @@
 	if suspect && p.copyInFlight(j.Fingerprint) {
 		return nil
 	}
+	home := p.home(j, func(b *backend) bool { return b.serves(j.Serves) && b.usable(now) })
 	var best *backend
 	var least float64
 	for _, name := range p.names {
@@ -100,7 +102,7 @@
 		if suspect && b.hasSuspect() {
 			continue
 		}
-		cost := p.cost(now, b, j)
+		cost := p.cost(now, b, j, b == home)
 		if best == nil || cost < least {
 			best = b
 			least = cost
@@ -121,9 +123,10 @@
 	return false
 }
 
-// cost estimates the seconds until the first token and adds a part of the output time, so that fast endpoints are preferred among free ones.
-func (p *Pool) cost(now time.Time, b *backend, j *job) float64 {
+// cost estimates the seconds until the first token and adds a part of the output time and of the load, so that fast and idle endpoints are preferred among free ones.
+func (p *Pool) cost(now time.Time, b *backend, j *job, home bool) float64 {
 	const tieBreak = 0.02
-	seconds := b.startTime(now, &j.Request, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
+	seconds := b.startTime(now, j, home, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
+	seconds += p.Policy.LoadWeight * b.occupied(now, p.peers, p.Policy) / float64(b.Slots)
 	return seconds * (1 + tieBreak*p.random.Float64())
 }
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -51,9 +51,17 @@
 	PromptTokens int64
 	OutputTokens int64
 	Prefix       uint64    // Hash of the prompt's beginning; zero when unknown.
+	Parts        []Part    // The prompt in order when its parts are known; the last one is the request's own.
 	Deadline     time.Time // Latest time of the first token.
 	Fingerprint  uint64    // Hash of account and body.
 	Repeatable   bool
+	Attempts     int // Endpoints on which it may run at most; zero takes the policy's.
+}
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int64
 }
 
 // Outcome tells how an attempt ended.
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -10,7 +10,8 @@
 	Seed          uint64        // Of the tie breaks.
 	ReportLag     time.Duration // Between an endpoint's count and its arrival here.
 	OutputWeight  float64       // Of the output time beside the time to the first token.
-	MaxAttempts   int           // Sends of one request.
+	LoadWeight    float64       // Seconds that a fully loaded endpoint counts for more than an idle one.
+	MaxAttempts   int           // Attempts of one request.
 	RetryRatio    float64       // Retries earned by each finished request.
 	RetryReserve  float64       // Largest number of retries saved up.
 	DownFor       time.Duration // First pause of an endpoint that died; doubles with each further death.
@@ -26,6 +27,7 @@
 const (
 	DefaultMaxAttempts  = 3
 	DefaultOutputWeight = 0.05
+	DefaultLoadWeight   = 0.02
 	DefaultReportLag    = time.Second
 	DefaultRetryRatio   = 0.1
 	DefaultRetryReserve = 10
@@ -40,6 +42,7 @@
 func (p Policy) withDefaults() Policy {
 	p.ReportLag = cmp.Or(p.ReportLag, DefaultReportLag)
 	p.OutputWeight = cmp.Or(p.OutputWeight, DefaultOutputWeight)
+	p.LoadWeight = cmp.Or(p.LoadWeight, DefaultLoadWeight)
 	p.MaxAttempts = cmp.Or(p.MaxAttempts, DefaultMaxAttempts)
 	p.RetryRatio = cmp.Or(p.RetryRatio, DefaultRetryRatio)
 	p.RetryReserve = cmp.Or(p.RetryReserve, DefaultRetryReserve)
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -129,7 +129,7 @@
 	if _, ok := p.jobs[r.ID]; ok {
 		return nil
 	}
-	j := &job{Request: r, arrived: now}
+	j := &job{Request: r, arrived: now, chain: chainOf(r.Parts)}
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
@@ -174,7 +174,7 @@
 	kind, refused := p.unservable(now, j)
 	switch {
 	case refused:
-	case !j.Repeatable && j.ran, j.attempts >= p.Policy.MaxAttempts, p.retries < 1:
+	case !j.Repeatable && j.ran, j.tried(p.Policy), p.retries < 1:
 		kind = refusal.NoEndpoint
 	default:
 		p.retries--
@@ -191,13 +191,10 @@
 		return
 	}
 	j.firstAt = now
-	cached := j.Prefix != 0 && j.on.prefixes.Contains(j.Prefix)
-	if !cached && len(j.on.running) <= j.on.Slots {
-		j.on.measurePrompt(now.Sub(j.sentAt).Seconds(), j.PromptTokens)
-	}
-	if j.Prefix != 0 {
-		j.on.prefixes.Add(j.Prefix, struct{}{})
+	if j.prefill >= leastMeasured && len(j.on.running) <= j.on.Slots {
+		j.on.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
 	}
+	j.on.remember(j)
 }
 
 func (p *Pool) ended(now time.Time, ev Ended) []Action {
@@ -209,7 +206,10 @@
 	delete(b.running, ev.ID)
 	b.noteChange(now, -1)
 	j.on = nil
-	j.ran = j.ran || ev.Outcome != Rejected
+	if ev.Outcome != Rejected {
+		j.ran = true
+		j.runs++
+	}
 	var actions []Action
 	switch ev.Outcome {
 	case Finished:
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -12,7 +12,10 @@
 	Request
 
 	arrived  time.Time
-	attempts int
+	chain    []uint64 // Hashes of the prompt's beginnings, one for each part.
+	prefill  int64    // Prompt tokens that the endpoint of the attempt in flight is believed to compute.
+	attempts int      // Sends.
+	runs     int      // Attempts that may have run.
 	suspect  bool
 	ran      bool     // An attempt may have run.
 	on       *backend // Where an attempt is in flight.
@@ -28,6 +31,16 @@
 	return Refuse{j.ID, kind, after}
 }
 
+// tried reports whether the job has used up its attempts; sends that are known not to have run have a limit of their own.
+func (j *job) tried(p Policy) bool {
+	const extraSends = 2
+	most := p.MaxAttempts
+	if j.Attempts > 0 {
+		most = j.Attempts
+	}
+	return j.runs >= most || j.attempts >= most+extraSends
+}
+
 func (j *job) weight() float64 {
 	if j.Weight <= 0 {
 		return 1
