--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -33,6 +33,7 @@
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			routerCommand(),
+			gatewayCommand(),
 			devCommand(),
 			checkCommand(),
 			entryCommand(),
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -7,8 +7,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	store := &platform.Memory{}
+	store := &keyvalue.Memory{}
 	record, err := budget.Record{Budget: "demo"}.TopUp("initial", devPrepaid)
 	if err != nil {
 		return err
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -9,7 +9,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -47,7 +47,7 @@
 	return &operator{
 		routers: c.StringSlice("router"),
 		key:     c.String("admin-key"),
-		http:    platform.NewHTTPClient(operatorTimeout, maxConns),
+		http:    keyvalue.NewHTTPClient(operatorTimeout, maxConns),
 	}
 }
 
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
 )
@@ -69,7 +69,7 @@
 		VM:      c.String("vm"),
 		Listen:  ln,
 		Initial: tree,
-		Store:   platform.NewGuarded(platform.NewClient(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
+		Store:   keyvalue.NewGuarded(keyvalue.NewClient(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
 		Log:     log,
 	})
 	if err != nil {
--- a/internal/decision/waiters.go
+++ b/internal/decision/waiters.go
@@ -69,3 +69,13 @@
 		}
 	}
 }
+
+// Pause waits for d or until done is closed.
+func Pause(d time.Duration, done <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-done:
+	}
+}
--- /dev/null
+++ b/internal/gateway/feed.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
+)
+
+// feed is a part of the store that the gateway follows.
+type feed struct {
+	name   string
+	prefix string
+	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
+	change func(now time.Time, c keyvalue.Change)
+}
+
+// Pauses between attempts to reach the store.
+const (
+	feedPause    = 100 * time.Millisecond
+	feedPauseMax = 800 * time.Millisecond
+)
+
+// follow keeps a feed up to date until the gateway stops.
+//
+// While the store cannot be reached, the last state stands. A lost history is
+// read anew as a whole.
+func (g *Gateway) follow(f feed) {
+	var revision uint64
+	known := false
+	wait := feedPause
+	lost := false
+	for !g.stopped() {
+		next, err := g.step(f, revision, known)
+		switch {
+		case err == nil:
+			if lost {
+				g.log.Info("store regained", zap.String("Feed", f.name), zap.Uint64("Revision", next))
+			}
+			lost = false
+			revision = next
+			known = true
+			wait = feedPause
+			continue
+		case errors.Is(err, keyvalue.ErrHistoryGone):
+			known = false
+			continue
+		case !lost:
+			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), zap.Error(err))
+			lost = true
+		}
+		g.endpoints.storeLost(time.Now())
+		decision.Pause(wait/2+rand.N(wait/2), g.stop)
+		wait = min(2*wait, feedPauseMax)
+	}
+}
+
+// step reads a feed as a whole, or waits for its next changes.
+func (g *Gateway) step(f feed, revision uint64, known bool) (uint64, error) {
+	ctx := context.Background()
+	if !known {
+		entries, at, err := g.cfg.Store.Range(ctx, f.prefix)
+		if err != nil {
+			return revision, err
+		}
+		if at < revision {
+			return revision, errors.Newf("revision %d is older than %d", at, revision)
+		}
+		f.reset(time.Now(), entries)
+		return at, nil
+	}
+	changes, err := g.cfg.Store.Changes(ctx, f.prefix, revision, watchWait)
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	for _, c := range changes.Changes {
+		f.change(now, c)
+	}
+	return changes.Revision, nil
+}
+
+func (g *Gateway) configurationRead(now time.Time, entries []keyvalue.Entry) {
+	for _, e := range entries {
+		if e.Key == g.dialect.ConfigurationKey() {
+			g.configure(now, e.Value, "store")
+		}
+	}
+}
+
+func (g *Gateway) configurationChanged(now time.Time, c keyvalue.Change) {
+	if c.Key == g.dialect.ConfigurationKey() && !c.Deleted {
+		g.configure(now, c.Value, "store")
+	}
+}
+
+// configure puts a configuration in force unless a newer one is; one that cannot be read changes nothing.
+func (g *Gateway) configure(now time.Time, value []byte, source string) {
+	cfg, err := g.dialect.Configuration(value)
+	if err != nil {
+		g.log.Error("configuration not read", zap.String("Source", source), zap.Error(err))
+		return
+	}
+	g.tableMu.Lock()
+	defer g.tableMu.Unlock()
+	if t := g.table.Load(); t != nil && t.Version >= cfg.Version {
+		return
+	}
+	g.members.keepConfiguration(cfg.Version, value)
+	g.prepay(now, cfg.Accounts)
+	g.table.Store(route.NewTable(cfg))
+	g.endpoints.configure(now)
+	g.log.Info("configuration in force", zap.Uint64("Version", cfg.Version), zap.String("Source", source),
+		zap.Int("Routes", len(cfg.Routes)), zap.Int("Accounts", len(cfg.Accounts)))
+}
+
+func (g *Gateway) stopped() bool {
+	select {
+	case <-g.stop:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
+)
+
+// Store is what the gateway needs of the platform's store.
+type Store interface {
+	keyvalue.Store
+	keyvalue.Feed
+	keyvalue.Leases
+}
+
+// Config is what a gateway is made of.
+type Config struct {
+	Settings Settings
+	Dialect  Dialect
+	Store    Store
+	Log      *zap.Logger // Nil discards.
+}
+
+// Gateway is one running router for opaque requests.
+type Gateway struct {
+	cfg     Config
+	dialect Dialect
+	log     *zap.Logger
+	started time.Time
+	stop    chan struct{}
+
+	table    atomic.Pointer[route.Table] // Nil until a configuration is known.
+	tableMu  sync.Mutex                  // Held while a configuration comes into force.
+	sequence atomic.Uint64               // Of requests.
+	inFlight atomic.Int64
+	draining atomic.Bool
+
+	calls     *ants.Pool // Store and peer calls.
+	lines     connections
+	budgets   ledger.Ledger
+	endpoints endpoints
+	members   members
+	peers     *peers
+	counters  counters
+	servers   []*fasthttp.Server
+}
+
+// Periods of the gateway's timers.
+const (
+	decidePeriod = 25 * time.Millisecond // Ticks of the deciders that serve requests.
+	storeTimeout = time.Second
+	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
+)
+
+// New returns a gateway that is not yet started.
+func New(cfg Config) (*Gateway, error) {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	g := &Gateway{cfg: cfg, dialect: cfg.Dialect, log: cfg.Log, started: time.Now(), stop: make(chan struct{})}
+	const unlimited = -1
+	var err error
+	if g.calls, err = ants.NewPool(unlimited); err != nil {
+		return nil, errors.Wrap(err, "making the pool of call workers")
+	}
+	self := fleet.Member{
+		VM:          cfg.Settings.VM,
+		Incarnation: uint64(g.started.UnixNano()),
+		Address:     cfg.Settings.Listen.Peer,
+		DataCentre:  cfg.Settings.DataCentre,
+		Size:        1,
+	}
+	g.members = members{g: g, name: self.Name(), roster: fleet.Roster{Self: self, Seed: self.Incarnation}, entries: map[string]registration{}}
+	g.peers = newPeers(g)
+	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
+	g.endpoints.pool.Policy = g.endpointPolicy(1)
+	g.budgets.Store = cfg.Store
+	g.budgets.Peers = g.peers
+	g.budgets.Log = g.log
+	g.budgets.Background = g.background
+	g.budgets.Open(self.Name(), budgetPolicy())
+	return g, nil
+}
+
+// budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
+func budgetPolicy() budget.Policy {
+	return budget.Policy{
+		Horizon:     20 * time.Second, // Twice the longest time for which the store was seen to be away.
+		Step:        2 * time.Second,
+		SealAfter:   6 * time.Second,
+		FlushEvery:  5 * time.Second,
+		ReturnAfter: 30 * time.Second,
+		RetireAfter: 10 * time.Minute,
+		Backoff:     300 * time.Millisecond,
+		RecallEvery: 300 * time.Millisecond,
+	}
+}
+
+// endpointPolicy gives this router its part of the repeats that all routers may make.
+func (g *Gateway) endpointPolicy(routers int) endpoint.Policy {
+	const margin = 0.8 // Of the bound, since routers count a moment later than endpoints.
+	retry := g.cfg.Settings.Retry
+	return endpoint.Policy{
+		Seed:         uint64(g.started.UnixNano()),
+		ReportLag:    time.Millisecond,
+		RetryRatio:   margin * retry.Ratio / 2,
+		RetryReserve: max(1, margin*retry.Slack/float64(routers)),
+		DownFor:      500 * time.Millisecond,
+		MaxDownFor:   4 * time.Second,
+		MaxQueue:     1024,
+	}
+}
+
+// Start listens, joins the fleet and serves until Shutdown.
+func (g *Gateway) Start(_ context.Context) error {
+	listeners := []struct {
+		name, address string
+		handler       fasthttp.RequestHandler
+	}{
+		{"Peer", g.cfg.Settings.Listen.Peer, g.servePeer},
+		{"Ready", g.cfg.Settings.Listen.Ready, g.serveReady},
+		{"Directory", g.cfg.Settings.Listen.Directory, g.serveDirectory},
+		{"Metrics", g.cfg.Settings.Listen.Metrics, g.counters.serve},
+		{"Front", g.cfg.Settings.Listen.Front, g.serveFront},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		if err := g.listen(l.name, l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	g.startLoops()
+	g.log.Info("started", zap.String("VM", g.cfg.Settings.VM), zap.String("DataCentre", g.cfg.Settings.DataCentre),
+		zap.String("Front", g.cfg.Settings.Listen.Front), zap.String("Incarnation", g.members.self().Name()))
+	return nil
+}
+
+func (g *Gateway) listen(name, address string, handler fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s for %s", address, name)
+	}
+	server := g.newServer(handler)
+	g.servers = append(g.servers, server)
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			g.log.Error("server stopped", zap.String("Listener", name), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+func (g *Gateway) startLoops() {
+	go g.follow(feed{name: "configuration", prefix: g.dialect.ConfigurationKey(), reset: g.configurationRead, change: g.configurationChanged})
+	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed})
+	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed})
+	go g.members.register()
+	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
+	go decision.Every(decidePeriod, g.stop, g.decide)
+}
+
+// decide lets time pass for the deciders that serve requests.
+func (g *Gateway) decide(now time.Time) {
+	g.budgets.Handle(now, budget.Tick{})
+	g.endpoints.tick(now)
+}
+
+// background runs f on the pool for store and peer calls.
+func (g *Gateway) background(f func()) {
+	if err := g.calls.Submit(f); err != nil {
+		go f()
+	}
+}
+
+// newID returns the name of a request within the fleet.
+func (g *Gateway) newID() string {
+	return g.members.name + "-" + strconv.FormatUint(g.sequence.Add(1), 36)
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/strict"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+)
+
+// memberPrefix is the prefix of the routers' keys in the store.
+const memberPrefix = "members/"
+
+// memberLease is the time after which a dead router's key disappears.
+const memberLease = 10 * time.Second
+
+// registration is what a router writes about itself.
+type registration struct {
+	VM         string
+	DataCentre string
+	Peer       string // Address for the other routers.
+	Front      string // Address for callers.
+}
+
+// members follows the routers' keys and carries out what the roster decides.
+type members struct {
+	g    *Gateway
+	name string // Of this incarnation.
+
+	mu      sync.Mutex
+	roster  fleet.Roster            // Guarded by mu.
+	entries map[string]registration // By VM; guarded by mu.
+
+	configMu sync.Mutex
+	version  uint64 // Of the configuration in force; guarded by configMu.
+	config   []byte // As it stands in the store; guarded by configMu.
+}
+
+// register keeps this router's key in the store until the gateway stops.
+func (m *members) register() {
+	s := m.g.cfg.Settings
+	value, err := json.Marshal(registration{s.VM, s.DataCentre, s.Listen.Peer, s.Listen.Front})
+	if err != nil {
+		m.g.log.Error("registration not encoded", zap.Error(err))
+		return
+	}
+	var lease uint64
+	for !m.g.stopped() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		next, err := m.renew(ctx, lease, value)
+		cancel()
+		if err != nil {
+			m.g.log.Warn("registration not renewed", zap.Uint64("Lease", lease), zap.Error(err))
+		}
+		lease = next
+		wait := memberLease / 3
+		if err != nil {
+			wait = time.Second
+		}
+		decision.Pause(wait, m.g.stop)
+	}
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := m.g.cfg.Store.End(ctx, lease); err != nil {
+			m.g.log.Warn("lease not ended", zap.Error(err))
+		}
+	}
+}
+
+// renew extends the lease, or writes the key under a new one.
+func (m *members) renew(ctx context.Context, lease uint64, value []byte) (uint64, error) {
+	if lease != 0 {
+		err := m.g.cfg.Store.Renew(ctx, lease)
+		if !errors.Is(err, keyvalue.ErrLeaseEnded) {
+			return lease, err
+		}
+	}
+	lease, err := m.g.cfg.Store.Grant(ctx, memberLease)
+	if err != nil {
+		return 0, err
+	}
+	key := memberPrefix + m.g.cfg.Settings.VM
+	was, err := m.g.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	written, err := m.g.cfg.Store.Put(ctx, keyvalue.Put{Key: key, Value: value, IfVersion: was.Version, Lease: lease})
+	if err != nil {
+		return 0, err
+	}
+	if written.Outcome != budget.TookEffect {
+		return 0, errors.Newf("key %s was changed by another writer", key)
+	}
+	return lease, nil
+}
+
+// read takes all routers' keys over.
+func (m *members) read(now time.Time, entries []keyvalue.Entry) {
+	for _, e := range entries {
+		m.take(e.Key, e.Value)
+	}
+	m.configure(now)
+}
+
+// changed takes one change over; a router whose key is gone stays known, since probes tell whether it lives.
+func (m *members) changed(now time.Time, c keyvalue.Change) {
+	if c.Deleted {
+		return
+	}
+	m.take(c.Key, c.Value)
+	m.configure(now)
+}
+
+func (m *members) take(key string, value []byte) {
+	var r registration
+	if err := strict.Decode(value, &r); err != nil || r.VM != strings.TrimPrefix(key, memberPrefix) || r.Peer == "" {
+		m.g.log.Warn("registration not read", zap.String("Key", key), zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries[r.VM] = r
+}
+
+func (m *members) configure(now time.Time) {
+	m.mu.Lock()
+	seeds := make([]fleet.Seed, 0, len(m.entries))
+	for _, vm := range slices.Sorted(maps.Keys(m.entries)) {
+		r := m.entries[vm]
+		seeds = append(seeds, fleet.Seed{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: 1})
+	}
+	m.mu.Unlock()
+	m.handle(now, fleet.Configured{VMs: seeds})
+}
+
+func (m *members) handle(now time.Time, ev fleet.Event) {
+	changed := false
+	for _, action := range decision.Locked(&m.mu, m.roster.Handle, now, ev) {
+		switch action := action.(type) {
+		case fleet.Probe:
+			m.g.background(func() { m.probe(action) })
+		case fleet.MembersChanged:
+			changed = true
+		}
+	}
+	if changed {
+		m.log()
+		m.tellDeciders(now)
+	}
+}
+
+func (m *members) log() {
+	var states []string
+	for _, p := range m.all() {
+		states = append(states, p.Name()+" "+p.State.String())
+	}
+	m.g.log.Info("members changed", zap.Strings("Members", states))
+}
+
+// tellDeciders brings the set of live routers to the deciders that act on it.
+func (m *members) tellDeciders(now time.Time) {
+	var changed budget.PeersChanged
+	for _, p := range m.live() {
+		changed.Peers = append(changed.Peers, p.Name())
+		if p.State == fleet.Alive && p.DataCentre != m.g.cfg.Settings.DataCentre {
+			changed.Witnesses = append(changed.Witnesses, p.Name())
+		}
+	}
+	m.g.budgets.Handle(now, changed)
+	m.g.endpoints.handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
+}
+
+func (m *members) tick(now time.Time) {
+	m.handle(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining.Load()})
+	m.handle(now, fleet.Tick{})
+	// Two changes that were told at once may have arrived in the wrong order.
+	m.tellDeciders(now)
+	m.fetchConfiguration(now)
+	m.g.lines.expire(now)
+}
+
+func (m *members) probe(action fleet.Probe) {
+	updates, err := m.g.peers.probe(action.Address, action.Updates)
+	if err != nil {
+		m.handle(time.Now(), fleet.ProbeFailed{VM: action.VM})
+		return
+	}
+	m.handle(time.Now(), fleet.Heard{Updates: updates})
+}
+
+// answer takes a peer's updates and returns this router's own.
+func (m *members) answer(updates []fleet.Member) []fleet.Member {
+	m.handle(time.Now(), fleet.Heard{Updates: updates})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Updates()
+}
+
+// fetchConfiguration asks a peer that has a newer configuration for it, in case the store does not tell this router.
+func (m *members) fetchConfiguration(now time.Time) {
+	newest := fleet.Member{Revision: m.configVersion()}
+	for _, p := range m.live() {
+		if p.Revision > newest.Revision {
+			newest = p
+		}
+	}
+	if newest.VM == "" {
+		return
+	}
+	m.g.background(func() {
+		value, err := m.g.peers.configuration(newest.Address)
+		if err != nil {
+			m.g.log.Warn("configuration not fetched", zap.String("Peer", newest.Name()), zap.Error(err))
+			return
+		}
+		m.g.configure(now, value, newest.Name())
+	})
+}
+
+func (m *members) keepConfiguration(version uint64, value []byte) {
+	m.configMu.Lock()
+	defer m.configMu.Unlock()
+	m.version = version
+	m.config = value
+}
+
+func (m *members) configVersion() uint64 {
+	m.configMu.Lock()
+	defer m.configMu.Unlock()
+	return m.version
+}
+
+func (m *members) self() fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Self
+}
+
+func (m *members) live() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Peers()
+}
+
+func (m *members) all() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Members()
+}
+
+// address returns where the router with the given incarnation name listens.
+func (m *members) address(name string) (string, bool) {
+	for _, p := range m.live() {
+		if p.Name() == name {
+			return p.Address, true
+		}
+	}
+	return "", false
+}
+
+// fewest is the number of routers in a caller's data centre below which all routers are named.
+const fewest = 2
+
+// fronts returns the addresses for a caller in a data centre, those of ready routers there if there are enough.
+func (m *members) fronts(dataCentre string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, all []string
+	for _, p := range m.roster.Members() {
+		front := m.front(p.VM)
+		if p.State != fleet.Alive || front == "" {
+			continue
+		}
+		all = append(all, front)
+		if p.DataCentre == dataCentre {
+			near = append(near, front)
+		}
+	}
+	if len(near) >= fewest {
+		return near
+	}
+	if len(all) == 0 {
+		return []string{m.g.cfg.Settings.Listen.Front}
+	}
+	return all
+}
+
+// front returns where a router takes requests; mu is held.
+func (m *members) front(vm string) string {
+	if vm == m.g.cfg.Settings.VM {
+		return m.g.cfg.Settings.Listen.Front
+	}
+	return m.entries[vm].Front
+}
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
+)
+
+// reservation is where the tokens of a request are set aside.
+type reservation struct {
+	held   bool
+	lender string // The incarnation that set them aside for this router; empty when it did itself.
+}
+
+// prepay tells the holder the totals that a configuration gives.
+func (g *Gateway) prepay(now time.Time, accounts []route.Account) {
+	for _, a := range accounts {
+		if a.Limited {
+			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid})
+		}
+	}
+}
+
+// reserve sets aside the most that the request can cost; a reply ends the request.
+func (r *run) reserve() *reply {
+	if r.account == nil || !r.account.Limited || !r.req.Model {
+		return nil
+	}
+	decisions := r.g.budgets.Decisions.Open(r.id)
+	defer r.g.budgets.Decisions.Close(r.id)
+	now := time.Now()
+	r.g.budgets.Handle(now, budget.Prepaid{Budget: r.account.Name, Tokens: r.account.Prepaid})
+	r.g.budgets.Handle(now, budget.Reserve{
+		Request:  r.id,
+		Budget:   r.account.Name,
+		Tokens:   r.worstCase(),
+		Deadline: r.reserveUntil(),
+	})
+	for {
+		select {
+		case <-r.gone:
+			r.g.budgets.Handle(time.Now(), budget.Withdraw{Request: r.id})
+			return refused(refusal.CallerGone, "")
+		case decision := <-decisions:
+			switch decision := decision.(type) {
+			case budget.Dispatch:
+				r.reserved.held = true
+				return nil
+			case budget.Refuse:
+				return refused(decision.Kind, r.account.Name)
+			case budget.Forward:
+				if r.borrow(decision.Peer) {
+					return nil
+				}
+			}
+		}
+	}
+}
+
+// reserveUntil is the time until which a request waits for tokens: a part of its objective, so that a refusal comes early.
+func (r *run) reserveUntil() time.Time {
+	const part = 2
+	wait := max(r.route.Objective/part, 100*time.Millisecond)
+	return earlier(r.arrived.Add(wait), r.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// borrow asks a peer that is believed to hold tokens to set them aside for this request.
+func (r *run) borrow(peer string) bool {
+	granted, err := r.g.peers.reserve(peer, reserveMessage{
+		Request:          r.id,
+		Budget:           r.account.Name,
+		Prepaid:          r.account.Prepaid,
+		Tokens:           r.worstCase(),
+		KeepMilliseconds: time.Until(r.deadline.Add(lendMargin)).Milliseconds(),
+	})
+	if err != nil {
+		r.g.log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), zap.Error(err))
+	}
+	if !granted {
+		r.g.budgets.Handle(time.Now(), budget.ForwardRefused{Request: r.id, Peer: peer})
+		return false
+	}
+	r.g.budgets.Handle(time.Now(), budget.ForwardTaken{Request: r.id})
+	r.reserved = reservation{held: true, lender: peer}
+	return true
+}
+
+// worstCase is the most that the request can cost, in tokens.
+func (r *run) worstCase() int64 { return max(1, r.req.PromptTokens+r.req.OutputTokens) }
+
+// cost is what the request is billed: its prompt once an attempt may have run, and what was passed on.
+func (r *run) cost() int64 {
+	if !r.ran {
+		return 0
+	}
+	return min(r.worstCase(), r.req.PromptTokens+r.events*r.service.TokensPerEvent)
+}
+
+// settle bills the request once and frees the rest of what was set aside.
+func (r *run) settle() {
+	if !r.reserved.held {
+		return
+	}
+	r.reserved.held = false
+	if r.reserved.lender == "" {
+		r.g.budgets.Handle(time.Now(), budget.Settle{Request: r.id, Tokens: r.cost()})
+		return
+	}
+	message := settleMessage{Request: r.id, Tokens: r.cost()}
+	peer := r.reserved.lender
+	r.g.background(func() { r.g.peers.settle(peer, message) })
+}
+
+// loans are the reservations that this router holds for requests of others.
+//
+// One that is not settled in time is billed in full, since its request may have run.
+type loans struct {
+	mu   sync.Mutex
+	open map[string]*time.Timer // By request; guarded by mu.
+}
+
+// lendMargin is the time after a request's deadline in which its settlement may arrive.
+const lendMargin = 3 * time.Second
+
+// lend sets tokens aside for a request of another router.
+func (g *Gateway) lend(m reserveMessage) bool {
+	decisions := g.budgets.Decisions.Open(m.Request)
+	defer g.budgets.Decisions.Close(m.Request)
+	now := time.Now()
+	g.budgets.Handle(now, budget.Prepaid{Budget: m.Budget, Tokens: m.Prepaid})
+	g.budgets.Handle(now, budget.Reserve{
+		Request:   m.Request,
+		Budget:    m.Budget,
+		Tokens:    m.Tokens,
+		Deadline:  now.Add(peerTimeout / 2),
+		Forwarded: true,
+	})
+	select {
+	case decision := <-decisions:
+		if _, ok := decision.(budget.Dispatch); !ok {
+			return false
+		}
+	case <-time.After(peerTimeout):
+		g.budgets.Handle(time.Now(), budget.Withdraw{Request: m.Request})
+		return false
+	}
+	g.peers.loans.start(m.Request, time.Duration(m.KeepMilliseconds)*time.Millisecond, func() {
+		g.log.Warn("loan not settled", zap.String("Run", m.Request), zap.String("Budget", m.Budget), zap.Int64("Tokens", m.Tokens))
+		g.budgets.Handle(time.Now(), budget.Settle{Request: m.Request, Tokens: m.Tokens})
+	})
+	return true
+}
+
+func (l *loans) start(request string, keep time.Duration, late func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		l.open = map[string]*time.Timer{}
+	}
+	l.open[request] = time.AfterFunc(keep, func() {
+		if l.end(request) {
+			late()
+		}
+	})
+}
+
+// end closes a loan and reports whether it was open.
+func (l *loans) end(request string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	timer, ok := l.open[request]
+	if ok {
+		timer.Stop()
+		delete(l.open, request)
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/gateway/shutdown.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+)
+
+// Times of a shutdown.
+const (
+	drainPoll    = 20 * time.Millisecond
+	reserveAtEnd = 700 * time.Millisecond // Of the grace, to return grants and stop.
+	serveAtLeast = 3 * directoryKeep      // Some callers keep a list of addresses three times as long as asked.
+)
+
+// Shutdown leaves the directory, serves whoever still comes, finishes what is in flight, returns the grants and stops.
+func (g *Gateway) Shutdown(now time.Time) {
+	if g.draining.Swap(true) {
+		return
+	}
+	g.log.Info("stopping", zap.Int64("InFlight", g.inFlight.Load()))
+	g.members.tick(now)
+	g.tellPeers()
+	end := now.Add(g.cfg.Settings.grace() - reserveAtEnd)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	decision.Pause(min(serveAtLeast, g.cfg.Settings.grace()/2), ctx.Done())
+	waitUntil(ctx, func() bool { return g.inFlight.Load() == 0 })
+	g.budgets.Handle(time.Now(), budget.Drain{})
+	last, stop := context.WithTimeout(context.Background(), reserveAtEnd/2)
+	defer stop()
+	waitUntil(last, g.budgets.Drained)
+	close(g.stop)
+	g.log.Info("stopped", zap.Bool("GrantsReturned", g.budgets.Drained()), zap.Int64("InFlight", g.inFlight.Load()))
+}
+
+// tellPeers tells all live routers at once that this one drains.
+func (g *Gateway) tellPeers() {
+	for _, p := range g.members.live() {
+		g.background(func() {
+			g.members.mu.Lock()
+			updates := g.members.roster.Updates()
+			g.members.mu.Unlock()
+			if _, err := g.peers.probe(p.Address, updates); err != nil {
+				g.log.Warn("peer not told of the shutdown", zap.String("Peer", p.Name()), zap.Error(err))
+			}
+		})
+	}
+}
+
+func waitUntil(ctx context.Context, done func() bool) {
+	for ctx.Err() == nil && !done() {
+		decision.Pause(drainPoll, ctx.Done())
+	}
+}
+
+// Reload takes changed settings over; what needs a restart is named in the log and stays as it was.
+func (g *Gateway) Reload(s Settings) {
+	was := g.cfg.Settings
+	g.log.Info("settings reloaded", zap.Bool("NeedsRestart", was.Listen != s.Listen || was.Store != s.Store || was.VM != s.VM))
+}
--- a/internal/platform/client_test.go
+++ b/internal/keyvalue/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
@@ -35,7 +35,7 @@
 			_ = conn.Close()
 		}
 	}()
-	client := platform.NewHTTPClient(callTimeout, 8)
+	client := keyvalue.NewHTTPClient(callTimeout, 8)
 	for i, method := range []string{fasthttp.MethodPut, fasthttp.MethodGet, fasthttp.MethodPost, fasthttp.MethodDelete} {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.Header.SetMethod(method)
@@ -46,12 +46,12 @@
 }
 
 // stores are the two forms of the store, which must behave alike.
-func stores(t *testing.T) (map[string]platform.Store, *standin.Store) {
+func stores(t *testing.T) (map[string]keyvalue.Store, *standin.Store) {
 	served := &standin.Store{}
 	s, err := standin.Serve("127.0.0.1:0", served.Handle)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
-	return map[string]platform.Store{"memory": &platform.Memory{}, "client": platform.NewClient(s.Address, callTimeout)}, served
+	return map[string]keyvalue.Store{"memory": &keyvalue.Memory{}, "client": keyvalue.NewClient(s.Address, callTimeout)}, served
 }
 
 func TestConditionalWrites(t *testing.T) {
@@ -59,26 +59,26 @@
 	for name, store := range all {
 		ctx := context.Background()
 		key := "Settings/Tree/Teams/polish & шеберлер/1"
-		first, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("one")})
+		first, err := store.Put(ctx, keyvalue.Put{Key: key, Value: []byte("one")})
 		require.NoError(t, err, name)
 		require.Equal(t, budget.TookEffect, first.Outcome, name)
-		again, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("two")})
+		again, err := store.Put(ctx, keyvalue.Put{Key: key, Value: []byte("two")})
 		require.NoError(t, err, name)
 		require.Equal(t, budget.NoEffect, again.Outcome, name)
-		next, err := store.Put(ctx, platform.Put{Key: key, Value: []byte("two"), IfVersion: first.Version})
+		next, err := store.Put(ctx, keyvalue.Put{Key: key, Value: []byte("two"), IfVersion: first.Version})
 		require.NoError(t, err, name)
 		require.Greater(t, next.Version, first.Version, name)
 		entry, err := store.Get(ctx, key)
 		require.NoError(t, err, name)
-		require.Equal(t, platform.Entry{Key: key, Value: []byte("two"), Version: next.Version}, entry, name)
+		require.Equal(t, keyvalue.Entry{Key: key, Value: []byte("two"), Version: next.Version}, entry, name)
 		missing, err := store.Get(ctx, "none")
 		require.NoError(t, err, name)
 		require.Zero(t, missing.Version, name)
 		list, err := store.List(ctx, "Settings/")
 		require.NoError(t, err, name)
 		require.Len(t, list, 1, name)
-		large, err := store.Put(ctx, platform.Put{Key: "large", Value: make([]byte, platform.MaxValue+1)})
-		require.ErrorIs(t, err, platform.ErrTooLarge, name)
+		large, err := store.Put(ctx, keyvalue.Put{Key: "large", Value: make([]byte, keyvalue.MaxValue+1)})
+		require.ErrorIs(t, err, keyvalue.ErrTooLarge, name)
 		require.Equal(t, budget.NoEffect, large.Outcome, name)
 	}
 }
@@ -87,12 +87,12 @@
 	all, _ := stores(t)
 	for name, store := range all {
 		ctx := context.Background()
-		seen := make(chan platform.Entry, 1)
+		seen := make(chan keyvalue.Entry, 1)
 		go func() {
 			entry, _ := store.Watch(ctx, "head", 0, callTimeout)
 			seen <- entry
 		}()
-		_, err := store.Put(ctx, platform.Put{Key: "head", Value: []byte("1")})
+		_, err := store.Put(ctx, keyvalue.Put{Key: "head", Value: []byte("1")})
 		require.NoError(t, err, name)
 		require.Equal(t, []byte("1"), (<-seen).Value, name)
 	}
@@ -103,18 +103,18 @@
 	store := all["client"]
 	ctx := context.Background()
 	served.SetFaults(standin.StoreFaults{LoseWriteAnswers: 1})
-	written, err := store.Put(ctx, platform.Put{Key: "a", Value: []byte("1")})
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	written, err := store.Put(ctx, keyvalue.Put{Key: "a", Value: []byte("1")})
+	require.ErrorIs(t, err, keyvalue.ErrUnavailable)
 	require.Equal(t, budget.OutcomeUnknown, written.Outcome)
 	entry, err := store.Get(ctx, "a")
 	require.NoError(t, err)
 	require.NotZero(t, entry.Version, "the write took effect")
 
-	limited := platform.NewGuarded(store, 1, 1)
-	_, err = limited.Put(ctx, platform.Put{Key: "b"})
+	limited := keyvalue.NewGuarded(store, 1, 1)
+	_, err = limited.Put(ctx, keyvalue.Put{Key: "b"})
 	require.NoError(t, err)
-	written, err = limited.Put(ctx, platform.Put{Key: "c"})
-	require.ErrorIs(t, err, platform.ErrLimited)
+	written, err = limited.Put(ctx, keyvalue.Put{Key: "c"})
+	require.ErrorIs(t, err, keyvalue.ErrLimited)
 	require.Equal(t, budget.NoEffect, written.Outcome)
 	entry, err = store.Get(ctx, "c")
 	require.NoError(t, err)
@@ -123,7 +123,7 @@
 
 func TestBreakerSparesAStoreThatIsDown(t *testing.T) {
 	all, served := stores(t)
-	guarded := platform.NewGuarded(all["client"], 1000, 1000)
+	guarded := keyvalue.NewGuarded(all["client"], 1000, 1000)
 	served.SetFaults(standin.StoreFaults{Down: true})
 	for range 50 {
 		_, err := guarded.Get(context.Background(), "a")
@@ -140,9 +140,9 @@
 	f.Add(`"12"`)
 	f.Add(`W/"1"`)
 	f.Fuzz(func(t *testing.T, tag string) {
-		version, err := platform.ParseETag(tag)
+		version, err := keyvalue.ParseETag(tag)
 		if err == nil {
-			again, err := platform.ParseETag(platform.ETag(version))
+			again, err := keyvalue.ParseETag(keyvalue.ETag(version))
 			require.NoError(t, err)
 			require.Equal(t, version, again)
 		}
--- a/internal/platform/doc.go
+++ b/internal/keyvalue/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the router's view of what the platform gives: the key-value store and the list of VMs.
+// Package keyvalue is the router's view of what the platform gives: the key-value store and the list of VMs.
 //
 // Store is the narrow interface that the deciders' actions are carried out
 // against: one decision a call, every call counted by the store. A conditional
@@ -6,4 +6,4 @@
 // because a repeated conditional write turns its own success into a conflict.
 // Memory keeps everything in one process; Client speaks HTTP with ETag,
 // If-Match and If-None-Match; Budgeted limits and guards another Store.
-package platform
+package keyvalue
--- a/internal/platform/guarded.go
+++ b/internal/keyvalue/guarded.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
--- a/internal/platform/store.go
+++ b/internal/keyvalue/store.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -13,6 +13,8 @@
 var (
 	ErrUnavailable = errors.New("the store cannot be reached")
 	ErrLimited     = errors.New("the store refused the call because of its rate limit")
+	ErrHistoryGone = errors.New("the store no longer has the changes after this revision")
+	ErrLeaseEnded  = errors.New("the lease has ended")
 	ErrTooLarge    = errors.New("the value exceeds the store's size limit")
 )
 
@@ -29,6 +31,7 @@
 	Value     []byte
 	IfVersion uint64        // Zero means that the key must not exist.
 	TTL       time.Duration // When positive, the key disappears after this time without a further Put.
+	Lease     uint64        // When not zero, the key disappears when this lease ends.
 }
 
 // Written is the result of a Put.
@@ -48,3 +51,34 @@
 	// Watch waits until a key has a version above after, or until wait has passed, and reads it.
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
 }
+
+// Change is one change of a key.
+type Change struct {
+	Entry
+
+	Deleted bool
+}
+
+// Changes are the changes after one revision of the store and up to another one.
+type Changes struct {
+	Changes  []Change
+	Revision uint64 // To continue from.
+}
+
+// Feed tells what changes under a prefix.
+type Feed interface {
+	// Range reads all keys that begin with prefix and the revision to continue from.
+	Range(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// Changes waits for changes after a revision; ErrHistoryGone asks for a new Range.
+	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+}
+
+// Leases bind keys to the life of a process.
+type Leases interface {
+	// Grant starts a lease.
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Renew extends a lease; ErrLeaseEnded tells that its keys are gone.
+	Renew(ctx context.Context, lease uint64) error
+	// End ends a lease and removes its keys.
+	End(ctx context.Context, lease uint64) error
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
@@ -34,7 +34,7 @@
 
 // Ledger is one router's part of all budgets.
 type Ledger struct {
-	Store      platform.Store
+	Store      keyvalue.Store
 	Peers      Peers
 	Log        *zap.Logger
 	Background func(func())      // Runs a store or peer call.
@@ -185,7 +185,7 @@
 }
 
 // ReadRecord reads a budget's record; a budget that does not exist is an empty record of version 0.
-func ReadRecord(ctx context.Context, store platform.Store, name string) (budget.Record, uint64, error) {
+func ReadRecord(ctx context.Context, store keyvalue.Store, name string) (budget.Record, uint64, error) {
 	record := budget.Record{Budget: name}
 	entry, err := store.Get(ctx, budgetKey(name))
 	if err != nil || entry.Version == 0 {
@@ -198,19 +198,19 @@
 }
 
 // WriteRecord writes a budget's record if its version is still the given one.
-func WriteRecord(ctx context.Context, store platform.Store, record budget.Record, version uint64) (platform.Written, error) {
+func WriteRecord(ctx context.Context, store keyvalue.Store, record budget.Record, version uint64) (keyvalue.Written, error) {
 	if err := record.Check(); err != nil {
-		return platform.Written{Outcome: budget.NoEffect}, err
+		return keyvalue.Written{Outcome: budget.NoEffect}, err
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
-		return platform.Written{Outcome: budget.NoEffect}, err
+		return keyvalue.Written{Outcome: budget.NoEffect}, err
 	}
-	return store.Put(ctx, platform.Put{Key: budgetKey(record.Budget), Value: value, IfVersion: version})
+	return store.Put(ctx, keyvalue.Put{Key: budgetKey(record.Budget), Value: value, IfVersion: version})
 }
 
 // PutRecord creates a budget's record; it fails when the budget exists.
-func PutRecord(ctx context.Context, store platform.Store, record budget.Record) error {
+func PutRecord(ctx context.Context, store keyvalue.Store, record budget.Record) error {
 	written, err := WriteRecord(ctx, store, record, 0)
 	if err == nil && written.Outcome != budget.TookEffect {
 		err = errors.Newf("budget %s exists", record.Budget)
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -11,8 +11,8 @@
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -165,7 +165,7 @@
 		return refusal.New(refusal.SettingsConflict, err.Error())
 	case errors.As(err, &problems), errors.Is(err, settings.ErrNoChange):
 		return refusal.New(refusal.SettingsInvalid, err.Error())
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrLimited):
+	case errors.Is(err, keyvalue.ErrUnavailable), errors.Is(err, keyvalue.ErrLimited):
 		return refusal.New(refusal.ChangeUnknown, err.Error())
 	default:
 		return refusal.From(err)
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -12,8 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -33,7 +33,7 @@
 		},
 		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: settings.HashKey("secret")}}}},
 	}
-	store := &platform.Memory{}
+	store := &keyvalue.Memory{}
 	record, err := budget.Record{Budget: "t"}.TopUp("first", 1<<50)
 	require.NoError(b, err)
 	require.NoError(b, ledger.PutRecord(context.Background(), store, record))
@@ -64,7 +64,7 @@
 		words = fmt.Appendf(words, "%d ", i)
 	}
 	req.SetBodyString(fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}`, tokens, words))
-	client := platform.NewHTTPClient(time.Minute, 1)
+	client := keyvalue.NewHTTPClient(time.Minute, 1)
 	began := cpuTime()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -17,7 +17,7 @@
 	VM      string        // Name of the VM that the router runs on.
 	Listen  net.Listener  // Nil listens on the VM's address in the settings.
 	Initial settings.Tree // Used until the store holds settings, and put there if it holds none.
-	Store   platform.Store
+	Store   keyvalue.Store
 	Log     *zap.Logger // Nil discards.
 
 	Budget   budget.Policy
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -106,14 +106,7 @@
 			continue
 		}
 		c.askPeers()
-		pause(settingsPeriod, stop)
-	}
-}
-
-func pause(d time.Duration, stop <-chan struct{}) {
-	select {
-	case <-time.After(d):
-	case <-stop:
+		decision.Pause(settingsPeriod, stop)
 	}
 }
 
@@ -136,7 +129,7 @@
 	entry, err := c.r.cfg.Store.Watch(ctx, headKey, version, watchPeriod)
 	if err != nil {
 		c.askPeers()
-		pause(settingsPeriod, c.r.stop)
+		decision.Pause(settingsPeriod, c.r.stop)
 		return version
 	}
 	if entry.Version == 0 {
@@ -154,7 +147,7 @@
 	if len(value) == 0 {
 		return
 	}
-	head, err := decodeHead(platform.Entry{Value: value, Version: 1})
+	head, err := decodeHead(keyvalue.Entry{Value: value, Version: 1})
 	if err != nil {
 		c.r.log.Error("settings head not readable", zap.Error(err))
 		return
@@ -183,7 +176,7 @@
 // is settled by reading the head again.
 func (c *configuration) change(ctx context.Context, change settings.Change) (settings.Head, error) {
 	const catchUp = 20 * time.Millisecond
-	put := platform.Put{Key: subtreeKey(change.Path, change.ID), Value: change.Content}
+	put := keyvalue.Put{Key: subtreeKey(change.Path, change.ID), Value: change.Content}
 	if _, err := c.r.cfg.Store.Put(ctx, put); err != nil {
 		return settings.Head{}, err
 	}
@@ -198,7 +191,7 @@
 		}
 		c.handle(time.Now(), settings.HeadSeen{Head: head})
 		if c.revision() != head.Revision {
-			pause(catchUp, ctx.Done())
+			decision.Pause(catchUp, ctx.Done())
 			continue
 		}
 		head, done, err := c.propose(ctx, entry.Version, head, change)
@@ -210,10 +203,10 @@
 			return head, nil
 		}
 	}
-	return settings.Head{}, errors.Wrapf(platform.ErrUnavailable, "changing the settings: %v", ctx.Err())
+	return settings.Head{}, errors.Wrapf(keyvalue.ErrUnavailable, "changing the settings: %v", ctx.Err())
 }
 
-func decodeHead(entry platform.Entry) (settings.Head, error) {
+func decodeHead(entry keyvalue.Entry) (settings.Head, error) {
 	var head settings.Head
 	if entry.Version == 0 {
 		return head, nil
@@ -237,7 +230,7 @@
 	if err != nil {
 		return head, false, err
 	}
-	written, err := c.r.cfg.Store.Put(ctx, platform.Put{Key: headKey, Value: value, IfVersion: version})
+	written, err := c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value, IfVersion: version})
 	if written.Outcome == budget.TookEffect {
 		return next, true, nil
 	}
@@ -271,7 +264,7 @@
 	head := settings.Head{Revision: 1, Paths: map[string]settings.Version{}}
 	for path, text := range texts {
 		change := "initial-" + settings.HashKey(string(text))
-		if _, err := c.r.cfg.Store.Put(ctx, platform.Put{Key: subtreeKey(path, change), Value: text}); err != nil {
+		if _, err := c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: subtreeKey(path, change), Value: text}); err != nil {
 			return err
 		}
 		head.Paths[path] = settings.Version{Revision: 1, Change: change}
@@ -280,6 +273,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.r.cfg.Store.Put(ctx, platform.Put{Key: headKey, Value: value})
+	_, err = c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value})
 	return err
 }
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
 )
@@ -66,11 +66,11 @@
 func (o *orders) write(action order.WriteClaim) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	written := platform.Written{}
+	written := keyvalue.Written{}
 	value, err := json.Marshal(action.Claim)
 	if err == nil {
 		keep := time.Duration(o.r.snapshot().limits.OrderRetentionSeconds) * time.Second
-		written, err = o.r.cfg.Store.Put(ctx, platform.Put{Key: action.Key, Value: value, IfVersion: action.Version, TTL: keep})
+		written, err = o.r.cfg.Store.Put(ctx, keyvalue.Put{Key: action.Key, Value: value, IfVersion: action.Version, TTL: keep})
 	}
 	if err != nil {
 		o.r.log.Warn("claim not written", zap.Error(err))
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -9,7 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -43,7 +44,7 @@
 
 func newPeers(r *Router) *peers {
 	const maxConns = 256
-	return &peers{r: r, http: platform.NewHTTPClient(peerTimeout, maxConns)}
+	return &peers{r: r, http: keyvalue.NewHTTPClient(peerTimeout, maxConns)}
 }
 
 // post sends v to a path of the router at address and decodes the answer into out unless that is nil.
@@ -155,7 +156,7 @@
 		if !ok || p.post(home.Address, billPath, billed, nil) == nil {
 			return
 		}
-		pause(time.Second<<i, p.r.stop)
+		decision.Pause(time.Second<<i, p.r.stop)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -197,7 +197,7 @@
 		return
 	}
 	r.background(func() {
-		list, err := platform.ReadVMList(r.peers.http, address)
+		list, err := keyvalue.ReadVMList(r.peers.http, address)
 		if err != nil {
 			return // The list lags anyway; the last one stands.
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -39,7 +39,7 @@
 		},
 		Teams: []settings.Team{{Name: "t", Budget: "t", Accounts: []settings.Account{{Name: "x", KeySHA256: settings.HashKey("secret")}}}},
 	}
-	r, err := New(Config{VM: "vm-1", Listen: ln, Initial: tree, Store: &platform.Memory{}})
+	r, err := New(Config{VM: "vm-1", Listen: ln, Initial: tree, Store: &keyvalue.Memory{}})
 	require.NoError(t, err)
 	require.NoError(t, r.Start(t.Context()))
 	t.Cleanup(r.Kill)
@@ -153,6 +153,6 @@
 		_, _ = m.answer(data)
 		_, _ = DecodeStatus(data)
 		_ = json.Unmarshal(data, &chat.LoadReport{})
-		_ = json.Unmarshal(data, &platform.VMList{})
+		_ = json.Unmarshal(data, &keyvalue.VMList{})
 	})
 }
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
 
@@ -22,7 +23,7 @@
 	r.log.Info("draining", zap.Int64("InFlight", r.inFlight.Load()))
 	r.members.tick(time.Now())
 	keep := time.Duration(r.snapshot().limits.EntryKeepSeconds) * time.Second
-	pause(keep, ctx.Done())
+	decision.Pause(keep, ctx.Done())
 	r.closing.Store(true)
 	r.waitUntil(ctx, func() bool { return r.inFlight.Load() == 0 })
 	r.waitUntil(ctx, func() bool { return r.orders.pending() == 0 })
@@ -38,7 +39,7 @@
 
 func (r *Router) waitUntil(ctx context.Context, done func() bool) {
 	for ctx.Err() == nil && !done() {
-		pause(drainPoll, ctx.Done())
+		decision.Pause(drainPoll, ctx.Done())
 	}
 }
 
--- a/internal/router/stream_client.go
+++ b/internal/router/stream_client.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 )
 
 // errNotSent marks a call that cannot have reached the other side.
@@ -25,7 +25,7 @@
 
 func newStreamClient(stall func() time.Duration) *streamClient {
 	const maxConns = 4096
-	c := platform.NewHTTPClient(0, maxConns)
+	c := keyvalue.NewHTTPClient(0, maxConns)
 	c.StreamResponseBody = true
 	c.MaxIdleConnDuration = 5 * time.Second
 	c.Dial = func(address string) (net.Conn, error) {
@@ -35,7 +35,7 @@
 		}
 		return &stallConn{Conn: conn, stall: stall}, nil
 	}
-	return &streamClient{http: c, queries: platform.NewHTTPClient(time.Second, 16)}
+	return &streamClient{http: c, queries: keyvalue.NewHTTPClient(time.Second, 16)}
 }
 
 // stallConn bounds the silence of the other side: every read and write has its own deadline.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
 
@@ -36,7 +36,7 @@
 
 // Store serves a Memory over HTTP with faults, rates and counts.
 type Store struct {
-	Memory          platform.Memory
+	Memory          keyvalue.Memory
 	WritesPerSecond int // Zero takes the default.
 	ReadsPerSecond  int // Zero takes the default.
 
@@ -66,7 +66,7 @@
 		return
 	}
 	time.Sleep(time.Duration(faults.SlowMilliseconds) * time.Millisecond)
-	if !s.admit(time.Now(), ctx.IsPut(), path == platform.WatchPath) {
+	if !s.admit(time.Now(), ctx.IsPut(), path == keyvalue.WatchPath) {
 		ctx.Error("rate limit", fasthttp.StatusTooManyRequests)
 		return
 	}
@@ -75,18 +75,18 @@
 
 func (s *Store) route(ctx *fasthttp.RequestCtx, path string) {
 	switch {
-	case path == platform.WatchPath:
+	case path == keyvalue.WatchPath:
 		s.watch(ctx)
-	case path == platform.ListPath:
+	case path == keyvalue.ListPath:
 		entries, err := s.Memory.List(ctx, string(ctx.QueryArgs().Peek("Prefix")))
 		if err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 			return
 		}
 		writeJSON(ctx, entries)
-	case strings.HasPrefix(path, platform.KeysPath) && ctx.IsPut():
+	case strings.HasPrefix(path, keyvalue.KeysPath) && ctx.IsPut():
 		s.put(ctx, keyOf(ctx))
-	case strings.HasPrefix(path, platform.KeysPath):
+	case strings.HasPrefix(path, keyvalue.KeysPath):
 		entry, _ := s.Memory.Get(ctx, keyOf(ctx))
 		writeEntry(ctx, entry)
 	default:
@@ -95,7 +95,7 @@
 }
 
 func keyOf(ctx *fasthttp.RequestCtx) string {
-	raw := strings.TrimPrefix(string(ctx.URI().PathOriginal()), platform.KeysPath)
+	raw := strings.TrimPrefix(string(ctx.URI().PathOriginal()), keyvalue.KeysPath)
 	key, err := url.PathUnescape(raw)
 	if err != nil {
 		return raw
@@ -104,10 +104,10 @@
 }
 
 func (s *Store) put(ctx *fasthttp.RequestCtx, key string) {
-	put := platform.Put{Key: key, Value: ctx.PostBody()}
+	put := keyvalue.Put{Key: key, Value: ctx.PostBody()}
 	put.TTL = time.Duration(ctx.QueryArgs().GetUintOrZero("TTLMilliseconds")) * time.Millisecond
 	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) != "*" {
-		version, err := platform.ParseETag(string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)))
+		version, err := keyvalue.ParseETag(string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)))
 		if err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
@@ -123,7 +123,7 @@
 	case written.Outcome != budget.TookEffect:
 		ctx.Error("version conflict", fasthttp.StatusPreconditionFailed)
 	default:
-		ctx.Response.Header.Set(fasthttp.HeaderETag, platform.ETag(written.Version))
+		ctx.Response.Header.Set(fasthttp.HeaderETag, keyvalue.ETag(written.Version))
 	}
 }
 
@@ -135,12 +135,12 @@
 	writeEntry(ctx, entry)
 }
 
-func writeEntry(ctx *fasthttp.RequestCtx, entry platform.Entry) {
+func writeEntry(ctx *fasthttp.RequestCtx, entry keyvalue.Entry) {
 	if entry.Version == 0 {
 		ctx.Error("no such key", fasthttp.StatusNotFound)
 		return
 	}
-	ctx.Response.Header.Set(fasthttp.HeaderETag, platform.ETag(entry.Version))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, keyvalue.ETag(entry.Version))
 	ctx.SetBody(entry.Value)
 }
 
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/platform"
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 )
 
 // VMs serves the platform's list of VMs; it is switched as a whole, so that a test decides how far it lags.
 type VMs struct {
-	list switched[platform.VMList]
+	list switched[keyvalue.VMList]
 }
 
 // Handle serves one call.
@@ -16,7 +16,7 @@
 	switch string(ctx.Path()) {
 	case FaultsPath:
 		v.list.serve(ctx)
-	case platform.VMsPath:
+	case keyvalue.VMsPath:
 		writeJSON(ctx, v.list.get())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -24,6 +24,9 @@
 	Tokens  int64
 }
 
+// Withdraw ends a request that waits for tokens; one that was dispatched settles instead.
+type Withdraw struct{ Request string }
+
 // Refund gives back what a request cost that was billed twice; it is sent once for each such request, to one holder.
 type Refund struct {
 	Budget string
@@ -115,6 +118,7 @@
 
 func (Reserve) isEvent()        {}
 func (Settle) isEvent()         {}
+func (Withdraw) isEvent()       {}
 func (Refund) isEvent()         {}
 func (Prepaid) isEvent()        {}
 func (Loaded) isEvent()         {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -51,6 +51,8 @@
 		return h.reserve(now, ev)
 	case Settle:
 		return h.settle(now, ev)
+	case Withdraw:
+		return h.withdraw(now, ev)
 	case Refund:
 		a := h.account(ev.Budget)
 		a.mine.Refunded += max(0, ev.Tokens)
@@ -197,6 +199,20 @@
 	return append(actions, h.advance(now, a)...)
 }
 
+// withdraw forgets a request; what was set aside for it in the meantime is freed.
+func (h *Holder) withdraw(now time.Time, ev Withdraw) []Action {
+	r, ok := h.requests[ev.Request]
+	switch {
+	case !ok:
+		return nil
+	case r.held:
+		return h.settle(now, Settle{Request: ev.Request})
+	}
+	delete(h.requests, ev.Request)
+	h.account(r.Budget).dropWaiting(ev.Request)
+	return nil
+}
+
 func (h *Holder) tick(now time.Time) []Action {
 	var actions []Action
 	h.sealAbsent(now)
--- a/pkg/refusal/kind.go
+++ b/pkg/refusal/kind.go
@@ -36,6 +36,10 @@
 	ChangeUnknown
 	NotFound
 	Forbidden
+	CallerGone
+	SuspectHeld
+	NotConfigured
+	UnknownRoute
 	kindCount
 )
 
@@ -70,6 +74,9 @@
 	Message    string
 }
 
+// statusCallerGone is never written to a connection; logs and metrics show it.
+const statusCallerGone = 499
+
 var table = [kindCount]Row{
 	Internal:            {"Internal", http.StatusInternalServerError, RanUnknown, time.Second, "the router failed while handling the request"},
 	BadRequest:          {"BadRequest", http.StatusBadRequest, NotRun, 0, "the request is malformed"},
@@ -97,6 +104,10 @@
 	ChangeUnknown:       {"ChangeUnknown", http.StatusServiceUnavailable, RanUnknown, 2 * time.Second, "the store did not confirm the change; send it again with the same ID"},
 	NotFound:            {"NotFound", http.StatusNotFound, NotRun, 0, "no such resource"},
 	Forbidden:           {"Forbidden", http.StatusForbidden, NotRun, 0, "this key does not permit the operation"},
+	CallerGone:          {"CallerGone", statusCallerGone, RanUnknown, 0, "the caller closed its connection"},
+	SuspectHeld:         {"SuspectHeld", http.StatusServiceUnavailable, NotRun, time.Minute, "endpoints failed while running this request before; it was not run"},
+	NotConfigured:       {"NotConfigured", http.StatusServiceUnavailable, NotRun, 500 * time.Millisecond, "this router has no configuration yet"},
+	UnknownRoute:        {"UnknownRoute", http.StatusNotFound, NotRun, 0, "no route is configured for this host and path"},
 }
 
 // Answer returns the row for k, or the row for Internal when k is not in the list.
