Resume after the caller's last event; tell lapsed entries by the feed's return

Ruled out: doubled resumption inside the router (one attempt only in the traces). Change: the run starts from the caller's last event; only what the first answers after the store's return show as gone may return.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -23,10 +23,10 @@
 	// Decisions takes what was decided about each request.
 	decisions decision.Waiters[endpoint.Action]
 
-	entriesMu sync.Mutex
-	known     map[string]*known // By name; guarded by entriesMu.
-	lostAt    time.Time         // Of the store, as last seen; guarded by entriesMu.
-	restarted map[string]bool   // Endpoints that started again under their name; guarded by entriesMu.
+	entriesMu  sync.Mutex
+	known      map[string]*known // By name; guarded by entriesMu.
+	regainedAt time.Time         // When the store was last heard again after it was away; guarded by entriesMu.
+	restarted  map[string]bool   // Endpoints that started again under their name; guarded by entriesMu.
 }
 
 // known is an endpoint that has or had an entry.
@@ -39,13 +39,11 @@
 
 // Times of endpoints that come and go.
 const (
-	returnGrace = 2500 * time.Millisecond // After the store's return, live endpoints are back with their entries.
+	returnGrace = 2100 * time.Millisecond // After the store's return, in which live endpoints write their entries again.
+	lapseSeen   = 600 * time.Millisecond  // After the store's return, in which entries that lapsed meanwhile are told.
 	keepGone    = 30 * time.Second        // For requests that still run there.
 )
 
-// entryQuiet is the time since the store was last away for which entries that disappear may be back.
-const entryQuiet = returnGrace
-
 func (e *endpoints) handle(now time.Time, ev endpoint.Event) {
 	for _, action := range decision.Locked(&e.mu, e.pool.Handle, now, ev) {
 		e.perform(now, action)
@@ -66,11 +64,11 @@
 	}
 }
 
-// storeLost notes that the store could not be reached, so that entries may lapse though their endpoints live.
-func (e *endpoints) storeLost(now time.Time) {
+// storeRegained notes that the store is heard again, so that entries may have lapsed though their endpoints live.
+func (e *endpoints) storeRegained(now time.Time) {
 	e.entriesMu.Lock()
 	defer e.entriesMu.Unlock()
-	e.lostAt = now
+	e.regainedAt = now
 }
 
 // read takes all entries over; endpoints without one are treated as if their entries had just disappeared.
@@ -137,13 +135,13 @@
 		return
 	}
 	k.goneAt = now
-	e.g.log.Info("endpoint entry gone", zap.String("Endpoint", k.Name), zap.Duration("StoreLostAgo", now.Sub(e.lostAt)))
+	e.g.log.Info("endpoint entry gone", zap.String("Endpoint", k.Name), zap.Bool("MayReturn", e.lapsed(k)))
 }
 
 // usable reports whether an endpoint may get new requests; entriesMu is held.
 //
-// An entry that disappeared shortly after the store was away counts as there
-// until its endpoint has had the time to write it again.
+// An entry that lapsed while the store was away counts as there until its
+// endpoint has had the time to write it again.
 func (e *endpoints) usable(now time.Time, k *known) bool {
 	switch {
 	case k.Leaving:
@@ -151,8 +149,13 @@
 	case k.goneAt.IsZero():
 		return true
 	}
-	lapsed := k.goneAt.Sub(e.lostAt) < entryQuiet
-	return lapsed && now.Sub(k.goneAt) < returnGrace
+	return e.lapsed(k) && now.Sub(e.regainedAt) < returnGrace
+}
+
+// lapsed reports whether an entry may have disappeared only because the store was away; entriesMu is held.
+func (e *endpoints) lapsed(k *known) bool {
+	since := k.goneAt.Sub(e.regainedAt)
+	return since >= 0 && since < lapseSeen
 }
 
 // configure tells the pool which endpoints there are and which of them leave.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -19,6 +19,8 @@
 	prefix string
 	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
 	change func(now time.Time, c keyvalue.Change)
+
+	regained func(now time.Time) // Called before what the store says after it was away; nil when nothing depends on that.
 }
 
 // Pauses between attempts to reach the store.
@@ -37,7 +39,7 @@
 	wait := feedPause
 	lost := false
 	for !g.stopped() {
-		next, err := g.step(f, revision, known)
+		next, err := g.step(f, revision, known, lost)
 		switch {
 		case err == nil:
 			if lost {
@@ -55,14 +57,13 @@
 			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), zap.Error(err))
 			lost = true
 		}
-		g.endpoints.storeLost(time.Now())
 		decision.Pause(wait/2+rand.N(wait/2), g.stop)
 		wait = min(2*wait, feedPauseMax)
 	}
 }
 
 // step reads a feed as a whole, or waits for its next changes.
-func (g *Gateway) step(f feed, revision uint64, known bool) (uint64, error) {
+func (g *Gateway) step(f feed, revision uint64, known, lost bool) (uint64, error) {
 	ctx := context.Background()
 	if !known {
 		entries, at, err := g.cfg.Store.Range(ctx, f.prefix)
@@ -72,7 +73,9 @@
 		if at < revision {
 			return revision, errors.Newf("revision %d is older than %d", at, revision)
 		}
-		f.reset(time.Now(), entries)
+		now := time.Now()
+		f.noteRegained(now, lost)
+		f.reset(now, entries)
 		return at, nil
 	}
 	changes, err := g.cfg.Store.Changes(ctx, f.prefix, revision, watchWait)
@@ -80,12 +83,19 @@
 		return revision, err
 	}
 	now := time.Now()
+	f.noteRegained(now, lost)
 	for _, c := range changes.Changes {
 		f.change(now, c)
 	}
 	return changes.Revision, nil
 }
 
+func (f feed) noteRegained(now time.Time, lost bool) {
+	if lost && f.regained != nil {
+		f.regained(now)
+	}
+}
+
 func (g *Gateway) configurationRead(now time.Time, entries []keyvalue.Entry) {
 	for _, e := range entries {
 		if e.Key == g.dialect.ConfigurationKey() {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -133,6 +133,7 @@
 	}
 	r.id = g.newID()
 	r.req.Body = ctx.Request.Body()
+	r.lastEvent = r.req.LastEvent
 	r.deadline = now.Add(shortest(r.req.Wait, r.route.Timeout))
 	return r, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,7 +170,7 @@
 
 func (g *Gateway) startLoops() {
 	go g.follow(feed{name: "configuration", prefix: g.dialect.ConfigurationKey(), reset: g.configurationRead, change: g.configurationChanged})
-	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed})
+	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed, regained: g.endpoints.storeRegained})
 	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed})
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
