Size grants by the time the store may be away; tell the store's return by a short watch

Ruled out: over-billing (bills follow events), witnesses refusing (3 of 6 drained, but answered). Change: horizon 10 s, breaker before budget calls, peer messages repeated once on a closed connection, short first watch.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -40,6 +40,7 @@
 // Times of endpoints that come and go.
 const (
 	returnGrace = 2100 * time.Millisecond // After the store's return, in which live endpoints write their entries again.
+	goneGrace   = 1700 * time.Millisecond // After an entry was seen to be gone; an endpoint that leaves serves 2 s longer.
 	lapseSeen   = 600 * time.Millisecond  // After the store's return, in which entries that lapsed meanwhile are told.
 	keepGone    = 30 * time.Second        // For requests that still run there.
 )
@@ -149,7 +150,7 @@
 	case k.goneAt.IsZero():
 		return true
 	}
-	return e.lapsed(k) && now.Sub(e.regainedAt) < returnGrace
+	return e.lapsed(k) && now.Sub(e.regainedAt) < returnGrace && now.Sub(k.goneAt) < goneGrace
 }
 
 // lapsed reports whether an entry may have disappeared only because the store was away; entriesMu is held.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -78,7 +78,11 @@
 		f.reset(now, entries)
 		return at, nil
 	}
-	changes, err := g.cfg.Store.Changes(ctx, f.prefix, revision, watchWait)
+	wait := watchWait
+	if lost {
+		wait = probeWait // The first answer tells when the store is back.
+	}
+	changes, err := g.cfg.Store.Changes(ctx, f.prefix, revision, wait)
 	if err != nil {
 		return revision, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	decidePeriod = 25 * time.Millisecond // Ticks of the deciders that serve requests.
 	storeTimeout = time.Second
 	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
+	probeWait    = 20 * time.Millisecond
 )
 
 // New returns a gateway that is not yet started.
@@ -90,7 +91,7 @@
 	g.peers = newPeers(g)
 	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
 	g.endpoints.pool.Policy = g.endpointPolicy(1)
-	g.budgets.Store = cfg.Store
+	g.budgets.Store = keyvalue.NewGuarded(cfg.Store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
 	g.budgets.Background = g.background
@@ -101,7 +102,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     20 * time.Second, // Twice the longest time for which the store was seen to be away.
+		Horizon:     10 * time.Second, // The time for which the store may be away; a loss of all routers strands as much.
 		Step:        2 * time.Second,
 		SealAfter:   6 * time.Second,
 		FlushEvery:  5 * time.Second,
@@ -127,6 +128,12 @@
 	}
 }
 
+// perRouter returns this router's part of a rate that the store gives to all.
+func perRouter(rate float64) int {
+	const fewestRouters = 4
+	return max(1, int(rate/fewestRouters))
+}
+
 // Start listens, joins the fleet and serves until Shutdown.
 func (g *Gateway) Start(_ context.Context) error {
 	listeners := []struct {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -95,7 +95,12 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + address + path)
 	req.SetBody(body)
-	if err := p.http.DoTimeout(req, resp, peerTimeout); err != nil {
+	err := p.http.DoTimeout(req, resp, peerTimeout)
+	if errors.Is(err, fasthttp.ErrConnectionClosed) {
+		// A kept connection of a router that started again; every message may be repeated.
+		err = p.http.DoTimeout(req, resp, peerTimeout)
+	}
+	if err != nil {
 		return nil, errors.Wrapf(err, "calling the router at %s", address)
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
@@ -187,7 +192,7 @@
 			return verdict{m.Raise.Witness == g.members.name && g.budgets.AnswerRaise(m.Holder, m.Raise)}
 		})
 	case reservePath:
-		return answerTo(body, func(m reserveMessage) any { return verdict{g.lend(m)} })
+		return answerTo(body, func(m reserveMessage) any { return verdict{g.peers.loans.has(m.Request) || g.lend(m)} })
 	case settlePath:
 		return answerTo(body, func(m settleMessage) any {
 			if g.peers.loans.end(m.Request) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -52,6 +52,7 @@
 				r.reserved.held = true
 				return nil
 			case budget.Refuse:
+				r.logBudget(decision.Kind)
 				return refused(decision.Kind, r.account.Name)
 			case budget.Forward:
 				if r.borrow(decision.Peer) {
@@ -62,6 +63,16 @@
 	}
 }
 
+// logBudget records what a refusal for want of tokens was decided on.
+func (r *run) logBudget(kind refusal.Kind) {
+	v, _ := r.g.budgets.View(r.account.Name)
+	r.g.log.Info("tokens not reserved",
+		zap.String("Request", r.req.ID), zap.String("Run", r.id), zap.String("Budget", r.account.Name), zap.Stringer("Kind", kind),
+		zap.Int64("Needed", r.worstCase()), zap.Int64("Headroom", v.Headroom), zap.Int64("Reserved", v.Reserved),
+		zap.Int64("Prepaid", v.Prepaid), zap.Int64("Spent", v.Spent), zap.Int64("Free", v.Free),
+		zap.Int("Holders", v.Holders), zap.Duration("RecordAge", time.Since(v.LoadedAt)), zap.Int("Waiting", v.Waiting))
+}
+
 // reserveUntil is the time until which a request waits for tokens: a part of its objective, so that a refusal comes early.
 func (r *run) reserveUntil() time.Time {
 	const part = 2
@@ -176,6 +187,14 @@
 	})
 }
 
+// has reports whether a loan is open.
+func (l *loans) has(request string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.open[request]
+	return ok
+}
+
 // end closes a loan and reports whether it was open.
 func (l *loans) end(request string) bool {
 	l.mu.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,7 +18,7 @@
 
 // budgetKey is the store key of a budget's record.
 const (
-	storeTimeout  = 2 * time.Second
+	storeTimeout  = time.Second
 	recallTimeout = 2 * time.Second // Longest wait of a peer for returned tokens.
 )
 
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -41,6 +41,8 @@
 	Prepaid  int64
 	Spent    int64 // By all holders, as last read.
 	Free     int64
+	Holders  int       // Accounts in the record.
+	LoadedAt time.Time // When the record was read or written.
 	Fenced   bool
 }
 
@@ -131,6 +133,8 @@
 		Prepaid:  a.record.Prepaid(),
 		Spent:    a.record.Spent(),
 		Free:     a.record.Free(),
+		Holders:  len(a.record.Holders),
+		LoadedAt: a.loadedAt,
 		Fenced:   a.fenced,
 	}
 }
