Estimate demand without the start-up bias; refill grants to their target and give back what is in excess

Cause: with a window of 10 s the estimate held 43% of the demand when the first cut came 5.7 s after the start, so that grants covered half of the time they should; grants were refilled by a whole target on top of half a one, and what a hot account left was not given back while it was in use. Ruled out: rate limits (no 429 from the store), witnesses that refuse. Change: demand() divides by the part of the window seen; refills go up to the target; reports return what exceeds 1.5 targets.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -39,8 +39,9 @@
 	recalledAt time.Time
 	answers    []string // Recalls of peers to be answered after the next write.
 
-	rate      float64 // Tokens a second.
+	rate      float64 // Tokens a second, decaying.
 	rateAt    time.Time
+	rateSince time.Time // First demand.
 	usedAt    time.Time
 	flushedAt time.Time
 
@@ -83,15 +84,27 @@
 
 // target is what the grant should leave: the demand of the horizon beside what runs.
 func (a *account) target(p Policy) int64 {
-	return int64(a.rate*p.Horizon.Seconds()) + a.reserved
+	return int64(a.demand()*p.Horizon.Seconds()) + a.reserved
 }
 
 // step is what the ceiling should leave usable when it is raised.
-func (a *account) step(p Policy) int64 { return int64(a.rate*p.Step.Seconds()) + a.reserved/2 }
+func (a *account) step(p Policy) int64 { return int64(a.demand()*p.Step.Seconds()) + a.reserved/2 }
+
+// demand returns the estimated tokens a second.
+//
+// Until the window has passed once, the decaying sum has seen only a part of it.
+func (a *account) demand() float64 {
+	const least = 2 * time.Second // One request alone says little.
+	age := max(least, a.rateAt.Sub(a.rateSince))
+	return a.rate / (1 - math.Exp(-age.Seconds()/rateWindow.Seconds()))
+}
 
 // noteDemand folds a request that used n tokens into the demand estimate.
 func (a *account) noteDemand(now time.Time, n int64) {
 	a.decay(now)
+	if a.rateSince.IsZero() {
+		a.rateSince = now
+	}
 	a.rate += float64(n) / rateWindow.Seconds()
 	a.usedAt = now
 }
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -76,19 +76,30 @@
 	switch {
 	case h.draining, h.retires(now, a, p):
 		return h.close(now, a)
-	case headroom < target/2 && !idle:
-		if extra := h.extra(a, p, 0); extra > target/4 {
+	case headroom < target/refillParts*(refillParts-1) && !idle:
+		if extra := h.extra(a, p, 0); extra > target/(2*refillParts) {
 			return h.commit(now, a, extra, 0)
 		}
 	case headroom > 2*target && headroom > 0 && idle:
 		return h.commit(now, a, 0, headroom-target)
 	}
 	if unreported && now.Sub(a.flushedAt) >= p.FlushEvery {
-		return h.commit(now, a, 0, 0)
+		return h.commit(now, a, 0, excess(headroom, target))
 	}
 	return nil
 }
 
+// refillParts is the number of parts of the target; a grant is refilled when one of them is used.
+const refillParts = 4
+
+// excess returns the tokens that a report gives back after the demand fell.
+func excess(headroom, target int64) int64 {
+	if headroom <= target+target/2 {
+		return 0
+	}
+	return headroom - target
+}
+
 // retires reports whether an account has been without use for so long that it is closed.
 func (h *Holder) retires(now time.Time, a *account, p Policy) bool {
 	return now.Sub(a.usedAt) >= p.RetireAfter && !a.raising && len(a.sealing) == 0
@@ -116,7 +127,8 @@
 // extra returns the tokens to be granted beyond need: enough for the horizon, but a bounded part of what is free.
 func (h *Holder) extra(a *account, p Policy, need int64) int64 {
 	free := a.record.Free()
-	return max(0, min(a.target(p), (free-need)/p.ShareParts))
+	want := a.target(p) - max(0, a.headroom())
+	return max(0, min(want, (free-need)/p.ShareParts))
 }
 
 func (h *Holder) load(a *account) Action {
