Let peers close the accounts of a router that stops without reaching the store

Cause: routers that were stopped while the store was slow or cut left their grants held (13 holders on one budget). Change: events Leave and LeftBehind; the last state of an account goes to two peers, which close it when they can. The fuzz machine stops holders so; totals have a fuzz test of their own.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,6 +20,7 @@
 	probePath         = "/Peer/Probe"
 	recallPath        = "/Peer/Recall"
 	raisePath         = "/Peer/Raise"
+	entrustPath       = "/Peer/Entrust"
 	reservePath       = "/Peer/Reserve"
 	settlePath        = "/Peer/Settle"
 	suspectPath       = "/Peer/Suspect"
@@ -136,6 +137,12 @@
 	return p.ask(action.Witness, raisePath, raiseMessage{p.g.members.name, action})
 }
 
+// Entrust asks a router to close an account whose holder stops.
+func (p *peers) Entrust(peer string, left budget.LeftBehind) error {
+	_, err := p.ask(peer, entrustPath, left)
+	return err
+}
+
 func (p *peers) reserve(peer string, m reserveMessage) (bool, error) {
 	return p.ask(peer, reservePath, m)
 }
@@ -191,6 +198,11 @@
 		return answerTo(body, func(m raiseMessage) any {
 			return verdict{m.Raise.Witness == g.members.name && g.budgets.AnswerRaise(m.Holder, m.Raise)}
 		})
+	case entrustPath:
+		return answerTo(body, func(left budget.LeftBehind) any {
+			g.budgets.Handle(time.Now(), left)
+			return verdict{true}
+		})
 	case reservePath:
 		return answerTo(body, func(m reserveMessage) any { return verdict{g.peers.loans.has(m.Request) || g.lend(m)} })
 	case settlePath:
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -13,7 +13,7 @@
 // Times of a shutdown.
 const (
 	drainPoll    = 20 * time.Millisecond
-	reserveAtEnd = 700 * time.Millisecond // Of the grace, to return grants and stop.
+	reserveAtEnd = 900 * time.Millisecond // Of the grace, to return grants and stop.
 	serveAtLeast = 3 * directoryKeep      // Some callers keep a list of addresses three times as long as asked.
 )
 
@@ -34,8 +34,10 @@
 	last, stop := context.WithTimeout(context.Background(), reserveAtEnd/2)
 	defer stop()
 	waitUntil(last, g.budgets.Drained)
+	returned := g.budgets.Drained()
+	g.budgets.Leave(time.Now())
 	close(g.stop)
-	g.log.Info("stopped", zap.Bool("GrantsReturned", g.budgets.Drained()), zap.Int64("InFlight", g.inFlight.Load()))
+	g.log.Info("stopped", zap.Bool("GrantsReturned", returned), zap.Int64("InFlight", g.inFlight.Load()))
 }
 
 // tellPeers tells all live routers at once that this one drains.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,6 +30,8 @@
 	Recall(peer, budget string) error
 	// Raise asks a witness to acknowledge a ceiling.
 	Raise(action budget.Raise) (bool, error)
+	// Entrust asks a router to close an account whose holder stops.
+	Entrust(peer string, left budget.LeftBehind) error
 }
 
 // Ledger is one router's part of all budgets.
@@ -46,6 +48,8 @@
 	recalls decision.Waiters[struct{}]
 	raises  decision.Waiters[bool]
 
+	entrusting sync.WaitGroup // Accounts on their way to peers.
+
 	mu     sync.Mutex
 	holder budget.Holder // Guarded by mu.
 }
@@ -84,6 +88,11 @@
 		b.Background(func() { b.recall(action) })
 	case budget.Raise:
 		b.Background(func() { b.raise(action) })
+	case budget.Entrust:
+		for _, peer := range action.Peers {
+			b.entrusting.Add(1)
+			b.Background(func() { b.entrust(peer, action.LeftBehind) })
+		}
 	case budget.AnswerRaise:
 		b.raises.Send(action.ID, action.Acknowledged)
 	case budget.AnswerRecall:
@@ -126,6 +135,19 @@
 	b.Handle(time.Now(), budget.RecallDone{Budget: action.Budget, Peer: action.Peer})
 }
 
+func (b *Ledger) entrust(peer string, left budget.LeftBehind) {
+	defer b.entrusting.Done()
+	if err := b.Peers.Entrust(peer, left); err != nil {
+		b.Log.Warn("account not entrusted", zap.String("Budget", left.Budget), zap.String("Peer", peer), zap.Error(err))
+	}
+}
+
+// Leave hands what could not be closed to peers and waits until that is done; nothing is reserved any more.
+func (b *Ledger) Leave(now time.Time) {
+	b.Handle(now, budget.Leave{})
+	b.entrusting.Wait()
+}
+
 // raise asks the witness of a budget for a higher ceiling.
 func (b *Ledger) raise(action budget.Raise) {
 	acknowledged, err := b.Peers.Raise(action)
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -19,6 +20,7 @@
 	routes.POST(probePath, r.peerOnly(r.serveProbe))
 	routes.POST(recallPath, r.peerOnly(r.serveRecall))
 	routes.POST(raisePath, r.peerOnly(r.serveRaise))
+	routes.POST(entrustPath, r.peerOnly(r.serveEntrust))
 	routes.POST(suspectPath, r.peerOnly(r.serveSuspect))
 	routes.POST(billPath, r.peerOnly(r.serveBill))
 	routes.GET(headPath, r.peerOnly(r.serveHead))
@@ -75,6 +77,13 @@
 	writeJSON(ctx, raiseAnswer{acknowledged})
 }
 
+func (r *Router) serveEntrust(ctx *fasthttp.RequestCtx) {
+	var left budget.LeftBehind
+	if readMessage(ctx, &left) {
+		r.budgets.Handle(time.Now(), left)
+	}
+}
+
 func (r *Router) serveSuspect(ctx *fasthttp.RequestCtx) {
 	var message suspectMessage
 	if !readMessage(ctx, &message) {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -23,6 +23,7 @@
 	probePath   = "/Peer/Probe"
 	recallPath  = "/Peer/Recall"
 	raisePath   = "/Peer/Raise"
+	entrustPath = "/Peer/Entrust"
 	suspectPath = "/Peer/Suspect"
 	billPath    = "/Peer/Bill"
 	headPath    = "/Peer/Head"
@@ -134,6 +135,15 @@
 	return err == nil && answer.Acknowledged, err
 }
 
+// Entrust asks a router to close an account whose holder stops.
+func (p *peers) Entrust(peer string, left budget.LeftBehind) error {
+	address, ok := p.r.members.address(peer)
+	if !ok {
+		return errNotAPeer
+	}
+	return p.post(address, entrustPath, left, nil)
+}
+
 // suspectMessage spreads a suspicion; its age replaces a time, since clocks differ.
 type suspectMessage struct {
 	Fingerprint      uint64
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -29,11 +29,13 @@
 	r.waitUntil(ctx, func() bool { return r.orders.pending() == 0 })
 	r.budgets.Handle(time.Now(), budget.Drain{})
 	r.waitUntil(ctx, r.budgets.Drained)
+	returned := r.budgets.Drained()
+	r.budgets.Leave(time.Now())
 	err := r.server.ShutdownWithContext(ctx)
 	close(r.stop)
 	r.workers.Release()
 	r.calls.Release()
-	r.log.Info("stopped", zap.Bool("GrantsReturned", r.budgets.Drained()))
+	r.log.Info("stopped", zap.Bool("GrantsReturned", returned))
 	return err
 }
 
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -30,6 +30,7 @@
 	raising  bool      // A Raise is not yet answered.
 	raisedAt time.Time // Of the last Raise that failed.
 	sealing  []pledgeKey
+	left     []LeftBehind // Accounts of stopped holders that are to be closed.
 
 	write   *write
 	loading bool
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -33,7 +33,7 @@
 func (h *Holder) draw(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
 	if !a.known {
-		if a.mine == (Account{}) && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 {
+		if a.mine == (Account{}) && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 && len(a.left) == 0 {
 			return h.closeUnused(a)
 		}
 		return []Action{h.load(a)}
@@ -45,6 +45,9 @@
 	if actions := h.seal(a); len(actions) > 0 {
 		return actions
 	}
+	if actions := h.closeLeft(a); len(actions) > 0 {
+		return actions
+	}
 	if need := h.coverable(a); need > 0 {
 		return h.commit(now, a, need+h.extra(a, p, need), 0)
 	}
@@ -102,7 +105,7 @@
 
 // retires reports whether an account has been without use for so long that it is closed.
 func (h *Holder) retires(now time.Time, a *account, p Policy) bool {
-	return now.Sub(a.usedAt) >= p.RetireAfter && !a.raising && len(a.sealing) == 0
+	return now.Sub(a.usedAt) >= p.RetireAfter && !a.raising && len(a.sealing) == 0 && len(a.left) == 0
 }
 
 // coverable returns the tokens to be granted so that the oldest waiting requests that the free tokens can cover are served.
@@ -243,7 +246,7 @@
 	a.mine = left
 	a.acked = 0
 	a.closed = h.draining
-	if !h.draining && left == (Account{}) && a.reserved == 0 && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 {
+	if !h.draining && left == (Account{}) && a.reserved == 0 && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 && len(a.left) == 0 {
 		a.closed = true
 		delete(h.accounts, a.budget)
 	}
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -106,6 +106,16 @@
 // Drain asks the holder to return everything and to close its accounts.
 type Drain struct{}
 
+// Leave tells the holder that it stops now: what it could not close is left to peers.
+type Leave struct{}
+
+// LeftBehind is the last state of an account whose holder has stopped for good.
+type LeftBehind struct {
+	Budget string
+	Holder string
+	Final  Account
+}
+
 // Outcome tells what a conditional write did.
 type Outcome uint8
 
@@ -133,6 +143,8 @@
 func (RecallDone) isEvent()     {}
 func (Tick) isEvent()           {}
 func (Drain) isEvent()          {}
+func (Leave) isEvent()          {}
+func (LeftBehind) isEvent()     {}
 
 // Action is something that a Holder wants done.
 type Action interface{ isAction() }
@@ -186,6 +198,12 @@
 	Acknowledged bool
 }
 
+// Entrust asks peers to close an account whose holder stops now.
+type Entrust struct {
+	Peers []string
+	LeftBehind
+}
+
 // Bill is the one bill of a finished request.
 type Bill struct {
 	Request string
@@ -202,4 +220,5 @@
 func (AnswerRecall) isAction() {}
 func (Raise) isAction()        {}
 func (AnswerRaise) isAction()  {}
+func (Entrust) isAction()      {}
 func (Bill) isAction()         {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -87,6 +87,10 @@
 		return h.recallDone(now, ev)
 	case Tick:
 		return h.tick(now)
+	case Leave:
+		return h.leave()
+	case LeftBehind:
+		return h.leftBehind(now, ev)
 	case Drain:
 		h.draining = true
 		return h.tick(now)
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -42,11 +42,57 @@
 			"top up":       func(*rapid.T) { act(step{Op: "TopUp", Tokens: draw("tokens", 1, 500)}) },
 			"top up again": func(*rapid.T) { act(step{Op: "TopUpAgain"}) },
 			"kill":         func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
+			"leave":        func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
 		})
 		m.finish(t)
 	})
 }
 
+// TestTotalIsNeverOverspent gives a budget as totals of which some holders know only older ones.
+func TestTotalIsNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetMachine()
+		defer m.save(t)
+		draw := func(label string, low, high int64) int64 { return rapid.Int64Range(low, high).Draw(t, label) }
+		holder := func() string { return rapid.SampledFrom(m.names).Draw(t, "holder") }
+		act := func(s step) { m.apply(t, s) }
+		act(step{Op: "Total", Holder: m.names[0], Tokens: draw("prepaid", 1, 4000)})
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"request": func(*rapid.T) { act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900)}) },
+			"deliver": func(t *rapid.T) {
+				if len(m.transit) == 0 {
+					t.Skip("nothing in transit")
+				}
+				act(step{Op: "Deliver", Index: int(draw("envelope", 0, int64(len(m.transit)-1))), Fate: int(draw("fate", 0, 3))})
+			},
+			"run":       func(*rapid.T) { act(step{Op: "Run", Index: int(draw("deliveries", 1, 8))}) },
+			"land late": func(*rapid.T) { act(step{Op: "LandLate", Index: int(draw("late", 0, 3))}) },
+			"settle":    func(*rapid.T) { act(step{Op: "Settle", Tokens: draw("used", 0, 900)}) },
+			"suspect":   func(*rapid.T) { act(step{Op: "Suspect", Holder: holder()}) },
+			"tick":      func(*rapid.T) { act(step{Op: "Tick", Holder: holder(), Milliseconds: draw("ms", 1, 20000)}) },
+			"total":     func(*rapid.T) { act(step{Op: "Total", Holder: holder(), Tokens: draw("total", 1, 8000)}) },
+			"kill":      func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
+			"leave":     func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
+		})
+	})
+}
+
+// TestLeftAccountIsClosedByAPeer stops a holder that cannot reach the store; its peers free what it did not use.
+func TestLeftAccountIsClosedByAPeer(t *testing.T) {
+	m := newFleetMachine()
+	first := m.names[0]
+	m.apply(t, step{Op: "Total", Holder: first, Tokens: 1000})
+	m.apply(t, step{Op: "Request", Holder: first, Tokens: 400})
+	m.apply(t, step{Op: "Run", Index: 20})
+	m.apply(t, step{Op: "Settle", Tokens: 100})
+	m.apply(t, step{Op: "Leave", Holder: first})
+	m.heal(t)
+	require.NotContains(t, m.store.record.Holders, first)
+	require.EqualValues(t, 100, m.store.record.Spent())
+	require.EqualValues(t, 900, m.store.record.Free()+m.store.record.Outstanding())
+}
+
 // finish heals every fault and checks that each request ended once and that only what lost holders could have spent stays held.
 func (m *fleetMachine) finish(t require.TestingT) {
 	for key := range m.running {
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -76,7 +76,8 @@
 	trace    []step
 	home     map[string]string // Holder by request that a caller sent.
 	next     int
-	fate     int // Of the envelope that is delivered.
+	fate     int   // Of the envelope that is delivered.
+	total    int64 // Highest prepaid total that was told to a holder.
 }
 
 func newFleetMachine() *fleetMachine {
@@ -201,6 +202,12 @@
 		m.forward(e.holder, action, fate)
 	case Recall:
 		m.recall(e.holder, action, fate)
+	case Entrust:
+		if fate == 0 {
+			for _, peer := range action.Peers {
+				m.handle(peer, action.LeftBehind)
+			}
+		}
 	}
 }
 
@@ -312,6 +319,9 @@
 func (m *fleetMachine) verify(t require.TestingT) {
 	require.NoError(t, m.store.record.Check())
 	require.LessOrEqual(t, m.run, m.store.record.Prepaid(), "tokens run by endpoints exceed the prepaid tokens")
+	if m.total > 0 {
+		require.LessOrEqual(t, m.run, m.total, "tokens run by endpoints exceed the total that was paid")
+	}
 	for name, h := range m.holders {
 		if a := h.accounts[testBudget]; a != nil && !a.closed && !a.fenced {
 			row, ok := m.store.record.Holders[name]
@@ -416,5 +426,11 @@
 		}
 	case "Kill":
 		m.kill(slices.Index(m.names, s.Holder))
+	case "Leave":
+		m.handle(s.Holder, Leave{})
+		m.kill(slices.Index(m.names, s.Holder))
+	case "Total":
+		m.total = max(m.total, s.Tokens)
+		m.handle(s.Holder, Prepaid{testBudget, s.Tokens})
 	}
 }
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -183,3 +183,22 @@
 	next.Retired += a.Spent - a.Refunded
 	return next, nil
 }
+
+// closeAt returns r without the account of a holder that stopped in the given state.
+func (r Record) closeAt(holder string, final Account) (Record, error) {
+	a, ok := r.Holders[holder]
+	if !ok {
+		return r, errors.Wrapf(ErrUnknownHolder, "holder %q", holder)
+	}
+	a.Spent = max(a.Spent, final.Spent)
+	a.Refunded = max(a.Refunded, final.Refunded)
+	next, err := r.Clone(), error(nil)
+	next.Holders[holder] = a
+	if next, err = next.Close(holder); err != nil {
+		return r, err
+	}
+	if err := next.Check(); err != nil {
+		return r, err
+	}
+	return next, nil
+}
