Count requests, attempts, reservations and store calls; hold a budget at six homes; spread suspicions in batches

Change: other routers reserve at a budget's homes (rendezvous); at most 5 peers are taken to do what this one does; a first grant is drawn before there is demand; metrics by OpenTelemetry on the settings' address; feeds gather changes before the next watch. Ruled out: member watches as the cause (118 of 400 calls a router).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.counters.connection(conn.kept)
+	g.metrics.connection(conn.kept)
 	a := &attempt{conn: conn}
 	release := a.endOn(cancelled)
 	defer release()
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -20,6 +20,7 @@
 	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
 	change func(now time.Time, c keyvalue.Change)
 
+	settle   time.Duration       // Pause after changes, in which further ones gather.
 	regained func(now time.Time) // Called before what the store says after it was away; nil when nothing depends on that.
 }
 
@@ -49,6 +50,7 @@
 			revision = next
 			known = true
 			wait = feedPause
+			decision.Pause(f.settle, g.stop)
 			continue
 		case errors.Is(err, keyvalue.ErrHistoryGone):
 			known = false
@@ -66,7 +68,7 @@
 func (g *Gateway) step(f feed, revision uint64, known, lost bool) (uint64, error) {
 	ctx := context.Background()
 	if !known {
-		entries, at, err := g.cfg.Store.Range(ctx, f.prefix)
+		entries, at, err := g.store.Range(ctx, f.prefix)
 		if err != nil {
 			return revision, err
 		}
@@ -82,7 +84,7 @@
 	if lost {
 		wait = probeWait // The first answer tells when the store is back.
 	}
-	changes, err := g.cfg.Store.Changes(ctx, f.prefix, revision, wait)
+	changes, err := g.store.Changes(ctx, f.prefix, revision, wait)
 	if err != nil {
 		return revision, err
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -64,7 +64,7 @@
 	r, refused := g.admit(now, ctx)
 	if refused != nil {
 		g.log.Info("refused", zap.String("Request", r.req.ID), zap.Stringer("Kind", refused.Kind), zap.String("Detail", refused.Detail), zap.Uint64("Version", r.version))
-		g.counters.ended("", refused.Kind.String(), 0)
+		g.metrics.ended("", refused.Kind.String(), time.Since(now))
 		g.dialect.Refuse(&ctx.Response, refused)
 		g.inFlight.Add(-1)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,8 @@
 	endpoints endpoints
 	members   members
 	peers     *peers
-	counters  counters
+	metrics   *metrics
+	store     *countedStore
 	servers   []*fasthttp.Server
 }
 
@@ -67,6 +68,9 @@
 	storeTimeout = time.Second
 	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
 	probeWait    = 20 * time.Millisecond
+
+	endpointsSettle = 50 * time.Millisecond  // An endpoint that leaves may be used for 2 s.
+	membersSettle   = 300 * time.Millisecond // Probes find new routers meanwhile.
 )
 
 // New returns a gateway that is not yet started.
@@ -80,6 +84,11 @@
 	if g.calls, err = ants.NewPool(unlimited); err != nil {
 		return nil, errors.Wrap(err, "making the pool of call workers")
 	}
+	g.store = &countedStore{Store: cfg.Store}
+	if g.metrics, err = newMetrics(g); err != nil {
+		return nil, err
+	}
+	g.store.count = g.metrics.storeCall
 	self := fleet.Member{
 		VM:          cfg.Settings.VM,
 		Incarnation: uint64(g.started.UnixNano()),
@@ -91,10 +100,11 @@
 	g.peers = newPeers(g)
 	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
 	g.endpoints.pool.Policy = g.endpointPolicy(1)
-	g.budgets.Store = keyvalue.NewGuarded(cfg.Store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
+	g.budgets.Store = keyvalue.NewGuarded(g.store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
 	g.budgets.Background = g.background
+	g.budgets.Billed = g.metrics.billed
 	g.budgets.Open(self.Name(), budgetPolicy())
 	return g, nil
 }
@@ -143,7 +153,7 @@
 		{"Peer", g.cfg.Settings.Listen.Peer, g.servePeer},
 		{"Ready", g.cfg.Settings.Listen.Ready, g.serveReady},
 		{"Directory", g.cfg.Settings.Listen.Directory, g.serveDirectory},
-		{"Metrics", g.cfg.Settings.Listen.Metrics, g.counters.serve},
+		{"Metrics", g.cfg.Settings.Listen.Metrics, g.metrics.handler()},
 		{"Front", g.cfg.Settings.Listen.Front, g.serveFront},
 	}
 	for _, l := range listeners {
@@ -177,8 +187,8 @@
 
 func (g *Gateway) startLoops() {
 	go g.follow(feed{name: "configuration", prefix: g.dialect.ConfigurationKey(), reset: g.configurationRead, change: g.configurationChanged})
-	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed, regained: g.endpoints.storeRegained})
-	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed})
+	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed, regained: g.endpoints.storeRegained, settle: endpointsSettle})
+	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed, settle: membersSettle})
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go decision.Every(decidePeriod, g.stop, g.decide)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -74,7 +74,7 @@
 	if lease != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		if err := m.g.cfg.Store.End(ctx, lease); err != nil {
+		if err := m.g.store.End(ctx, lease); err != nil {
 			m.g.log.Warn("lease not ended", zap.Error(err))
 		}
 	}
@@ -83,21 +83,21 @@
 // renew extends the lease, or writes the key under a new one.
 func (m *members) renew(ctx context.Context, lease uint64, value []byte) (uint64, error) {
 	if lease != 0 {
-		err := m.g.cfg.Store.Renew(ctx, lease)
+		err := m.g.store.Renew(ctx, lease)
 		if !errors.Is(err, keyvalue.ErrLeaseEnded) {
 			return lease, err
 		}
 	}
-	lease, err := m.g.cfg.Store.Grant(ctx, memberLease)
+	lease, err := m.g.store.Grant(ctx, memberLease)
 	if err != nil {
 		return 0, err
 	}
 	key := memberPrefix + m.g.cfg.Settings.VM
-	was, err := m.g.cfg.Store.Get(ctx, key)
+	was, err := m.g.store.Get(ctx, key)
 	if err != nil {
 		return 0, err
 	}
-	written, err := m.g.cfg.Store.Put(ctx, keyvalue.Put{Key: key, Value: value, IfVersion: was.Version, Lease: lease})
+	written, err := m.g.store.Put(ctx, keyvalue.Put{Key: key, Value: value, IfVersion: was.Version, Lease: lease})
 	if err != nil {
 		return 0, err
 	}
@@ -271,6 +271,13 @@
 	return "", false
 }
 
+// homes returns the incarnations of the routers that hold grants of a budget.
+func (m *members) homes(budget string, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Homes(budget, n)
+}
+
 // fewest is the number of routers in a caller's data centre below which all routers are named.
 const fewest = 2
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,9 @@
 	g     *Gateway
 	http  *fasthttp.Client
 	loans loans
+
+	mu       sync.Mutex
+	suspects []suspectMessage // Not yet told; guarded by mu.
 }
 
 func newPeers(g *Gateway) *peers {
@@ -163,17 +167,41 @@
 	return p.do(address, configurationPath, nil)
 }
 
+// suspectsEvery is the pause between two messages about suspicions, which many broken attempts at once share.
+const suspectsEvery = 100 * time.Millisecond
+
+// tellSuspect spreads a suspicion to the other routers soon.
 func (p *peers) tellSuspect(s endpoint.Suspicion) {
-	message := suspectMessage{s.Fingerprint, s.Deaths, time.Until(s.Until).Milliseconds()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects = append(p.suspects, suspectMessage{s.Fingerprint, s.Deaths, time.Until(s.Until).Milliseconds()})
+	if len(p.suspects) == 1 {
+		time.AfterFunc(suspectsEvery, p.sendSuspects)
+	}
+}
+
+func (p *peers) sendSuspects() {
+	p.mu.Lock()
+	message := p.suspects
+	p.suspects = nil
+	p.mu.Unlock()
 	for _, m := range p.g.members.live() {
 		p.g.background(func() {
 			if err := p.post(m.Address, suspectPath, message, nil); err != nil {
-				p.g.log.Warn("suspicion not told", zap.String("Peer", m.Name()), zap.Error(err))
+				p.g.log.Warn("suspicions not told", zap.String("Peer", m.Name()), zap.Error(err))
 			}
 		})
 	}
 }
 
+// hearSuspects takes a peer's suspicions over.
+func (g *Gateway) hearSuspects(now time.Time, messages []suspectMessage) {
+	for _, m := range messages {
+		until := now.Add(time.Duration(m.KeepMilliseconds) * time.Millisecond)
+		g.endpoints.handle(now, endpoint.SuspectHeard{Suspect: endpoint.Suspicion{Fingerprint: m.Fingerprint, Deaths: m.Deaths, Until: until}})
+	}
+}
+
 // servePeer answers another router.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
 	answer, err := g.answerPeer(string(ctx.Path()), ctx.PostBody())
@@ -213,10 +241,8 @@
 			return verdict{true}
 		})
 	case suspectPath:
-		return answerTo(body, func(m suspectMessage) any {
-			now := time.Now()
-			until := now.Add(time.Duration(m.KeepMilliseconds) * time.Millisecond)
-			g.endpoints.handle(now, endpoint.SuspectHeard{Suspect: endpoint.Suspicion{Fingerprint: m.Fingerprint, Deaths: m.Deaths, Until: until}})
+		return answerTo(body, func(messages []suspectMessage) any {
+			g.hearSuspects(time.Now(), messages)
 			return verdict{true}
 		})
 	case configurationPath:
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,12 @@
 // prepay tells the holder the totals that a configuration gives.
 func (g *Gateway) prepay(now time.Time, accounts []route.Account) {
 	for _, a := range accounts {
-		if a.Limited {
-			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid})
+		if !a.Limited {
+			continue
+		}
+		home := slices.Contains(g.members.homes(a.Name, homesEach), g.members.name)
+		if _, known := g.budgets.View(a.Name); home || known {
+			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid, Draw: home})
 		}
 	}
 }
@@ -31,6 +36,35 @@
 	if r.account == nil || !r.account.Limited || !r.req.Model {
 		return nil
 	}
+	if r.reserveAtHome() {
+		return nil
+	}
+	return r.reserveHere()
+}
+
+// homesEach is the number of routers that hold grants of a budget; more would write its record too often.
+const homesEach = 6
+
+// reserveAtHome sets tokens aside at a router that holds grants of the budget, unless this one does.
+//
+// A refusal there is not final: this router's own attempt finds out why.
+func (r *run) reserveAtHome() bool {
+	homes := r.g.members.homes(r.account.Name, homesEach)
+	if slices.Contains(homes, r.g.members.name) {
+		return false
+	}
+	const tries = 2
+	first := int(r.fingerprint() % uint64(max(1, len(homes))))
+	for i := range min(tries, len(homes)) {
+		if granted, _ := r.lentBy(homes[(first+i)%len(homes)]); granted {
+			return true
+		}
+	}
+	return false
+}
+
+// reserveHere sets tokens aside at this router, or where its holder says.
+func (r *run) reserveHere() *reply {
 	decisions := r.g.budgets.Decisions.Open(r.id)
 	defer r.g.budgets.Decisions.Close(r.id)
 	now := time.Now()
@@ -49,9 +83,11 @@
 		case decision := <-decisions:
 			switch decision := decision.(type) {
 			case budget.Dispatch:
+				r.g.metrics.reserved("here", true)
 				r.reserved.held = true
 				return nil
 			case budget.Refuse:
+				r.g.metrics.reserved("here", false)
 				r.logBudget(decision.Kind)
 				return refused(decision.Kind, r.account.Name)
 			case budget.Forward:
@@ -89,13 +125,7 @@
 
 // borrow asks a peer that is believed to hold tokens to set them aside for this request.
 func (r *run) borrow(peer string) bool {
-	granted, err := r.g.peers.reserve(peer, reserveMessage{
-		Request:          r.id,
-		Budget:           r.account.Name,
-		Prepaid:          r.account.Prepaid,
-		Tokens:           r.worstCase(),
-		KeepMilliseconds: time.Until(r.deadline.Add(lendMargin)).Milliseconds(),
-	})
+	granted, err := r.lentBy(peer)
 	if err != nil {
 		r.g.log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), zap.Error(err))
 	}
@@ -104,10 +134,30 @@
 		return false
 	}
 	r.g.budgets.Handle(time.Now(), budget.ForwardTaken{Request: r.id})
-	r.reserved = reservation{held: true, lender: peer}
 	return true
 }
 
+// lentBy asks a router to set the tokens of this request aside.
+func (r *run) lentBy(peer string) (bool, error) {
+	granted, err := r.g.peers.reserve(peer, reserveMessage{
+		Request:          r.id,
+		Budget:           r.account.Name,
+		Prepaid:          r.account.Prepaid,
+		Tokens:           r.worstCase(),
+		KeepMilliseconds: time.Until(r.deadline.Add(lendMargin)).Milliseconds(),
+	})
+	r.g.metrics.reserved("peer", granted)
+	switch {
+	case granted:
+		r.reserved = reservation{held: true, lender: peer}
+	case err != nil:
+		// The answer may be lost though the tokens are set aside.
+		message := settleMessage{Request: r.id}
+		r.g.background(func() { r.g.peers.settle(peer, message) })
+	}
+	return granted, err
+}
+
 // worstCase is the most that the request can cost, in tokens.
 func (r *run) worstCase() int64 { return max(1, r.req.PromptTokens+r.req.OutputTokens) }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,8 +28,9 @@
 	decisions <-chan endpoint.Action
 	reserved  reservation
 	attempts  int
-	ran       bool  // An attempt may have run.
-	events    int64 // Passed on to the caller.
+	sentAt    time.Time // Of the last attempt.
+	ran       bool      // An attempt may have run.
+	events    int64     // Passed on to the caller.
 	lastEvent string
 	fallback  *reply // A failure that an endpoint answered with, in case no other attempt succeeds.
 }
@@ -171,6 +172,7 @@
 func (r *run) try(send endpoint.Send) *reply {
 	r.attempts++
 	now := time.Now()
+	r.sentAt = now
 	a, err := r.g.send(now, &r.req, r.forwarding(now, send), !r.route.Repeatable(), r.until(now), r.gone)
 	outcome, out := r.take(send, a, err)
 	if err != nil || outcome != endpoint.Finished {
@@ -178,6 +180,7 @@
 			zap.String("Request", r.req.ID), zap.String("Run", r.id), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
 			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), zap.Error(err))
 	}
+	r.g.metrics.attempt(outcome)
 	r.ran = r.ran || outcome != endpoint.Rejected
 	if out != nil && out.Stream != nil {
 		return out // It ends when the stream does.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -42,7 +43,9 @@
 		s.complete()
 	} else {
 		s.pass(first)
-		r.g.endpoints.handle(time.Now(), endpoint.FirstToken{ID: r.id})
+		now := time.Now()
+		r.g.endpoints.handle(now, endpoint.FirstToken{ID: r.id})
+		r.g.metrics.firstEvent.Record(context.Background(), now.Sub(r.sentAt).Seconds())
 	}
 	return endpoint.Finished, &reply{Status: a.resp.StatusCode, Headers: answerHeaders(a), Stream: s}
 }
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -33,7 +33,7 @@
 func (h *Holder) draw(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
 	if !a.known {
-		if a.mine == (Account{}) && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 && len(a.left) == 0 {
+		if a.mine == (Account{}) && !a.drawing && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 && len(a.left) == 0 {
 			return h.closeUnused(a)
 		}
 		return []Action{h.load(a)}
@@ -79,6 +79,11 @@
 	switch {
 	case h.draining, h.retires(now, a, p):
 		return h.close(now, a)
+	case a.drawing:
+		a.drawing = false
+		if first := a.record.Free() / (p.ShareParts * p.ShareParts); a.mine.Granted == 0 && first > 0 {
+			return h.commit(now, a, first, 0)
+		}
 	case headroom < target/refillParts*(refillParts-1) && !idle:
 		if extra := h.extra(a, p, 0); extra > target/(2*refillParts) {
 			return h.commit(now, a, extra, 0)
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -37,6 +37,7 @@
 type Prepaid struct {
 	Budget string
 	Tokens int64
+	Draw   bool // A first grant is drawn before there is demand.
 }
 
 // Loaded carries a record that was read from the store; version 0 means that there is none.
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -176,18 +176,16 @@
 	return h.advance(now, a)
 }
 
-// prepaid takes over a higher total; a budget that is not known yet is read, so that its first request need not wait.
+// prepaid takes over a higher total.
 func (h *Holder) prepaid(now time.Time, ev Prepaid) []Action {
 	a := h.account(ev.Budget)
 	if ev.Tokens <= a.total {
 		return nil
 	}
+	a.drawing = ev.Draw && a.total == 0
 	a.total = ev.Tokens
 	a.usedAt = now
 	a.record = a.record.withTotal(a.total)
-	if !a.known && !a.busy() {
-		return []Action{h.load(a)}
-	}
 	return h.advance(now, a)
 }
 
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -431,6 +431,6 @@
 		m.kill(slices.Index(m.names, s.Holder))
 	case "Total":
 		m.total = max(m.total, s.Tokens)
-		m.handle(s.Holder, Prepaid{testBudget, s.Tokens})
+		m.handle(s.Holder, Prepaid{testBudget, s.Tokens, s.Index > 0})
 	}
 }
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -97,11 +97,15 @@
 	return net
 }
 
+// mostEchoes is the number of other routers that are taken to do what this one does; a larger fleet spreads over more endpoints.
+const mostEchoes = 5
+
 // others estimates the requests of other routers on the endpoint.
 //
 // The report lags. What this router did since it was made is known, and the
 // other routers are taken to have done the same.
 func (b *backend) others(now time.Time, peers int, p Policy) float64 {
+	peers = min(peers, mostEchoes)
 	if b.reportAt.IsZero() {
 		return float64(len(b.running) * peers)
 	}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Roster decides for one router whom to probe and which VMs serve.
@@ -238,3 +240,26 @@
 	}
 	return nil
 }
+
+// Homes returns the names of the live routers that are preferred for a key, the best first, at most n.
+//
+// Routers with the same view return the same ones; a router that joins or
+// leaves changes few keys.
+func (r *Roster) Homes(key string, n int) []string {
+	type ranked struct {
+		name  string
+		score uint64
+	}
+	var list []ranked
+	for _, m := range append([]Member{r.Self}, r.Peers()...) {
+		if m.State == Alive {
+			list = append(list, ranked{m.Name(), xxhash.Sum64String(m.VM + "\x00" + key)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	names := make([]string, 0, n)
+	for _, one := range list[:min(n, len(list))] {
+		names = append(names, one.name)
+	}
+	return names
+}
