--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 
 	table    atomic.Pointer[route.Table] // Nil until a configuration is known.
 	tableMu  sync.Mutex                  // Held while a configuration comes into force.
+	drawn    bool                        // First grants were drawn; used by the timer of the members only.
 	sequence atomic.Uint64               // Of requests.
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -69,8 +70,8 @@
 	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
 	probeWait    = 20 * time.Millisecond
 
-	endpointsSettle = 50 * time.Millisecond  // An endpoint that leaves may be used for 2 s.
-	membersSettle   = 300 * time.Millisecond // Probes find new routers meanwhile.
+	endpointsSettle = 200 * time.Millisecond// An endpoint that leaves may be used for 2 s.
+	membersSettle   = time.Second // Probes find new routers meanwhile.
 )
 
 // New returns a gateway that is not yet started.
@@ -119,7 +120,7 @@
 		ReturnAfter: 30 * time.Second,
 		RetireAfter: 10 * time.Minute,
 		Backoff:     300 * time.Millisecond,
-		RecallEvery: time.Second,
+		RecallEvery: 2 * time.Second,
 	}
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -190,6 +190,7 @@
 	m.tellDeciders(now)
 	m.fetchConfiguration(now)
 	m.g.lines.expire(now)
+	m.g.drawFirst(now)
 }
 
 func (m *members) probe(action fleet.Probe) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -18,15 +18,28 @@
 	lender string // The incarnation that set them aside for this router; empty when it did itself.
 }
 
-// prepay tells the holder the totals that a configuration gives.
+// prepay tells the holder the totals that a configuration gives for the budgets that it knows.
 func (g *Gateway) prepay(now time.Time, accounts []route.Account) {
 	for _, a := range accounts {
-		if !a.Limited {
-			continue
+		if _, known := g.budgets.View(a.Name); a.Limited && known {
+			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid})
 		}
-		home := slices.Contains(g.members.homes(a.Name, homesEach), g.members.name)
-		if _, known := g.budgets.View(a.Name); home || known {
-			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid, Draw: home})
+	}
+}
+
+// drawAfter is the time after the start in which the routers learn of each other.
+const drawAfter = 2 * time.Second
+
+// drawFirst draws a first grant of the budgets whose home this router is, before there is demand.
+func (g *Gateway) drawFirst(now time.Time) {
+	t := g.table.Load()
+	if g.drawn || t == nil || now.Sub(g.started) < drawAfter {
+		return
+	}
+	g.drawn = true
+	for _, a := range t.Accounts {
+		if a.Limited && slices.Contains(g.members.homes(a.Name, homesEach), g.members.name) {
+			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid, Draw: true})
 		}
 	}
 }
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -84,7 +84,7 @@
 		if first := a.record.Free() / (p.ShareParts * p.ShareParts); a.mine.Granted == 0 && first > 0 {
 			return h.commit(now, a, first, 0)
 		}
-	case headroom < target/refillParts*(refillParts-1) && !idle:
+	case headroom < target/refillParts*(refillParts-1) && !idle && now.Sub(a.flushedAt) >= p.RefillEvery:
 		if extra := h.extra(a, p, 0); extra > target/(2*refillParts) {
 			return h.commit(now, a, extra, 0)
 		}
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -11,6 +11,7 @@
 	ShareParts  int64         // A grant beyond the need takes at most one part in ShareParts of the free tokens.
 	Step        time.Duration // Demand that a raise of the ceiling covers; what a death can strand.
 	SealAfter   time.Duration // Absence after which a witness seals an account.
+	RefillEvery time.Duration // Least time between two writes that only refill a grant.
 	FlushEvery  time.Duration // Longest time for which spent tokens stay unreported.
 	ReturnAfter time.Duration // Time without use after which unused tokens return to the budget.
 	RetireAfter time.Duration // Time without use after which the account is closed and forgotten.
@@ -26,6 +27,7 @@
 	DefaultStep        = 5 * time.Second
 	DefaultSealAfter   = 10 * time.Second
 	DefaultShareParts  = 6
+	DefaultRefillEvery = 500 * time.Millisecond
 	DefaultFlushEvery  = 5 * time.Second
 	DefaultReturnAfter = 10 * time.Second
 	DefaultRetireAfter = time.Minute
@@ -40,6 +42,7 @@
 	p.Step = cmp.Or(p.Step, DefaultStep)
 	p.SealAfter = cmp.Or(p.SealAfter, DefaultSealAfter)
 	p.ShareParts = cmp.Or(p.ShareParts, DefaultShareParts)
+	p.RefillEvery = cmp.Or(p.RefillEvery, DefaultRefillEvery)
 	p.FlushEvery = cmp.Or(p.FlushEvery, DefaultFlushEvery)
 	p.ReturnAfter = cmp.Or(p.ReturnAfter, DefaultReturnAfter)
 	p.RetireAfter = cmp.Or(p.RetireAfter, DefaultRetireAfter)
