--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     7 * time.Second, // The time for which the store may be away; a loss of all routers strands as much.
+		Horizon:     5 * time.Second, // The time for which the store may be away; a loss of all routers strands as much.
 		Step:        2 * time.Second,
 		SealAfter:   6 * time.Second,
 		FlushEvery:  5 * time.Second,
