--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -82,7 +82,7 @@
 		}
 		settings, err := readGatewaySettings(file)
 		if err != nil {
-			log.Error("settings not reloaded", zap.String("File", file), zap.Error(err))
+			log.Error("settings not reloaded", zap.String("File", file), logfile.Problem(err))
 			continue
 		}
 		g.Reload(settings)
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 )
 
@@ -106,7 +107,7 @@
 func (e *endpoints) take(now time.Time, key string, value []byte) {
 	entry, err := e.g.dialect.Entry(key, value)
 	if err != nil {
-		e.g.log.Warn("endpoint entry not read", zap.String("Key", key), zap.Error(err))
+		e.g.log.Warn("endpoint entry not read", zap.String("Key", key), logfile.Problem(err))
 		return
 	}
 	k, ok := e.known[entry.Name]
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
@@ -56,7 +57,7 @@
 			known = false
 			continue
 		case !lost:
-			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), zap.Error(err))
+			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), logfile.Problem(err))
 			lost = true
 		}
 		decision.Pause(wait/2+rand.N(wait/2), g.stop)
@@ -120,7 +121,7 @@
 func (g *Gateway) configure(now time.Time, value []byte, source string) {
 	cfg, err := g.dialect.Configuration(value)
 	if err != nil {
-		g.log.Error("configuration not read", zap.String("Source", source), zap.Error(err))
+		g.log.Error("configuration not read", zap.String("Source", source), logfile.Problem(err))
 		return
 	}
 	g.tableMu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -180,7 +181,7 @@
 	g.servers = append(g.servers, server)
 	go func() {
 		if err := server.Serve(ln); err != nil {
-			g.log.Error("server stopped", zap.String("Listener", name), zap.Error(err))
+			g.log.Error("server stopped", zap.String("Listener", name), logfile.Problem(err))
 		}
 	}()
 	return nil
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -53,7 +54,7 @@
 	s := m.g.cfg.Settings
 	value, err := json.Marshal(registration{s.VM, s.DataCentre, s.Listen.Peer, s.Listen.Front})
 	if err != nil {
-		m.g.log.Error("registration not encoded", zap.Error(err))
+		m.g.log.Error("registration not encoded", logfile.Problem(err))
 		return
 	}
 	var lease uint64
@@ -62,7 +63,7 @@
 		next, err := m.renew(ctx, lease, value)
 		cancel()
 		if err != nil {
-			m.g.log.Warn("registration not renewed", zap.Uint64("Lease", lease), zap.Error(err))
+			m.g.log.Warn("registration not renewed", zap.Uint64("Lease", lease), logfile.Problem(err))
 		}
 		lease = next
 		wait := memberLease / 3
@@ -75,7 +76,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		if err := m.g.store.End(ctx, lease); err != nil {
-			m.g.log.Warn("lease not ended", zap.Error(err))
+			m.g.log.Warn("lease not ended", logfile.Problem(err))
 		}
 	}
 }
@@ -127,7 +128,7 @@
 func (m *members) take(key string, value []byte) {
 	var r registration
 	if err := strict.Decode(value, &r); err != nil || r.VM != strings.TrimPrefix(key, memberPrefix) || r.Peer == "" {
-		m.g.log.Warn("registration not read", zap.String("Key", key), zap.Error(err))
+		m.g.log.Warn("registration not read", zap.String("Key", key), logfile.Problem(err))
 		return
 	}
 	m.mu.Lock()
@@ -224,7 +225,7 @@
 	m.g.background(func() {
 		value, err := m.g.peers.configuration(newest.Address)
 		if err != nil {
-			m.g.log.Warn("configuration not fetched", zap.String("Peer", newest.Name()), zap.Error(err))
+			m.g.log.Warn("configuration not fetched", zap.String("Peer", newest.Name()), logfile.Problem(err))
 			return
 		}
 		m.g.configure(now, value, newest.Name())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -160,7 +161,7 @@
 			return
 		}
 	}
-	p.g.log.Warn("loan not settled at its lender", zap.String("Run", m.Request), zap.String("Peer", peer), zap.Error(err))
+	p.g.log.Warn("loan not settled at its lender", zap.String("Run", m.Request), zap.String("Peer", peer), logfile.Problem(err))
 }
 
 func (p *peers) configuration(address string) ([]byte, error) {
@@ -188,7 +189,7 @@
 	for _, m := range p.g.members.live() {
 		p.g.background(func() {
 			if err := p.post(m.Address, suspectPath, message, nil); err != nil {
-				p.g.log.Warn("suspicions not told", zap.String("Peer", m.Name()), zap.Error(err))
+				p.g.log.Warn("suspicions not told", zap.String("Peer", m.Name()), logfile.Problem(err))
 			}
 		})
 	}
@@ -206,7 +207,7 @@
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
 	answer, err := g.answerPeer(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
-		g.log.Warn("peer message not read", zap.ByteString("Path", ctx.Path()), zap.Error(err))
+		g.log.Warn("peer message not read", zap.ByteString("Path", ctx.Path()), logfile.Problem(err))
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
@@ -140,7 +141,7 @@
 func (r *run) borrow(peer string) bool {
 	granted, err := r.lentBy(peer)
 	if err != nil {
-		r.g.log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), zap.Error(err))
+		r.g.log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), logfile.Problem(err))
 	}
 	if !granted {
 		r.g.budgets.Handle(time.Now(), budget.ForwardRefused{Request: r.id, Peer: peer})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
@@ -178,7 +179,7 @@
 	if err != nil || outcome != endpoint.Finished {
 		r.g.log.Info("attempt failed",
 			zap.String("Request", r.req.ID), zap.String("Run", r.id), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
-			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), zap.Error(err))
+			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Problem(err))
 	}
 	r.g.metrics.attempt(outcome)
 	r.ran = r.ran || outcome != endpoint.Rejected
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
 
@@ -48,7 +49,7 @@
 			updates := g.members.roster.Updates()
 			g.members.mu.Unlock()
 			if _, err := g.peers.probe(p.Address, updates); err != nil {
-				g.log.Warn("peer not told of the shutdown", zap.String("Peer", p.Name()), zap.Error(err))
+				g.log.Warn("peer not told of the shutdown", zap.String("Peer", p.Name()), logfile.Problem(err))
 			}
 		})
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -94,7 +95,7 @@
 		return errStopped
 	}
 	r.g.log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.id), zap.String("Address", s.attempt.conn.address),
-		zap.Int64("Events", r.events), zap.Error(err))
+		zap.Int64("Events", r.events), logfile.Problem(err))
 	r.ended(endpoint.Died, 0)
 	return s.resume()
 }
@@ -110,7 +111,7 @@
 		until = earlier(until, now.Add(max(stallAfter, 4*r.route.Gap)))
 	}
 	if err := s.attempt.conn.SetReadDeadline(until); err != nil {
-		r.g.log.Debug("no limit for the next event", zap.String("Run", r.id), zap.Error(err))
+		r.g.log.Debug("no limit for the next event", zap.String("Run", r.id), logfile.Problem(err))
 	}
 }
 
@@ -166,6 +167,9 @@
 	if s.whole {
 		outcome = endpoint.Finished
 	}
+	s.run.g.log.Info("stream ended",
+		zap.String("Request", s.run.req.ID), zap.String("Run", s.run.id), zap.Bool("Whole", s.whole), zap.Int64("Events", s.run.events),
+		zap.String("LastEvent", s.run.lastEvent), zap.Int("Attempts", s.run.attempts), zap.Duration("Took", time.Since(s.run.arrived)))
 	s.run.ended(outcome, s.run.events*s.run.service.TokensPerEvent)
 	s.run.finish()
 	if s.closed != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
@@ -110,7 +111,7 @@
 	defer cancel()
 	record, version, err := ReadRecord(ctx, b.Store, action.Budget)
 	if err != nil {
-		b.Log.Warn("budget not read", zap.String("Budget", action.Budget), zap.Error(err))
+		b.Log.Warn("budget not read", zap.String("Budget", action.Budget), logfile.Problem(err))
 		b.Handle(time.Now(), budget.LoadFailed{Budget: action.Budget})
 		return
 	}
@@ -122,7 +123,7 @@
 	defer cancel()
 	written, err := WriteRecord(ctx, b.Store, action.Record, action.Version)
 	if err != nil {
-		b.Log.Warn("budget not written", zap.String("Budget", action.Budget), zap.Error(err))
+		b.Log.Warn("budget not written", zap.String("Budget", action.Budget), logfile.Problem(err))
 	}
 	b.Handle(time.Now(), budget.Committed{
 		Budget:  action.Budget,
@@ -139,7 +140,7 @@
 	}
 	record, err := decodeRecord(name, *entry)
 	if err != nil {
-		b.Log.Warn("budget not read", zap.String("Budget", name), zap.Error(err))
+		b.Log.Warn("budget not read", zap.String("Budget", name), logfile.Problem(err))
 		return nil
 	}
 	return &budget.Loaded{Budget: name, Version: entry.Version, Record: record}
@@ -148,7 +149,7 @@
 func (b *Ledger) recall(action budget.Recall) {
 	err := b.Peers.Recall(action.Peer, action.Budget)
 	if err != nil {
-		b.Log.Warn("recall failed", zap.String("Peer", action.Peer), zap.Error(err))
+		b.Log.Warn("recall failed", zap.String("Peer", action.Peer), logfile.Problem(err))
 	}
 	b.Handle(time.Now(), budget.RecallDone{Budget: action.Budget, Peer: action.Peer})
 }
@@ -156,7 +157,7 @@
 func (b *Ledger) entrust(peer string, left budget.LeftBehind) {
 	defer b.entrusting.Done()
 	if err := b.Peers.Entrust(peer, left); err != nil {
-		b.Log.Warn("account not entrusted", zap.String("Budget", left.Budget), zap.String("Peer", peer), zap.Error(err))
+		b.Log.Warn("account not entrusted", zap.String("Budget", left.Budget), zap.String("Peer", peer), logfile.Problem(err))
 	}
 }
 
@@ -170,7 +171,7 @@
 func (b *Ledger) raise(action budget.Raise) {
 	acknowledged, err := b.Peers.Raise(action)
 	if err != nil {
-		b.Log.Warn("ceiling not raised", zap.String("Witness", action.Witness), zap.Error(err))
+		b.Log.Warn("ceiling not raised", zap.String("Witness", action.Witness), logfile.Problem(err))
 	}
 	b.Handle(time.Now(), budget.RaiseDone{Raise: action, Acknowledged: acknowledged})
 }
--- a/internal/logfile/logfile.go
+++ b/internal/logfile/logfile.go
@@ -37,6 +37,14 @@
 	return zap.New(sampled), w.close
 }
 
+// Problem returns the field of an error, without the stack trace that it may carry; nil leaves the field out.
+func Problem(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("Error", err.Error())
+}
+
 // writer hands lines to a goroutine that may block.
 type writer struct {
 	out     io.Writer
