--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -21,6 +22,7 @@
 	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
 	change func(now time.Time, c keyvalue.Change)
 
+	wait     time.Duration       // Longest wait of one watch; zero is watchWait.
 	settle   time.Duration       // Pause after changes, in which further ones gather.
 	regained func(now time.Time) // Called before what the store says after it was away; nil when nothing depends on that.
 }
@@ -28,7 +30,7 @@
 // Pauses between attempts to reach the store.
 const (
 	feedPause    = 100 * time.Millisecond
-	feedPauseMax = 800 * time.Millisecond
+	feedPauseMax = time.Second
 )
 
 // follow keeps a feed up to date until the gateway stops.
@@ -81,7 +83,7 @@
 		f.reset(now, entries)
 		return at, nil
 	}
-	wait := watchWait
+	wait := cmp.Or(f.wait, watchWait)
 	if lost {
 		wait = probeWait // The first answer tells when the store is back.
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	decidePeriod = 25 * time.Millisecond // Ticks of the deciders that serve requests.
 	storeTimeout = time.Second
 	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
+	membersWait  = 15 * time.Second
 	probeWait    = 20 * time.Millisecond
 
 	endpointsSettle = 200 * time.Millisecond // An endpoint that leaves may be used for 2 s.
@@ -114,7 +115,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     5 * time.Second, // The time for which the store may be away; a loss of all routers strands as much.
+		Horizon:     6 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
 		Step:        2 * time.Second,
 		SealAfter:   6 * time.Second,
 		FlushEvery:  5 * time.Second,
@@ -190,7 +191,7 @@
 func (g *Gateway) startLoops() {
 	go g.follow(feed{name: "configuration", prefix: g.dialect.ConfigurationKey(), reset: g.configurationRead, change: g.configurationChanged})
 	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed, regained: g.endpoints.storeRegained, settle: endpointsSettle})
-	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed, settle: membersSettle})
+	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed, settle: membersSettle, wait: membersWait})
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go decision.Every(decidePeriod, g.stop, g.decide)
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -98,7 +98,7 @@
 }
 
 // refillParts is the number of parts of the target; a grant is refilled when one of them is used.
-const refillParts = 4
+const refillParts = 2
 
 // excess returns the tokens that a report gives back after the demand fell.
 func excess(headroom, target int64) int64 {
