Look for tokens at peers while a store call is slow

Cause: in the first second of a cut a waiting request stood behind the store call in flight (p50 of these refusals 401 ms, the whole wait), though peers held tokens. Ruled out: no tokens at peers (reservations there succeeded later in the same cut). Change: a call older than 60 ms lets waiting requests ask peers; they go on waiting if none has tokens.

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -103,7 +103,11 @@
 			case budget.Refuse:
 				r.g.metrics.reserved("here", false)
 				r.logBudget(decision.Kind)
-				return refused(decision.Kind, r.account.Name)
+				out := refused(decision.Kind, r.account.Name)
+				if decision.Kind == refusal.BudgetUnavailable {
+					out.Refused.After = tokensSoon
+				}
+				return out
 			case budget.Forward:
 				if r.borrow(decision.Peer) {
 					return nil
@@ -123,6 +127,9 @@
 		zap.Int("Holders", v.Holders), zap.Duration("RecordAge", time.Since(v.LoadedAt)), zap.Int("Waiting", v.Waiting))
 }
 
+// tokensSoon is the time in which requests that run now settle, or the store is asked again.
+const tokensSoon = time.Second
+
 // reserveUntil is the time until which a request waits for tokens: a part of its objective, so that a refusal comes early.
 func (r *run) reserveUntil() time.Time {
 	const part = 2
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -33,9 +33,10 @@
 	sealing  []pledgeKey
 	left     []LeftBehind // Accounts of stopped holders that are to be closed.
 
-	write   *write
-	loading bool
-	retryAt time.Time // No store call before this time.
+	write    *write
+	loading  bool
+	calledAt time.Time // Of the store call that is in flight.
+	retryAt  time.Time // No store call before this time.
 
 	recalls    map[string]bool // Peers whose answer to a recall is outstanding.
 	recalledAt time.Time
@@ -84,6 +85,11 @@
 	return a.loading || (a.write != nil && a.write.inFlight)
 }
 
+// slow reports whether a store call has been in flight for so long that waiting requests look for tokens elsewhere.
+func (a *account) slow(now time.Time, p Policy) bool {
+	return a.busy() && now.Sub(a.calledAt) >= p.SeekAfter
+}
+
 // target is what the grant should leave: the demand of the horizon beside what runs.
 func (a *account) target(p Policy) int64 {
 	return int64(a.demand()*p.Horizon.Seconds()) + a.reserved
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -17,6 +17,9 @@
 	actions := h.serve(a)
 	actions = append(actions, h.raise(now, a)...)
 	if a.busy() {
+		if a.slow(now, h.Policy.withDefaults()) {
+			actions = append(actions, h.seek(now, a)...)
+		}
 		return actions
 	}
 	if now.Before(a.retryAt) {
@@ -24,7 +27,7 @@
 		return append(actions, h.seek(now, a)...)
 	}
 	if a.write != nil {
-		return append(actions, h.load(a))
+		return append(actions, h.load(now, a))
 	}
 	return append(actions, h.draw(now, a)...)
 }
@@ -34,18 +37,18 @@
 	p := h.Policy.withDefaults()
 	if !a.known {
 		if a.mine == (Account{}) && !a.drawing && len(a.waiting) == 0 && len(a.answers) == 0 && len(a.sealing) == 0 && len(a.left) == 0 {
-			return h.closeUnused(a)
+			return h.closeUnused(now, a)
 		}
-		return []Action{h.load(a)}
+		return []Action{h.load(now, a)}
 	}
 	if len(a.recalls) > 0 {
 		// Two routers that recall from each other must both give back.
 		return h.returnUnused(now, a)
 	}
-	if actions := h.seal(a); len(actions) > 0 {
+	if actions := h.seal(now, a); len(actions) > 0 {
 		return actions
 	}
-	if actions := h.closeLeft(a); len(actions) > 0 {
+	if actions := h.closeLeft(now, a); len(actions) > 0 {
 		return actions
 	}
 	if need := h.coverable(a); need > 0 {
@@ -59,7 +62,7 @@
 	}
 	if len(a.waiting) > 0 {
 		if now.Sub(a.loadedAt) > p.FreshFor {
-			return []Action{h.load(a)}
+			return []Action{h.load(now, a)}
 		}
 		return h.seek(now, a)
 	}
@@ -139,8 +142,9 @@
 	return max(0, min(want, (free-need)/p.ShareParts))
 }
 
-func (h *Holder) load(a *account) Action {
+func (h *Holder) load(now time.Time, a *account) Action {
 	a.loading = true
+	a.calledAt = now
 	return Load{a.budget}
 }
 
@@ -150,7 +154,7 @@
 // would fail on its condition.
 func (h *Holder) commit(now time.Time, a *account, grant, back int64) []Action {
 	if len(a.record.Holders) > 1 && now.Sub(a.loadedAt) > h.Policy.withDefaults().FreshFor {
-		return []Action{h.load(a)}
+		return []Action{h.load(now, a)}
 	}
 	next := a.mine
 	next.Granted += grant
@@ -168,7 +172,7 @@
 		a.mine.Ceiling = min(next.Ceiling, a.mine.Granted)
 	}
 	a.flushedAt = now
-	return h.send(a, w)
+	return h.send(now, a, w)
 }
 
 // pauseStoreCalls pauses the store calls of a budget whose record does not allow what the holder needs; it is read again then.
@@ -202,7 +206,8 @@
 	return sum
 }
 
-func (h *Holder) send(a *account, w *write) []Action {
+func (h *Holder) send(now time.Time, a *account, w *write) []Action {
+	a.calledAt = now
 	w.base = a.version
 	w.inFlight = true
 	a.write = w
@@ -230,13 +235,13 @@
 	w := &write{record: record, before: a.mine, closing: true}
 	a.mine.Returned += a.headroom()
 	a.mine.Ceiling = a.mine.Granted
-	return h.send(a, w)
+	return h.send(now, a, w)
 }
 
 // closeUnused ends an account whose record was never read, so that nothing was granted.
-func (h *Holder) closeUnused(a *account) []Action {
+func (h *Holder) closeUnused(now time.Time, a *account) []Action {
 	if h.draining && a.mine.Refunded > 0 {
-		return []Action{h.load(a)}
+		return []Action{h.load(now, a)}
 	}
 	if h.draining {
 		h.closed(a, nil)
@@ -302,10 +307,10 @@
 			a.loading = true
 			return append(h.serve(a), h.loaded(now, *ev.Current)...)
 		}
-		return append(h.serve(a), h.load(a))
+		return append(h.serve(a), h.load(now, a))
 	default:
 		w.resent = true
-		return []Action{h.load(a)}
+		return []Action{h.load(now, a)}
 	}
 }
 
@@ -320,6 +325,7 @@
 	a.loading = false
 	if w := a.write; w != nil && ev.Version == w.base {
 		w.inFlight = true
+		a.calledAt = now
 		return []Action{Commit{a.budget, w.base, w.record}}
 	}
 	return h.adopt(now, a, ev.Version, ev.Record)
--- a/pkg/budget/leave.go
+++ b/pkg/budget/leave.go
@@ -67,11 +67,11 @@
 }
 
 // closeLeft writes the next account that a stopped holder left; one that is closed already is dropped.
-func (h *Holder) closeLeft(a *account) []Action {
+func (h *Holder) closeLeft(now time.Time, a *account) []Action {
 	for len(a.left) > 0 {
 		record, err := a.record.closeAt(a.left[0].Holder, a.left[0].Final)
 		if err == nil {
-			return h.send(a, &write{record: record, before: a.mine})
+			return h.send(now, a, &write{record: record, before: a.mine})
 		}
 		a.left = a.left[1:]
 	}
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -15,6 +15,7 @@
 	FlushEvery  time.Duration // Longest time for which spent tokens stay unreported.
 	ReturnAfter time.Duration // Time without use after which unused tokens return to the budget.
 	RetireAfter time.Duration // Time without use after which the account is closed and forgotten.
+	SeekAfter   time.Duration // Age of a store call after which waiting requests look for tokens at peers.
 	FreshFor    time.Duration // Age up to which a read record may serve as ground for a refusal.
 	RecallEvery time.Duration // Least time between two recalls of one budget.
 	Backoff     time.Duration // Time without store calls after one that failed.
@@ -31,6 +32,7 @@
 	DefaultFlushEvery  = 5 * time.Second
 	DefaultReturnAfter = 10 * time.Second
 	DefaultRetireAfter = time.Minute
+	DefaultSeekAfter   = 60 * time.Millisecond
 	DefaultFreshFor    = 200 * time.Millisecond
 	DefaultRecallEvery = 500 * time.Millisecond
 	DefaultBackoff     = 500 * time.Millisecond
@@ -46,6 +48,7 @@
 	p.FlushEvery = cmp.Or(p.FlushEvery, DefaultFlushEvery)
 	p.ReturnAfter = cmp.Or(p.ReturnAfter, DefaultReturnAfter)
 	p.RetireAfter = cmp.Or(p.RetireAfter, DefaultRetireAfter)
+	p.SeekAfter = cmp.Or(p.SeekAfter, DefaultSeekAfter)
 	p.FreshFor = cmp.Or(p.FreshFor, DefaultFreshFor)
 	p.RecallEvery = cmp.Or(p.RecallEvery, DefaultRecallEvery)
 	p.Backoff = cmp.Or(p.Backoff, DefaultBackoff)
--- a/pkg/budget/seek.go
+++ b/pkg/budget/seek.go
@@ -21,13 +21,20 @@
 	if a.raising && r.Tokens <= a.headroom() {
 		return nil
 	}
+	slow := a.slow(now, h.Policy.withDefaults())
+	if slow && r.Forwarded {
+		return nil // The store may answer yet.
+	}
 	if r.Forwarded {
 		return []Action{h.refuse(a, r, refusalKind(cut))}
 	}
-	if peer, ok := h.peerWithTokens(a, r, cut); ok {
+	if peer, ok := h.peerWithTokens(a, r, cut || slow); ok {
 		a.dropWaiting(r.Request)
 		return []Action{Forward{r.Request, peer}}
 	}
+	if slow {
+		return nil
+	}
 	if cut {
 		return []Action{h.refuse(a, r, refusal.BudgetUnavailable)}
 	}
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -81,13 +81,13 @@
 }
 
 // seal writes the next planned seal; one that the record no longer allows is dropped.
-func (h *Holder) seal(a *account) []Action {
+func (h *Holder) seal(now time.Time, a *account) []Action {
 	for len(a.sealing) > 0 {
 		key := a.sealing[0]
 		p := h.pledges[key]
 		record, err := a.record.seal(key.holder, h.Name, *p)
 		if err == nil {
-			return h.send(a, &write{record: record, before: a.mine})
+			return h.send(now, a, &write{record: record, before: a.mine})
 		}
 		a.sealing = a.sealing[1:]
 	}
