Keep one shell of the roster for both daemons

Cause: the gateway's members repeated the router's. Change: internal/membership guards the roster; no behaviour changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,8 @@
 		DataCentre:  cfg.Settings.DataCentre,
 		Size:        1,
 	}
-	g.members = members{g: g, name: self.Name(), roster: fleet.Roster{Self: self, Seed: self.Incarnation}, entries: map[string]registration{}}
+	g.members = members{g: g, name: self.Name(), entries: map[string]registration{}}
+	g.members.Open(self)
 	g.peers = newPeers(g)
 	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
 	g.endpoints.pool.Policy = g.endpointPolicy(1)
@@ -169,7 +170,7 @@
 	}
 	g.startLoops()
 	g.log.Info("started", zap.String("VM", g.cfg.Settings.VM), zap.String("DataCentre", g.cfg.Settings.DataCentre),
-		zap.String("Front", g.cfg.Settings.Listen.Front), zap.String("Incarnation", g.members.self().Name()))
+		zap.String("Front", g.cfg.Settings.Listen.Front), zap.String("Incarnation", g.members.Self().Name()))
 	return nil
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -15,6 +15,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/membership"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -37,12 +38,13 @@
 
 // members follows the routers' keys and carries out what the roster decides.
 type members struct {
+	membership.Members
+
 	g    *Gateway
 	name string // Of this incarnation.
 
-	mu      sync.Mutex
-	roster  fleet.Roster            // Guarded by mu.
-	entries map[string]registration // By VM; guarded by mu.
+	entriesMu sync.Mutex
+	entries   map[string]registration // By VM; guarded by entriesMu.
 
 	configMu sync.Mutex
 	version  uint64 // Of the configuration in force; guarded by configMu.
@@ -131,31 +133,26 @@
 		m.g.log.Warn("registration not read", zap.String("Key", key), logfile.Problem(err))
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.entriesMu.Lock()
+	defer m.entriesMu.Unlock()
 	m.entries[r.VM] = r
 }
 
 func (m *members) configure(now time.Time) {
-	m.mu.Lock()
+	m.entriesMu.Lock()
 	seeds := make([]fleet.Seed, 0, len(m.entries))
 	for _, vm := range slices.Sorted(maps.Keys(m.entries)) {
 		r := m.entries[vm]
 		seeds = append(seeds, fleet.Seed{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: 1})
 	}
-	m.mu.Unlock()
+	m.entriesMu.Unlock()
 	m.handle(now, fleet.Configured{VMs: seeds})
 }
 
 func (m *members) handle(now time.Time, ev fleet.Event) {
-	changed := false
-	for _, action := range decision.Locked(&m.mu, m.roster.Handle, now, ev) {
-		switch action := action.(type) {
-		case fleet.Probe:
-			m.g.background(func() { m.probe(action) })
-		case fleet.MembersChanged:
-			changed = true
-		}
+	probes, changed := m.Apply(now, ev)
+	for _, action := range probes {
+		m.g.background(func() { m.probe(action) })
 	}
 	if changed {
 		m.log()
@@ -165,7 +162,7 @@
 
 func (m *members) log() {
 	var states []string
-	for _, p := range m.all() {
+	for _, p := range m.All() {
 		states = append(states, p.Name()+" "+p.State.String())
 	}
 	m.g.log.Info("members changed", zap.Strings("Members", states))
@@ -174,7 +171,7 @@
 // tellDeciders brings the set of live routers to the deciders that act on it.
 func (m *members) tellDeciders(now time.Time) {
 	var changed budget.PeersChanged
-	for _, p := range m.live() {
+	for _, p := range m.Peers() {
 		changed.Peers = append(changed.Peers, p.Name())
 		if p.State == fleet.Alive && p.DataCentre != m.g.cfg.Settings.DataCentre {
 			changed.Witnesses = append(changed.Witnesses, p.Name())
@@ -206,15 +203,13 @@
 // answer takes a peer's updates and returns this router's own.
 func (m *members) answer(updates []fleet.Member) []fleet.Member {
 	m.handle(time.Now(), fleet.Heard{Updates: updates})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Updates()
+	return m.Updates()
 }
 
 // fetchConfiguration asks a peer that has a newer configuration for it, in case the store does not tell this router.
 func (m *members) fetchConfiguration(now time.Time) {
 	newest := fleet.Member{Revision: m.configVersion()}
-	for _, p := range m.live() {
+	for _, p := range m.Peers() {
 		if p.Revision > newest.Revision {
 			newest = p
 		}
@@ -245,50 +240,13 @@
 	return m.version
 }
 
-func (m *members) self() fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Self
-}
-
-func (m *members) live() []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Peers()
-}
-
-func (m *members) all() []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Members()
-}
-
-// address returns where the router with the given incarnation name listens.
-func (m *members) address(name string) (string, bool) {
-	for _, p := range m.live() {
-		if p.Name() == name {
-			return p.Address, true
-		}
-	}
-	return "", false
-}
-
-// homes returns the incarnations of the routers that hold grants of a budget.
-func (m *members) homes(budget string, n int) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Homes(budget, n)
-}
-
 // fewest is the number of routers in a caller's data centre below which all routers are named.
 const fewest = 2
 
 // fronts returns the addresses for a caller in a data centre, those of ready routers there if there are enough.
 func (m *members) fronts(dataCentre string) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	var near, all []string
-	for _, p := range m.roster.Members() {
+	for _, p := range m.All() {
 		front := m.front(p.VM)
 		if p.State != fleet.Alive || front == "" {
 			continue
@@ -307,8 +265,10 @@
 	return all
 }
 
-// front returns where a router takes requests; mu is held.
+// front returns where a router takes requests.
 func (m *members) front(vm string) string {
+	m.entriesMu.Lock()
+	defer m.entriesMu.Unlock()
 	if vm == m.g.cfg.Settings.VM {
 		return m.g.cfg.Settings.Listen.Front
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -79,7 +79,7 @@
 	}{
 		{"in_flight", "Requests whose answers are not yet written.", g.inFlight.Load},
 		{"configuration_version", "Version of the configuration in force.", func() int64 { return int64(g.members.configVersion()) }},
-		{"live_routers", "Routers that serve, this one included.", func() int64 { return int64(len(g.members.live()) + 1) }},
+		{"live_routers", "Routers that serve, this one included.", func() int64 { return int64(len(g.members.Peers()) + 1) }},
 		{"store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() }},
 	} {
 		_, err := meter.Int64ObservableGauge("foxtaillanding."+one.name, metric.WithDescription(one.text), metric.WithInt64Callback(
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -117,7 +117,7 @@
 
 // ask sends a question to a router incarnation and returns its verdict.
 func (p *peers) ask(peer, path string, v any) (bool, error) {
-	address, ok := p.g.members.address(peer)
+	address, ok := p.g.members.Address(peer)
 	if !ok {
 		return false, errNotAPeer
 	}
@@ -186,7 +186,7 @@
 	message := p.suspects
 	p.suspects = nil
 	p.mu.Unlock()
-	for _, m := range p.g.members.live() {
+	for _, m := range p.g.members.Peers() {
 		p.g.background(func() {
 			if err := p.post(m.Address, suspectPath, message, nil); err != nil {
 				p.g.log.Warn("suspicions not told", zap.String("Peer", m.Name()), logfile.Problem(err))
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -39,7 +39,7 @@
 	}
 	g.drawn = true
 	for _, a := range t.Accounts {
-		if a.Limited && slices.Contains(g.members.homes(a.Name, homesEach), g.members.name) {
+		if a.Limited && slices.Contains(g.members.Homes(a.Name, homesEach), g.members.name) {
 			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid, Draw: true})
 		}
 	}
@@ -63,7 +63,7 @@
 //
 // A refusal there is not final: this router's own attempt finds out why.
 func (r *run) reserveAtHome() bool {
-	homes := r.g.members.homes(r.account.Name, homesEach)
+	homes := r.g.members.Homes(r.account.Name, homesEach)
 	if slices.Contains(homes, r.g.members.name) {
 		return false
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -43,12 +43,9 @@
 
 // tellPeers tells all live routers at once that this one drains.
 func (g *Gateway) tellPeers() {
-	for _, p := range g.members.live() {
+	for _, p := range g.members.Peers() {
 		g.background(func() {
-			g.members.mu.Lock()
-			updates := g.members.roster.Updates()
-			g.members.mu.Unlock()
-			if _, err := g.peers.probe(p.Address, updates); err != nil {
+			if _, err := g.peers.probe(p.Address, g.members.Updates()); err != nil {
 				g.log.Warn("peer not told of the shutdown", zap.String("Peer", p.Name()), logfile.Problem(err))
 			}
 		})
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -197,7 +197,7 @@
 		Held:    map[string]int64{},
 	}
 	live := map[string]bool{}
-	for _, m := range r.members.all() {
+	for _, m := range r.members.All() {
 		live[m.Name()] = m.State <= fleet.Draining
 	}
 	for name, a := range record.Holders {
@@ -226,7 +226,7 @@
 		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
-	for _, m := range r.members.all() {
+	for _, m := range r.members.All() {
 		if m.Name() == message.Holder && m.State <= fleet.Draining {
 			writeRefusal(ctx, refusal.New(refusal.BadRequest, message.Holder+" is alive; drain it instead"))
 			return
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -53,7 +53,7 @@
 		c.handle(time.Now(), settings.SubtreeRead{Path: action.Path, Version: action.Version, Content: entry.Value})
 		return
 	}
-	for _, p := range c.r.members.peers() {
+	for _, p := range c.r.members.Peers() {
 		content, err := c.r.peers.subtree(p.Address, action.Path, action.Version)
 		if err == nil {
 			c.handle(time.Now(), settings.SubtreeRead{Path: action.Path, Version: action.Version, Content: content})
@@ -114,7 +114,7 @@
 func (c *configuration) watches() bool {
 	before := 0
 	self := c.r.self
-	for _, m := range c.r.members.all() {
+	for _, m := range c.r.members.All() {
 		if m.DataCentre == self.DataCentre && m.State == fleet.Alive && m.VM < self.Name {
 			before++
 		}
@@ -158,7 +158,7 @@
 // askPeers asks the routers whose revision is higher for their head.
 func (c *configuration) askPeers() {
 	mine := c.revision()
-	for _, p := range c.r.members.peers() {
+	for _, p := range c.r.members.Peers() {
 		asks := p.Revision > mine || p.DataCentre == c.r.self.DataCentre
 		if !asks {
 			continue
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -2,11 +2,9 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
-	"sync"
 	"time"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/membership"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -14,21 +12,15 @@
 
 // members carries out what the roster decides.
 type members struct {
-	r *Router
+	membership.Members
 
-	mu     sync.Mutex
-	roster fleet.Roster // Guarded by mu.
+	r *Router
 }
 
 func (m *members) handle(now time.Time, ev fleet.Event) {
-	changed := false
-	for _, action := range decision.Locked(&m.mu, m.roster.Handle, now, ev) {
-		switch action := action.(type) {
-		case fleet.Probe:
-			m.r.background(func() { m.probe(action) })
-		case fleet.MembersChanged:
-			changed = true
-		}
+	probes, changed := m.Apply(now, ev)
+	for _, action := range probes {
+		m.r.background(func() { m.probe(action) })
 	}
 	if changed {
 		m.tellDeciders(now)
@@ -38,7 +30,7 @@
 // tellDeciders brings the set of live routers to the deciders that act on it.
 func (m *members) tellDeciders(now time.Time) {
 	var changed budget.PeersChanged
-	for _, p := range m.peers() {
+	for _, p := range m.Peers() {
 		changed.Peers = append(changed.Peers, p.Name())
 		if p.State == fleet.Alive && p.DataCentre != m.r.self.DataCentre {
 			changed.Witnesses = append(changed.Witnesses, p.Name())
@@ -76,9 +68,7 @@
 		return nil, err
 	}
 	m.handle(time.Now(), fleet.Heard{Updates: updates})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Updates(), nil
+	return m.Updates(), nil
 }
 
 func (m *members) configure(now time.Time, s *snapshot) {
@@ -89,34 +79,10 @@
 	m.handle(now, fleet.Configured{VMs: seeds})
 }
 
-func (m *members) self() fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Self
-}
-
-func (m *members) peers() []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Peers()
-}
-
-func (m *members) all() []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.Members()
-}
-
-func (m *members) entryList(keep time.Duration) fleet.EntryList {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.EntryList(keep, rand.Float64)
-}
-
 // states returns all VMs as operators are shown them.
 func (m *members) states() []MemberState {
 	var states []MemberState
-	for _, p := range m.all() {
+	for _, p := range m.All() {
 		states = append(states, MemberState{
 			VM:         p.VM,
 			Name:       p.Name(),
@@ -130,20 +96,10 @@
 	return states
 }
 
-// address returns where the router with the given incarnation name listens.
-func (m *members) address(name string) (string, bool) {
-	for _, p := range m.peers() {
-		if p.Name() == name {
-			return p.Address, true
-		}
-	}
-	return "", false
-}
-
 // aliveVMs returns the VMs, this one included, that requests may be sent to.
 func (m *members) aliveVMs() []string {
 	var vms []string
-	for _, p := range m.all() {
+	for _, p := range m.All() {
 		if p.State == fleet.Alive {
 			vms = append(vms, p.VM)
 		}
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -73,7 +73,7 @@
 	if !readMessage(ctx, &message) {
 		return
 	}
-	acknowledged := message.Witness == r.members.self().Name() && r.budgets.AnswerRaise(message.Holder, message.raise())
+	acknowledged := message.Witness == r.members.Self().Name() && r.budgets.AnswerRaise(message.Holder, message.raise())
 	writeJSON(ctx, raiseAnswer{acknowledged})
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -100,7 +100,7 @@
 
 // Recall asks a router to return its unused tokens of a budget.
 func (p *peers) Recall(peer, name string) error {
-	address, ok := p.r.members.address(peer)
+	address, ok := p.r.members.Address(peer)
 	if !ok {
 		return errNotAPeer
 	}
@@ -125,11 +125,11 @@
 
 // Raise asks a witness to acknowledge a ceiling.
 func (p *peers) Raise(action budget.Raise) (bool, error) {
-	address, ok := p.r.members.address(action.Witness)
+	address, ok := p.r.members.Address(action.Witness)
 	if !ok {
 		return false, errNotAPeer
 	}
-	message := raiseMessage{action.Witness, action.Budget, p.r.members.self().Name(), action.Seals, action.Ceiling, action.Spent}
+	message := raiseMessage{action.Witness, action.Budget, p.r.members.Self().Name(), action.Seals, action.Ceiling, action.Spent}
 	var answer raiseAnswer
 	err := p.post(address, raisePath, message, &answer)
 	return err == nil && answer.Acknowledged, err
@@ -137,7 +137,7 @@
 
 // Entrust asks a router to close an account whose holder stops.
 func (p *peers) Entrust(peer string, left budget.LeftBehind) error {
-	address, ok := p.r.members.address(peer)
+	address, ok := p.r.members.Address(peer)
 	if !ok {
 		return errNotAPeer
 	}
@@ -153,7 +153,7 @@
 
 func (p *peers) tellSuspect(s endpoint.Suspicion) {
 	message := suspectMessage{s.Fingerprint, s.Deaths, time.Until(s.Until).Milliseconds()}
-	for _, m := range p.r.members.peers() {
+	for _, m := range p.r.members.Peers() {
 		p.r.background(func() { _ = p.post(m.Address, suspectPath, message, nil) })
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,7 +110,8 @@
 	r.backends = backends{r: r, pool: endpoint.Pool{Policy: r.cfg.Endpoint}}
 	r.bills = bills{r: r}
 	r.orders = orders{r: r}
-	r.members = members{r: r, roster: fleet.Roster{Self: member, Seed: member.Incarnation}}
+	r.members.r = r
+	r.members.Open(member)
 	r.configuration = configuration{r: r}
 }
 
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -130,7 +130,7 @@
 }
 
 func (r *Router) runAtPeerWithTokens(w *work, peer string) (done bool, refused *refusal.Error) {
-	address, ok := r.members.address(peer)
+	address, ok := r.members.Address(peer)
 	if ok {
 		refused = r.forward(w, address, stageBudget)
 	}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -251,7 +251,7 @@
 
 func (r *Router) serveEntries(ctx *fasthttp.RequestCtx) {
 	keep := time.Duration(r.snapshot().limits.EntryKeepSeconds) * time.Second
-	writeJSON(ctx, r.members.entryList(keep))
+	writeJSON(ctx, r.members.EntryList(keep))
 }
 
 func writeRefusal(ctx *fasthttp.RequestCtx, refused *refusal.Error) {
