Make fruitless recalls rare; add the command explain

Cause: after a budget is used up each refused request read its record, and each router recalled from five peers every 2 s, each of which wrote. Change: a record of 0.6 s is ground for a refusal on the platform; the pause between recalls doubles up to 16 s until a grant. Ruled out: refills (half of the writes before the loss of power, few after).

--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -42,6 +42,7 @@
 			settingsCommand(),
 			budgetCommand(),
 			reportCommand(),
+			explainCommand(),
 		},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,7 @@
 		RetireAfter: 10 * time.Minute,
 		Backoff:     300 * time.Millisecond,
 		RecallEvery: 2 * time.Second,
+		FreshFor:    600 * time.Millisecond,
 	}
 }
 
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -38,9 +38,10 @@
 	calledAt time.Time // Of the store call that is in flight.
 	retryAt  time.Time // No store call before this time.
 
-	recalls    map[string]bool // Peers whose answer to a recall is outstanding.
-	recalledAt time.Time
-	answers    []string // Recalls of peers to be answered after the next write.
+	recalls     map[string]bool // Peers whose answer to a recall is outstanding.
+	recalledAt  time.Time
+	recallPause time.Duration // Until the next recall; zero after a grant.
+	answers     []string      // Recalls of peers to be answered after the next write.
 
 	rate      float64 // Tokens a second, decaying.
 	rateAt    time.Time
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -153,9 +153,12 @@
 // An old record is read first: others write it too, so that a write based on it
 // would fail on its condition.
 func (h *Holder) commit(now time.Time, a *account, grant, back int64) []Action {
-	if len(a.record.Holders) > 1 && now.Sub(a.loadedAt) > h.Policy.withDefaults().FreshFor {
+	if len(a.record.Holders) > 1 && now.Sub(a.loadedAt) > h.Policy.withDefaults().RereadAfter {
 		return []Action{h.load(now, a)}
 	}
+	if grant > 0 {
+		a.recallPause = 0
+	}
 	next := a.mine
 	next.Granted += grant
 	next.Returned += back
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -17,7 +17,8 @@
 	RetireAfter time.Duration // Time without use after which the account is closed and forgotten.
 	SeekAfter   time.Duration // Age of a store call after which waiting requests look for tokens at peers.
 	FreshFor    time.Duration // Age up to which a read record may serve as ground for a refusal.
-	RecallEvery time.Duration // Least time between two recalls of one budget.
+	RereadAfter time.Duration // Age of a record after which it is read again before it is written.
+	RecallEvery time.Duration // Least time between two recalls of one budget; doubles while they bring nothing.
 	Backoff     time.Duration // Time without store calls after one that failed.
 	MaxForwards int           // Peers tried for one request.
 }
@@ -34,6 +35,7 @@
 	DefaultRetireAfter = time.Minute
 	DefaultSeekAfter   = 60 * time.Millisecond
 	DefaultFreshFor    = 200 * time.Millisecond
+	DefaultRereadAfter = 200 * time.Millisecond
 	DefaultRecallEvery = 500 * time.Millisecond
 	DefaultBackoff     = 500 * time.Millisecond
 	DefaultMaxForwards = 5
@@ -50,6 +52,7 @@
 	p.RetireAfter = cmp.Or(p.RetireAfter, DefaultRetireAfter)
 	p.SeekAfter = cmp.Or(p.SeekAfter, DefaultSeekAfter)
 	p.FreshFor = cmp.Or(p.FreshFor, DefaultFreshFor)
+	p.RereadAfter = cmp.Or(p.RereadAfter, DefaultRereadAfter)
 	p.RecallEvery = cmp.Or(p.RecallEvery, DefaultRecallEvery)
 	p.Backoff = cmp.Or(p.Backoff, DefaultBackoff)
 	p.MaxForwards = cmp.Or(p.MaxForwards, DefaultMaxForwards)
--- a/pkg/budget/seek.go
+++ b/pkg/budget/seek.go
@@ -82,9 +82,13 @@
 	return best, true
 }
 
+// maxRecallPause bounds the pause between recalls that bring nothing.
+const maxRecallPause = 16 * time.Second
+
 // recall asks all reachable peers for their unused tokens when together they could cover the request.
 func (h *Holder) recall(now time.Time, a *account, r *reservation) []Action {
-	if r.recalled || now.Sub(a.recalledAt) < h.Policy.withDefaults().RecallEvery {
+	every := h.Policy.withDefaults().RecallEvery
+	if r.recalled || now.Sub(a.recalledAt) < max(every, a.recallPause) {
 		return nil
 	}
 	var actions []Action
@@ -99,6 +103,7 @@
 		return nil
 	}
 	a.recalledAt = now
+	a.recallPause = min(max(every, 2*a.recallPause), maxRecallPause)
 	a.recalls = map[string]bool{}
 	for _, action := range actions {
 		a.recalls[action.(Recall).Peer] = true
