--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -257,12 +258,24 @@
 		}
 	}
 	if len(near) >= fewest {
-		return near
+		return sample(near)
 	}
 	if len(all) == 0 {
 		return []string{m.g.cfg.Settings.Listen.Front}
 	}
-	return all
+	return sample(all)
+}
+
+// mostAddresses is the number of addresses that callers take from one answer.
+const mostAddresses = 64
+
+// sample returns a random choice of a list that is too long for one answer.
+func sample(addresses []string) []string {
+	if len(addresses) <= mostAddresses {
+		return addresses
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:mostAddresses]
 }
 
 // front returns where a router takes requests.
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -14,6 +14,7 @@
 const (
 	prefixesKept      = 4096
 	speedSmoothing    = 0.2
+	failureSmoothing  = 0.1
 	defaultSpeed      = 50.0   // Tokens a second of one stream.
 	defaultPromptRate = 2000.0 // Prompt tokens a second.
 	leastMeasured     = 256    // Prompt tokens below which the time to the first token says little about the speed.
@@ -37,7 +38,8 @@
 	leavingBySettings bool
 	leavingByReport   bool
 	downUntil         time.Time
-	deaths            int // Since the last finished request.
+	deaths            int     // Since the last finished request.
+	failures          float64 // Smoothed part of the attempts that failed.
 
 	prefixes *simplelru.LRU[uint64, struct{}]
 }
@@ -148,6 +150,16 @@
 	return false
 }
 
+// noteOutcome folds an attempt that the endpoint finished or failed into the failure rate.
+func (b *backend) noteOutcome(outcome Outcome) {
+	switch outcome {
+	case Finished:
+		b.failures -= failureSmoothing * b.failures
+	case Died, Incomplete:
+		b.failures += failureSmoothing * (1 - b.failures)
+	}
+}
+
 func (b *backend) serves(name string) bool { return slices.Contains(b.Serves, name) }
 
 func (b *backend) measurePrompt(seconds float64, tokens int64) {
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -138,6 +138,7 @@
 func (p *Pool) cost(now time.Time, b *backend, j *job, home bool) float64 {
 	const tieBreak = 0.02
 	seconds := b.startTime(now, j, home, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
+	seconds += p.Policy.FailureWeight * b.failures
 	seconds += p.Policy.LoadWeight * b.occupied(now, p.peers, p.Policy) / float64(b.Slots)
 	return seconds * (1 + tieBreak*p.random.Float64())
 }
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -11,6 +11,7 @@
 	ReportLag     time.Duration // Between an endpoint's count and its arrival here.
 	OutputWeight  float64       // Of the output time beside the time to the first token.
 	LoadWeight    float64       // Seconds that a fully loaded endpoint counts for more than an idle one.
+	FailureWeight float64       // Seconds that an endpoint whose attempts all fail counts for more than one whose attempts do not.
 	MaxAttempts   int           // Attempts of one request.
 	RetryRatio    float64       // Retries earned by each finished request.
 	RetryReserve  float64       // Largest number of retries saved up.
@@ -25,24 +26,26 @@
 
 // Defaults of a Policy.
 const (
-	DefaultMaxAttempts  = 3
-	DefaultOutputWeight = 0.05
-	DefaultLoadWeight   = 0.02
-	DefaultReportLag    = time.Second
-	DefaultRetryRatio   = 0.1
-	DefaultRetryReserve = 10
-	DefaultDownFor      = time.Second
-	DefaultMaxDownFor   = 30 * time.Second
-	DefaultSuspectFor   = 10 * time.Minute
-	DefaultReportTrust  = 2 * time.Second
-	DefaultMaxQueue     = 4096
-	DefaultCacheBenefit = 0.8
+	DefaultMaxAttempts   = 3
+	DefaultOutputWeight  = 0.05
+	DefaultLoadWeight    = 0.02
+	DefaultFailureWeight = 0.1
+	DefaultReportLag     = time.Second
+	DefaultRetryRatio    = 0.1
+	DefaultRetryReserve  = 10
+	DefaultDownFor       = time.Second
+	DefaultMaxDownFor    = 30 * time.Second
+	DefaultSuspectFor    = 10 * time.Minute
+	DefaultReportTrust   = 2 * time.Second
+	DefaultMaxQueue      = 4096
+	DefaultCacheBenefit  = 0.8
 )
 
 func (p Policy) withDefaults() Policy {
 	p.ReportLag = cmp.Or(p.ReportLag, DefaultReportLag)
 	p.OutputWeight = cmp.Or(p.OutputWeight, DefaultOutputWeight)
 	p.LoadWeight = cmp.Or(p.LoadWeight, DefaultLoadWeight)
+	p.FailureWeight = cmp.Or(p.FailureWeight, DefaultFailureWeight)
 	p.MaxAttempts = cmp.Or(p.MaxAttempts, DefaultMaxAttempts)
 	p.RetryRatio = cmp.Or(p.RetryRatio, DefaultRetryRatio)
 	p.RetryReserve = cmp.Or(p.RetryReserve, DefaultRetryReserve)
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -203,6 +203,7 @@
 		return nil
 	}
 	b := j.on
+	b.noteOutcome(ev.Outcome)
 	delete(b.running, ev.ID)
 	b.noteChange(now, -1)
 	j.on = nil
@@ -229,7 +230,9 @@
 func (p *Pool) finished(now time.Time, j *job, b *backend, tokens int64) {
 	b.deaths = 0
 	b.downUntil = time.Time{}
-	if !j.firstAt.IsZero() {
+	if j.firstAt.IsZero() {
+		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The answer came as a whole.
+	} else {
 		b.measureOutput(now.Sub(j.firstAt).Seconds(), tokens)
 	}
 	p.retries = min(p.Policy.RetryReserve, p.retries+p.Policy.RetryRatio)
