Draw first grants once the routers know each other; gather entry changes for 0.5 s

Cause: two seconds after the start the routers of the grown site knew few others, so that each drew on all 24 budgets (25 reads and 14 writes each). Ruled out: conflicts (1 to 7 a router in 38 s).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	membersWait  = 15 * time.Second
 	probeWait    = 20 * time.Millisecond
 
-	endpointsSettle = 200 * time.Millisecond // An endpoint that leaves may be used for 2 s.
+	endpointsSettle = 500 * time.Millisecond // An endpoint that leaves may be used for 2 s.
 	membersSettle   = time.Second            // Probes find new routers meanwhile.
 )
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +42,9 @@
 type members struct {
 	membership.Members
 
-	g    *Gateway
-	name string // Of this incarnation.
+	g         *Gateway
+	name      string       // Of this incarnation.
+	changedAt atomic.Int64 // Last change of the set of serving routers, in nanoseconds of the Unix time.
 
 	entriesMu sync.Mutex
 	entries   map[string]registration // By VM; guarded by entriesMu.
@@ -156,6 +158,7 @@
 		m.g.background(func() { m.probe(action) })
 	}
 	if changed {
+		m.changedAt.Store(now.UnixNano())
 		m.log()
 		m.tellDeciders(now)
 	}
@@ -241,6 +244,14 @@
 	return m.version
 }
 
+// settled reports whether the set of serving routers has not changed for a while.
+func (m *members) settled(now time.Time) bool {
+	return now.Sub(time.Unix(0, m.changedAt.Load())) >= settledAfter
+}
+
+// settledAfter is the time without a change after which the routers are taken to know each other.
+const settledAfter = 1500 * time.Millisecond
+
 // fewest is the number of routers in a caller's data centre below which all routers are named.
 const fewest = 2
 
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -28,13 +28,15 @@
 	}
 }
 
-// drawAfter is the time after the start in which the routers learn of each other.
+// drawAfter is the least time after the start in which the routers learn of each other.
 const drawAfter = 2 * time.Second
 
 // drawFirst draws a first grant of the budgets whose home this router is, before there is demand.
+//
+// Until the routers know each other, each one would take itself for the home of too many budgets.
 func (g *Gateway) drawFirst(now time.Time) {
 	t := g.table.Load()
-	if g.drawn || t == nil || now.Sub(g.started) < drawAfter {
+	if g.drawn || t == nil || now.Sub(g.started) < drawAfter || !g.members.settled(now) {
 		return
 	}
 	g.drawn = true
