Divide the fleet's retry budget among its routers

Change: the pool's reserve is the fleet's divided by the most routers seen; a started router has one retry until it earns more. Unused settings go.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.members.Open(self)
 	g.peers = newPeers(g)
 	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
-	g.endpoints.pool.Policy = g.endpointPolicy(1)
+	g.endpoints.pool.Policy = g.endpointPolicy()
 	g.budgets.Store = keyvalue.NewGuarded(g.store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
@@ -128,15 +128,15 @@
 	}
 }
 
-// endpointPolicy gives this router its part of the repeats that all routers may make.
-func (g *Gateway) endpointPolicy(routers int) endpoint.Policy {
+// endpointPolicy bounds the repeats that this router makes, so that all together keep to the fleet's bound.
+func (g *Gateway) endpointPolicy() endpoint.Policy {
 	const margin = 0.8 // Of the bound, since routers count a moment later than endpoints.
 	retry := g.cfg.Settings.Retry
 	return endpoint.Policy{
 		Seed:         uint64(g.started.UnixNano()),
 		ReportLag:    time.Millisecond,
-		RetryRatio:   margin * retry.Ratio / 2,
-		RetryReserve: max(1, margin*retry.Slack/float64(routers)),
+		RetryRatio:   margin * retry.Ratio,
+		FleetReserve: margin * retry.Slack,
 		DownFor:      500 * time.Millisecond,
 		MaxDownFor:   4 * time.Second,
 		MaxQueue:     1024,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,7 +20,6 @@
 	Memory     MemorySettings
 	Drain      DrainSettings
 	Retry      RetrySettings
-	Endpoint   EndpointSettings
 }
 
 // Listen holds the addresses that the process listens on; an empty one is not served.
@@ -51,14 +50,8 @@
 
 // RetrySettings bound the repeats that all routers together may send to a service.
 type RetrySettings struct {
-	Ratio         float64 // Repeats for each request.
-	Slack         float64 // Repeats in a window beyond the ratio.
-	WindowSeconds float64
-}
-
-// EndpointSettings tell how endpoints come and go.
-type EndpointSettings struct {
-	AddressReuseSeconds float64 // Earliest time after which another endpoint may have an address.
+	Ratio float64 // Repeats for each request.
+	Slack float64 // Repeats beyond the ratio.
 }
 
 // ReadSettings parses and checks settings; file names the source in errors.
@@ -106,7 +99,7 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not HOST:PORT", one.name, one.address))
 		}
 	}
-	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 || s.Retry.WindowSeconds < 0 {
+	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		problems = append(problems, "Retry: a negative number")
 	}
 	return problems
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -15,6 +15,7 @@
 	MaxAttempts   int           // Attempts of one request.
 	RetryRatio    float64       // Retries earned by each finished request.
 	RetryReserve  float64       // Largest number of retries saved up.
+	FleetReserve  float64       // Retries that all routers together may save up; each has its part. Zero leaves RetryReserve alone.
 	DownFor       time.Duration // First pause of an endpoint that died; doubles with each further death.
 	MaxDownFor    time.Duration
 	SuspectFor    time.Duration // Time for which a request stays suspect.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -22,6 +22,7 @@
 	suspects suspects
 	retries  float64 // Retries saved up.
 	peers    int     // Other routers that send to the same endpoints.
+	most     int     // Highest number of them so far: those that are out of sight may still send.
 	random   *rand.Rand
 }
 
@@ -56,6 +57,8 @@
 		return p.dispatch(now)
 	case RoutersCounted:
 		p.peers = max(0, ev.Routers-1)
+		p.most = max(p.most, p.peers)
+		p.retries = min(p.retries, p.retryLimit())
 		return nil
 	case Reported:
 		p.reported(now, ev)
@@ -108,6 +111,9 @@
 	p.backends = map[string]*backend{}
 	p.jobs = map[string]*job{}
 	p.retries = p.Policy.RetryReserve
+	if p.Policy.FleetReserve > 0 {
+		p.retries = 1 // The other routers are not known yet.
+	}
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
 }
 
@@ -235,11 +241,19 @@
 	} else {
 		b.measureOutput(now.Sub(j.firstAt).Seconds(), tokens)
 	}
-	p.retries = min(p.Policy.RetryReserve, p.retries+p.Policy.RetryRatio)
+	p.retries = min(p.retryLimit(), p.retries+p.Policy.RetryRatio)
 	p.suspects.clear(j.Fingerprint)
 	delete(p.jobs, j.ID)
 }
 
+// retryLimit returns the largest number of retries that this router may save up.
+func (p *Pool) retryLimit() float64 {
+	if p.Policy.FleetReserve <= 0 {
+		return p.Policy.RetryReserve
+	}
+	return max(1, p.Policy.FleetReserve/float64(p.most+1))
+}
+
 func (p *Pool) withdraw(now time.Time, id string) {
 	j, ok := p.jobs[id]
 	if !ok {
