--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -15,7 +15,8 @@
 	MaxAttempts   int           // Attempts of one request.
 	RetryRatio    float64       // Retries earned by each finished request.
 	RetryReserve  float64       // Largest number of retries saved up.
-	FleetReserve  float64       // Retries that all routers together may save up; each has its part. Zero leaves RetryReserve alone.
+	FleetReserve  float64       // Retries that all routers together may make in RetryWindow beyond the ratio; each has its part. Zero leaves RetryReserve alone.
+	RetryWindow   time.Duration // Of FleetReserve.
 	DownFor       time.Duration // First pause of an endpoint that died; doubles with each further death.
 	MaxDownFor    time.Duration
 	SuspectFor    time.Duration // Time for which a request stays suspect.
@@ -33,6 +34,7 @@
 	DefaultFailureWeight = 0.1
 	DefaultReportLag     = time.Second
 	DefaultRetryRatio    = 0.1
+	DefaultRetryWindow   = 10 * time.Second
 	DefaultRetryReserve  = 10
 	DefaultDownFor       = time.Second
 	DefaultMaxDownFor    = 30 * time.Second
@@ -49,6 +51,7 @@
 	p.FailureWeight = cmp.Or(p.FailureWeight, DefaultFailureWeight)
 	p.MaxAttempts = cmp.Or(p.MaxAttempts, DefaultMaxAttempts)
 	p.RetryRatio = cmp.Or(p.RetryRatio, DefaultRetryRatio)
+	p.RetryWindow = cmp.Or(p.RetryWindow, DefaultRetryWindow)
 	p.RetryReserve = cmp.Or(p.RetryReserve, DefaultRetryReserve)
 	p.DownFor = cmp.Or(p.DownFor, DefaultDownFor)
 	p.MaxDownFor = cmp.Or(p.MaxDownFor, DefaultMaxDownFor)
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -21,8 +21,9 @@
 	queue    queue
 	suspects suspects
 	retries  float64 // Retries saved up.
-	peers    int     // Other routers that send to the same endpoints.
-	most     int     // Highest number of them so far: those that are out of sight may still send.
+	earnedAt time.Time
+	peers    int // Other routers that send to the same endpoints.
+	most     int // Highest number of them so far: those that are out of sight may still send.
 	random   *rand.Rand
 }
 
@@ -74,6 +75,7 @@
 		return p.dispatch(now)
 	case Tick:
 		p.suspects.expire(now)
+		p.earnRetries(now)
 		return append(p.dispatch(now), p.shed(now)...)
 	default:
 		return nil
@@ -246,14 +248,6 @@
 	delete(p.jobs, j.ID)
 }
 
-// retryLimit returns the largest number of retries that this router may save up.
-func (p *Pool) retryLimit() float64 {
-	if p.Policy.FleetReserve <= 0 {
-		return p.Policy.RetryReserve
-	}
-	return max(1, p.Policy.FleetReserve/float64(p.most+1))
-}
-
 func (p *Pool) withdraw(now time.Time, id string) {
 	j, ok := p.jobs[id]
 	if !ok {
--- a/pkg/endpoint/retry_test.go
+++ b/pkg/endpoint/retry_test.go
@@ -19,6 +19,7 @@
 		for i := range 200 {
 			now := start.Add(time.Duration(i) * 50 * time.Millisecond)
 			id := fmt.Sprint(i)
+			p.Handle(now, Tick{})
 			requests++
 			p.Handle(now, Submitted{Request{ID: id, Serves: "m", OutputTokens: 1, Fingerprint: uint64(i + 1), Deadline: now.Add(time.Second), Repeatable: true}})
 			p.Handle(now, Ended{id, Incomplete, 0})
