--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -30,7 +30,7 @@
 // Pauses between attempts to reach the store.
 const (
 	feedPause    = 100 * time.Millisecond
-	feedPauseMax = time.Second
+	feedPauseMax = 600 * time.Millisecond
 )
 
 // follow keeps a feed up to date until the gateway stops.
@@ -47,6 +47,7 @@
 		switch {
 		case err == nil:
 			if lost {
+				g.guarded.Recovered()
 				g.log.Info("store regained", zap.String("Feed", f.name), zap.Uint64("Revision", next))
 			}
 			lost = false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	peers     *peers
 	metrics   *metrics
 	store     *countedStore
+	guarded   *keyvalue.Guarded // The store for budgets.
 	servers   []*fasthttp.Server
 }
 
@@ -104,7 +105,8 @@
 	g.peers = newPeers(g)
 	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
 	g.endpoints.pool.Policy = g.endpointPolicy()
-	g.budgets.Store = keyvalue.NewGuarded(g.store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
+	g.guarded = keyvalue.NewGuarded(g.store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
+	g.budgets.Store = g.guarded
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
 	g.budgets.Background = g.background
--- a/internal/keyvalue/guarded.go
+++ b/internal/keyvalue/guarded.go
@@ -136,3 +136,11 @@
 	next := min(max(firstPause, 2*g.pause), longestPause)
 	g.pause = next/2 + rand.N(next/2)
 }
+
+// Recovered lets calls through at once, since the store was heard by other means.
+func (g *Guarded) Recovered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failures = 0
+	g.pause = 0
+}
