Refuse requests that come while a stopping router returns its grants

Cause, found in the reading: after the last request in flight a stopping router still accepted requests for up to 0.9 s and could exit in the middle of one. Change: such a request is told that it did not run; the process waits once more until none is in flight and 50 ms for answers on their way.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	if err := g.Start(ctx); err != nil {
+	if err := g.Start(); err != nil {
 		return err
 	}
 	reload(ctx, file, g, log)
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -34,8 +34,7 @@
 type known struct {
 	Entry
 
-	goneAt    time.Time // When its entry disappeared; zero while it is there.
-	leavingAt time.Time // When it was first seen to leave.
+	goneAt time.Time // When its entry disappeared; zero while it is there.
 }
 
 // Times of endpoints that come and go.
@@ -79,7 +78,7 @@
 	present := map[string]bool{}
 	for _, entry := range entries {
 		present[e.g.dialect.EntryName(entry.Key)] = true
-		e.take(now, entry.Key, entry.Value)
+		e.take(entry.Key, entry.Value)
 	}
 	for name, k := range e.known {
 		if !present[name] {
@@ -97,14 +96,14 @@
 			e.miss(now, k)
 		}
 	} else {
-		e.take(now, c.Key, c.Value)
+		e.take(c.Key, c.Value)
 	}
 	e.entriesMu.Unlock()
 	e.configure(now)
 }
 
 // take reads one entry; entriesMu is held.
-func (e *endpoints) take(now time.Time, key string, value []byte) {
+func (e *endpoints) take(key string, value []byte) {
 	entry, err := e.g.dialect.Entry(key, value)
 	if err != nil {
 		e.g.log.Warn("endpoint entry not read", zap.String("Key", key), logfile.Problem(err))
@@ -120,15 +119,11 @@
 		e.g.log.Info("endpoint seen", zap.String("Endpoint", entry.Name), zap.String("Service", entry.Service),
 			zap.String("Address", entry.Address), zap.Int64("Born", entry.Born))
 	}
+	if entry.Leaving && !k.Leaving {
+		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name))
+	}
 	k.Entry = entry
 	k.goneAt = time.Time{}
-	if entry.Leaving && k.leavingAt.IsZero() {
-		k.leavingAt = now
-		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name), zap.String("Reason", "it says so"))
-	}
-	if !entry.Leaving {
-		k.leavingAt = time.Time{}
-	}
 }
 
 // miss notes that an entry disappeared; entriesMu is held.
@@ -227,7 +222,7 @@
 	return k.Address, true
 }
 
-// reported takes over what the endpoint at an address says of its load.
+// reported takes over what an endpoint says of its load.
 func (e *endpoints) reported(now time.Time, name string, load endpoint.Load) {
 	e.handle(now, endpoint.Reported{Endpoint: name, Load: load})
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -111,6 +111,9 @@
 // The run that comes with a refusal names the request for logs.
 func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx) (*run, *refusal.Error) {
 	r := &run{g: g, arrived: now}
+	if g.closing.Load() {
+		return r, refusal.New(refusal.Draining, "")
+	}
 	if problem := ambiguous(ctx.Request.Header.RawHeaders()); problem != "" {
 		ctx.SetConnectionClose()
 		return r, refusal.New(refusal.BadRequest, problem)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"strconv"
 	"sync"
@@ -51,7 +50,8 @@
 	drawn    bool                        // First grants were drawn; used by the timer of the members only.
 	sequence atomic.Uint64               // Of requests.
 	inFlight atomic.Int64
-	draining atomic.Bool
+	draining atomic.Bool // Out of the directory; whoever still comes is served.
+	closing  atomic.Bool // Requests are refused.
 
 	calls     *ants.Pool // Store and peer calls.
 	lines     connections
@@ -152,7 +152,7 @@
 }
 
 // Start listens, joins the fleet and serves until Shutdown.
-func (g *Gateway) Start(_ context.Context) error {
+func (g *Gateway) Start() error {
 	listeners := []struct {
 		name, address string
 		handler       fasthttp.RequestHandler
@@ -193,9 +193,28 @@
 }
 
 func (g *Gateway) startLoops() {
-	go g.follow(feed{name: "configuration", prefix: g.dialect.ConfigurationKey(), reset: g.configurationRead, change: g.configurationChanged})
-	go g.follow(feed{name: "endpoints", prefix: g.dialect.EntryPrefix(), reset: g.endpoints.read, change: g.endpoints.changed, regained: g.endpoints.storeRegained, settle: endpointsSettle})
-	go g.follow(feed{name: "members", prefix: memberPrefix, reset: g.members.read, change: g.members.changed, settle: membersSettle, wait: membersWait})
+	go g.follow(feed{
+		name:   "configuration",
+		prefix: g.dialect.ConfigurationKey(),
+		reset:  g.configurationRead,
+		change: g.configurationChanged,
+	})
+	go g.follow(feed{
+		name:     "endpoints",
+		prefix:   g.dialect.EntryPrefix(),
+		reset:    g.endpoints.read,
+		change:   g.endpoints.changed,
+		regained: g.endpoints.storeRegained,
+		settle:   endpointsSettle,
+	})
+	go g.follow(feed{
+		name:   "members",
+		prefix: memberPrefix,
+		reset:  g.members.read,
+		change: g.members.changed,
+		settle: membersSettle,
+		wait:   membersWait,
+	})
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go decision.Every(decidePeriod, g.stop, g.decide)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -16,6 +16,7 @@
 	drainPoll    = 20 * time.Millisecond
 	reserveAtEnd = 900 * time.Millisecond // Of the grace, to return grants and stop.
 	serveAtLeast = 3 * directoryKeep      // Some callers keep a list of addresses three times as long as asked.
+	flushAtEnd   = 50 * time.Millisecond  // For answers that are given to the system but not yet written.
 )
 
 // Shutdown leaves the directory, serves whoever still comes, finishes what is in flight, returns the grants and stops.
@@ -30,13 +31,16 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	decision.Pause(min(serveAtLeast, g.cfg.Settings.grace()/2), ctx.Done())
-	waitUntil(ctx, func() bool { return g.inFlight.Load() == 0 })
+	g.waitIdle(ctx)
+	g.closing.Store(true)
 	g.budgets.Handle(time.Now(), budget.Drain{})
 	last, stop := context.WithTimeout(context.Background(), reserveAtEnd/2)
 	defer stop()
 	waitUntil(last, g.budgets.Drained)
 	returned := g.budgets.Drained()
 	g.budgets.Leave(time.Now())
+	g.waitIdle(last)
+	decision.Pause(flushAtEnd, nil)
 	close(g.stop)
 	g.log.Info("stopped", zap.Bool("GrantsReturned", returned), zap.Int64("InFlight", g.inFlight.Load()))
 }
@@ -52,6 +56,11 @@
 	}
 }
 
+// waitIdle waits until no request is in flight.
+func (g *Gateway) waitIdle(ctx context.Context) {
+	waitUntil(ctx, func() bool { return g.inFlight.Load() == 0 })
+}
+
 func waitUntil(ctx context.Context, done func() bool) {
 	for ctx.Err() == nil && !done() {
 		decision.Pause(drainPoll, ctx.Done())
