Bound the requests in flight by the process's memory

One router held about 1,200 requests for silent endpoints; at 129 of 134 MB it did little but collect garbage (steps of 5 s without a line), and noticed neither callers nor peers. Ruled out: the pool's search (0.13 of 0.4 cores at most), descriptors (2,530 of 4,100). Change: requests beyond the memory's part are refused at once; header buffers of 17 KB are released while idle; a body is written without a copy; whether all endpoints are paused is found once for each dispatch. Test: TestRequestsBeyondTheMemoryAreRefusedAtOnce.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -92,8 +92,8 @@
 // boundMemory keeps the heap small: a process above its VM's limit is killed.
 func boundMemory(m gateway.MemorySettings) {
 	const (
-		heapPart = 0.6 // Of the limit; the rest is for what the runtime does not count.
-		gcPart   = 50  // Percent of growth between two collections.
+		heapPart = 0.75 // Of the limit; the rest is for what the runtime does not count.
+		gcPart   = 50   // Percent of growth between two collections.
 		megabyte = 1 << 20
 	)
 	debug.SetGCPercent(gcPart)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,7 +59,8 @@
 		a.end()
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
-	if _, err := conn.Write(encode(r, g.dialect.Forward(r, f), address)); err != nil {
+	message := net.Buffers{encodeHead(r, g.dialect.Forward(r, f), address), r.Body}
+	if _, err := message.WriteTo(conn.Conn); err != nil {
 		a.end()
 		return nil, errors.Wrap(err, "writing a request")
 	}
@@ -167,10 +169,10 @@
 	return 0
 }
 
-// encode returns the bytes of a request.
-func encode(r *Request, headers []Header, address string) []byte {
+// encodeHead returns the bytes of a request before its body.
+func encodeHead(r *Request, headers []Header, address string) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\n")
 	host := r.Host
 	if host == "" {
@@ -184,7 +186,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -15,7 +15,7 @@
 
 // Limits of the servers.
 const (
-	headerBuffer  = 32 << 10
+	headerBuffer  = 17 << 10         // Bytes; above the largest header that configurations allow.
 	maxBody       = 16 << 20         // Bytes; the configuration may allow less.
 	readTimeout   = 30 * time.Second // To read one request.
 	idleTimeout   = 90 * time.Second // Above every idle time that callers keep to.
@@ -34,7 +34,7 @@
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		WriteTimeout:                 writeTimeout,
-		ReduceMemoryUsage:            false,
+		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
@@ -54,6 +54,21 @@
 	ctx.SetConnectionClose()
 }
 
+// Memory that requests in flight may take.
+const (
+	requestBytes  = 160 << 10 // Of one request with its body, connections and goroutines.
+	requestsPart  = 0.4       // Of the process's memory.
+	leastInFlight = 16
+)
+
+// mostInFlight returns the number of requests that the process's memory allows at once.
+func mostInFlight(m MemorySettings) int64 {
+	if m.LimitMegabytes <= 0 {
+		return maxConcurrent
+	}
+	return max(leastInFlight, int64(requestsPart*float64(m.LimitMegabytes<<20)/requestBytes))
+}
+
 // serveFront answers a caller's request.
 func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
@@ -111,8 +126,11 @@
 // The run that comes with a refusal names the request for logs.
 func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx) (*run, *refusal.Error) {
 	r := &run{g: g, arrived: now}
-	if g.closing.Load() {
+	switch {
+	case g.closing.Load():
 		return r, refusal.New(refusal.Draining, "")
+	case g.inFlight.Load() > mostInFlight(g.cfg.Settings.Memory):
+		return r, refusal.New(refusal.Overloaded, "")
 	}
 	if problem := ambiguous(ctx.Request.Header.RawHeaders()); problem != "" {
 		ctx.SetConnectionClose()
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -7,10 +7,16 @@
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
+// room tells what a look at the endpoints for a model or service found.
+type room struct {
+	open        bool // An endpoint may have room.
+	ignorePause bool // All endpoints are paused, so that pauses do not count.
+}
+
 // dispatch sends every waiting request for which an endpoint has room.
 func (p *Pool) dispatch(now time.Time) []Action {
 	actions := p.refuseSuspects(now)
-	rooms := map[string]bool{} // Whether an endpoint for a model or service may have room.
+	rooms := map[string]room{}
 	for {
 		var chosen *backend
 		j := p.queue.next(func(j *job) bool {
@@ -29,30 +35,33 @@
 }
 
 // chooseIn is choose, but looks at the endpoints only once for all jobs that find none with room.
-func (p *Pool) chooseIn(now time.Time, j *job, rooms map[string]bool) *backend {
-	room, known := rooms[j.Serves]
+func (p *Pool) chooseIn(now time.Time, j *job, rooms map[string]room) *backend {
+	found, known := rooms[j.Serves]
 	if !known {
-		room = p.hasRoom(now, j.Serves)
-		rooms[j.Serves] = room
+		found = p.look(now, j.Serves)
+		rooms[j.Serves] = found
 	}
-	if !room {
+	if !found.open {
 		return nil
 	}
-	return p.choose(now, j)
+	return p.choose(now, j, found.ignorePause)
 }
 
-func (p *Pool) hasRoom(now time.Time, serves string) bool {
+// look finds out whether an endpoint for a model or service may have room.
+func (p *Pool) look(now time.Time, serves string) room {
+	found := room{ignorePause: p.allPaused(now, serves)}
 	for _, name := range p.names {
-		if p.takes(now, p.backends[name], serves) {
-			return true
+		if p.takes(now, p.backends[name], serves, found.ignorePause) {
+			found.open = true
+			return found
 		}
 	}
-	return false
+	return found
 }
 
 // takes reports whether an endpoint may be sent a request for a model or service now.
-func (p *Pool) takes(now time.Time, b *backend, serves string) bool {
-	return b.serves(serves) && b.usable(now, p.allPaused(now, serves)) && b.hasSlot(now, p.peers, p.Policy)
+func (p *Pool) takes(now time.Time, b *backend, serves string, ignorePause bool) bool {
+	return b.serves(serves) && b.usable(now, ignorePause) && b.hasSlot(now, p.peers, p.Policy)
 }
 
 // allPaused reports whether every endpoint for a model or service that does not leave is paused; a doubtful endpoint is better than none.
@@ -97,7 +106,7 @@
 }
 
 // choose returns the usable endpoint with room whose first token is expected soonest, or nil.
-func (p *Pool) choose(now time.Time, j *job) *backend {
+func (p *Pool) choose(now time.Time, j *job, ignorePause bool) *backend {
 	suspect := p.suspects.deaths(now, j.Fingerprint) > 0
 	if suspect && p.copyInFlight(j.Fingerprint) {
 		return nil
@@ -107,7 +116,7 @@
 	var least float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !p.takes(now, b, j.Serves) {
+		if !p.takes(now, b, j.Serves, ignorePause) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
