--- a/internal/gateway/connections.go
+++ b/internal/connection/pool.go
@@ -1,4 +1,4 @@
-package gateway
+package connection
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// errNotSent marks an attempt of which no byte can have reached the endpoint.
-var errNotSent = errors.New("no connection could be opened")
+// ErrNotSent marks an attempt of which no byte can have reached the endpoint.
+var ErrNotSent = errors.New("no connection could be opened")
 
 // Limits of connections to endpoints.
 const (
@@ -20,30 +20,34 @@
 	userTimeout    = 2 * time.Second // Unacknowledged bytes end a connection after this time.
 	keepIdle       = 3 * time.Second // For a connection whose endpoint names no time of its own.
 	idlePerAddress = 24
-	freshFor       = 300 * time.Millisecond // Age of the last use up to which a kept connection may carry a request that must not be repeated.
+	FreshFor       = 300 * time.Millisecond // Age of the last use up to which a kept connection may carry a request that must not be repeated.
 )
 
-// connections keeps idle connections to endpoints.
-type connections struct {
+// Pool keeps idle connections to endpoints; its zero value is empty.
+type Pool struct {
 	mu   sync.Mutex
-	idle map[string][]*connection // By address, the last used at the end; guarded by mu.
+	idle map[string][]*Conn // By address, the last used at the end; guarded by mu.
 }
 
-// connection is one connection to an endpoint; it carries one request at a time.
-type connection struct {
+// Conn is one connection to an endpoint; it carries one request at a time.
+type Conn struct {
 	net.Conn
 
-	in      *bufio.Reader
+	In   *bufio.Reader
+	Kept bool // It carried a request before.
+
 	address string
-	kept    bool // It carried a request before.
 	usedAt  time.Time
 	until   time.Time // The endpoint may close it after this time.
 }
 
-// take returns a connection to an address that was used after the given time, or opens one.
-func (c *connections) take(now time.Time, address string, usedAfter time.Time) (*connection, error) {
+// Address returns where the connection goes.
+func (c *Conn) Address() string { return c.address }
+
+// Take returns a connection to an address that was used after the given time, or opens one.
+func (p *Pool) Take(now time.Time, address string, usedAfter time.Time) (*Conn, error) {
 	for {
-		kept := c.pop(address)
+		kept := p.pop(address)
 		if kept == nil {
 			return dial(address)
 		}
@@ -51,52 +55,52 @@
 			_ = kept.Close()
 			continue
 		}
-		kept.kept = true
+		kept.Kept = true
 		return kept, nil
 	}
 }
 
-func (c *connections) pop(address string) *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
+func (p *Pool) pop(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
 	last := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
+	p.idle[address] = list[:len(list)-1]
 	return last
 }
 
-// put keeps a connection after a whole answer.
-func (c *connections) put(now time.Time, kept *connection, idle time.Duration) {
+// Put keeps a connection after a whole answer.
+func (p *Pool) Put(now time.Time, kept *Conn, idle time.Duration) {
 	if idle <= 0 {
 		idle = keepIdle
 	}
 	kept.usedAt = now
 	kept.until = now.Add(idle * 3 / 4) // A margin for requests that are on their way when the endpoint closes.
-	if kept.in.Buffered() > 0 || kept.SetDeadline(time.Time{}) != nil {
+	if kept.In.Buffered() > 0 || kept.SetDeadline(time.Time{}) != nil {
 		_ = kept.Close()
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle == nil {
-		c.idle = map[string][]*connection{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*Conn{}
 	}
-	if len(c.idle[kept.address]) >= idlePerAddress {
+	if len(p.idle[kept.address]) >= idlePerAddress {
 		_ = kept.Close()
 		return
 	}
-	c.idle[kept.address] = append(c.idle[kept.address], kept)
+	p.idle[kept.address] = append(p.idle[kept.address], kept)
 }
 
-// expire closes the connections that have been idle for too long.
-func (c *connections) expire(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, list := range c.idle {
-		var left []*connection
+// Expire closes the connections that have been idle for too long.
+func (p *Pool) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		var left []*Conn
 		for _, kept := range list {
 			if now.After(kept.until) {
 				_ = kept.Close()
@@ -105,20 +109,20 @@
 			left = append(left, kept)
 		}
 		if len(left) == 0 {
-			delete(c.idle, address)
+			delete(p.idle, address)
 			continue
 		}
-		c.idle[address] = left
+		p.idle[address] = left
 	}
 }
 
-func dial(address string) (*connection, error) {
+func dial(address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: boundSilence}
 	conn, err := d.Dial("tcp4", address)
 	if err != nil {
-		return nil, errors.Wrapf(errNotSent, "dialling %s: %v", address, err)
+		return nil, errors.Wrapf(ErrNotSent, "dialling %s: %v", address, err)
 	}
-	return &connection{Conn: conn, in: bufio.NewReaderSize(conn, 4<<10), address: address}, nil
+	return &Conn{Conn: conn, In: bufio.NewReaderSize(conn, 4<<10), address: address}, nil
 }
 
 // boundSilence makes the system end a connection whose other side acknowledges nothing.
@@ -131,8 +135,8 @@
 }
 
 // quiet reports whether an idle connection is open and has no bytes pending.
-func (c *connection) quiet() bool {
-	if c.in.Buffered() > 0 {
+func (c *Conn) quiet() bool {
+	if c.In.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/gateway/caller_watch.go
+++ b/internal/connection/watch.go
@@ -1,4 +1,4 @@
-package gateway
+package connection
 
 import (
 	"net"
@@ -7,20 +7,21 @@
 	"time"
 )
 
-// callerWatch notices that a caller closes its connection while its request is served.
+// CallerWatch notices that a caller closes its connection while its request is served.
 //
 // It parks in the runtime's poller. While it watches, nothing else reads from
 // the connection. Bytes that arrive belong to the next request and end the watch.
-type callerWatch struct {
+type CallerWatch struct {
+	Gone chan struct{} // Closed when the caller left.
+
 	conn net.Conn
-	gone chan struct{} // Closed when the caller left.
 	done chan struct{} // Closed when the watch ended.
 	once sync.Once
 }
 
-// watchCaller starts to watch the connection of a request.
-func watchCaller(conn net.Conn) *callerWatch {
-	w := &callerWatch{conn: conn, gone: make(chan struct{}), done: make(chan struct{})}
+// WatchCaller starts to watch the connection of a request.
+func WatchCaller(conn net.Conn) *CallerWatch {
+	w := &CallerWatch{Gone: make(chan struct{}), conn: conn, done: make(chan struct{})}
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		close(w.done)
@@ -35,7 +36,7 @@
 	return w
 }
 
-func (w *callerWatch) run(raw syscall.RawConn) {
+func (w *CallerWatch) run(raw syscall.RawConn) {
 	defer close(w.done)
 	found := peekNothing
 	err := raw.Read(func(fd uintptr) bool {
@@ -43,12 +44,12 @@
 		return found != peekNothing
 	})
 	if err == nil && found == peekClosed {
-		close(w.gone)
+		close(w.Gone)
 	}
 }
 
-// stop ends the watch, after which the connection may be read again.
-func (w *callerWatch) stop() {
+// Stop ends the watch, after which the connection may be read again.
+func (w *CallerWatch) Stop() {
 	w.once.Do(func() {
 		_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 		<-w.done
--- a/internal/gateway/counted_store.go
+++ b/internal/gateway/counted_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,10 +17,31 @@
 
 	count    func(call string, err error)
 	answered atomic.Int64 // Nanoseconds of the Unix time; zero before the first answer.
+
+	mu     sync.Mutex
+	recent map[string]int // Calls by name since they were last taken; guarded by mu.
+}
+
+// takeRecent returns the calls since it was last asked, by name; failed ones are counted apart.
+func (s *countedStore) takeRecent() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := s.recent
+	s.recent = nil
+	return recent
 }
 
 func (s *countedStore) note(call string, err error) {
 	s.count(call, err)
+	s.mu.Lock()
+	if s.recent == nil {
+		s.recent = map[string]int{}
+	}
+	s.recent[call]++
+	if err != nil {
+		s.recent[call+"Failed"]++
+	}
+	s.mu.Unlock()
 	if err == nil || errors.Is(err, keyvalue.ErrHistoryGone) || errors.Is(err, keyvalue.ErrLeaseEnded) {
 		s.answered.Store(time.Now().UnixNano())
 	}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -1,18 +1,16 @@
-// Package gateway serves opaque requests: it finds the route of each, reserves its tokens, chooses an endpoint and hands the answer on.
+// Package gateway is the daemon that runs on every entry VM of the users' platform.
 //
-// A request is bytes and typed facts. A Dialect translates both sides, so that
-// the package knows no header's name and no body's format. Decisions are made
-// by the deciders under pkg: budgets by budget.Holder, endpoints, waiting and
-// refusing by endpoint.Pool, members by fleet.Roster. The package carries them
-// out.
+// It follows the configuration, the endpoints' entries and the other routers in
+// the platform's store, and hands callers' requests to request.Forwarder. A
+// Dialect translates what callers, endpoints and operators say, so that the
+// package knows no header's name and no body's format.
 //
 // Invariants:
 //
-//   - A request that may not be repeated is sent to an endpoint again only after a proof that it did not run.
-//   - A refusal that promises that a request did not run is given only if no attempt may have run.
-//   - A caller gets the head of a success only with a whole body, or with the first whole event of a stream.
-//   - A stream passes each event once and in order, and ends as complete only when the endpoint ended it so.
 //   - The configuration in force never goes back to a lower version.
+//   - While the store is away, the last state stands.
+//   - An endpoint whose entry is gone or says that it leaves gets no new requests; an entry that
+//     lapsed while the store was away has the time to be written again.
 //
 // Each request is served by the goroutine of its connection. Store and peer
 // calls run on a pool of workers.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/entries.go
@@ -8,26 +8,20 @@
 
 	"go.uber.org/zap"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 )
 
-// endpoints follows the endpoints' entries and carries out what the pool decides.
-type endpoints struct {
+// entries follows what the endpoints say of themselves in the store and tells the pool which of them to use.
+type entries struct {
 	g *Gateway
 
-	mu   sync.Mutex
-	pool endpoint.Pool // Guarded by mu.
-
-	// Decisions takes what was decided about each request.
-	decisions decision.Waiters[endpoint.Action]
-
-	entriesMu  sync.Mutex
-	known      map[string]*known // By name; guarded by entriesMu.
-	regainedAt time.Time         // When the store was last heard again after it was away; guarded by entriesMu.
-	restarted  map[string]bool   // Endpoints that started again under their name; guarded by entriesMu.
+	mu         sync.Mutex
+	known      map[string]*known // By name; guarded by mu.
+	regainedAt time.Time         // When the store was last heard again after it was away; guarded by mu.
+	restarted  map[string]bool   // Endpoints that started again under their name; guarded by mu.
 }
 
 // known is an endpoint that has or had an entry.
@@ -45,36 +39,16 @@
 	keepGone    = 30 * time.Second        // For requests that still run there.
 )
 
-func (e *endpoints) handle(now time.Time, ev endpoint.Event) {
-	for _, action := range decision.Locked(&e.mu, e.pool.Handle, now, ev) {
-		e.perform(now, action)
-	}
-}
-
-func (e *endpoints) perform(now time.Time, action endpoint.Action) {
-	switch action := action.(type) {
-	case endpoint.Send:
-		if !e.decisions.Send(action.ID, action) {
-			e.handle(now, endpoint.Ended{ID: action.ID, Outcome: endpoint.Rejected})
-			e.handle(now, endpoint.Withdrawn{ID: action.ID})
-		}
-	case endpoint.Refuse:
-		e.decisions.Send(action.ID, action)
-	case endpoint.TellSuspect:
-		e.g.peers.tellSuspect(action.Suspect)
-	}
-}
-
 // storeRegained notes that the store is heard again, so that entries may have lapsed though their endpoints live.
-func (e *endpoints) storeRegained(now time.Time) {
-	e.entriesMu.Lock()
-	defer e.entriesMu.Unlock()
+func (e *entries) storeRegained(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.regainedAt = now
 }
 
 // read takes all entries over; endpoints without one are treated as if their entries had just disappeared.
-func (e *endpoints) read(now time.Time, entries []keyvalue.Entry) {
-	e.entriesMu.Lock()
+func (e *entries) read(now time.Time, entries []keyvalue.Entry) {
+	e.mu.Lock()
 	present := map[string]bool{}
 	for _, entry := range entries {
 		present[e.g.dialect.EntryName(entry.Key)] = true
@@ -85,12 +59,12 @@
 			e.miss(now, k)
 		}
 	}
-	e.entriesMu.Unlock()
+	e.mu.Unlock()
 	e.configure(now)
 }
 
-func (e *endpoints) changed(now time.Time, c keyvalue.Change) {
-	e.entriesMu.Lock()
+func (e *entries) changed(now time.Time, c keyvalue.Change) {
+	e.mu.Lock()
 	if c.Deleted {
 		if k, ok := e.known[e.g.dialect.EntryName(c.Key)]; ok {
 			e.miss(now, k)
@@ -98,12 +72,12 @@
 	} else {
 		e.take(c.Key, c.Value)
 	}
-	e.entriesMu.Unlock()
+	e.mu.Unlock()
 	e.configure(now)
 }
 
-// take reads one entry; entriesMu is held.
-func (e *endpoints) take(key string, value []byte) {
+// take reads one entry; mu is held.
+func (e *entries) take(key string, value []byte) {
 	entry, err := e.g.dialect.Entry(key, value)
 	if err != nil {
 		e.g.log.Warn("endpoint entry not read", zap.String("Key", key), logfile.Problem(err))
@@ -126,8 +100,8 @@
 	k.goneAt = time.Time{}
 }
 
-// miss notes that an entry disappeared; entriesMu is held.
-func (e *endpoints) miss(now time.Time, k *known) {
+// miss notes that an entry disappeared; mu is held.
+func (e *entries) miss(now time.Time, k *known) {
 	if !k.goneAt.IsZero() {
 		return
 	}
@@ -135,11 +109,11 @@
 	e.g.log.Info("endpoint entry gone", zap.String("Endpoint", k.Name), zap.Bool("MayReturn", e.lapsed(k)))
 }
 
-// usable reports whether an endpoint may get new requests; entriesMu is held.
+// usable reports whether an endpoint may get new requests; mu is held.
 //
 // An entry that lapsed while the store was away counts as there until its
 // endpoint has had the time to write it again.
-func (e *endpoints) usable(now time.Time, k *known) bool {
+func (e *entries) usable(now time.Time, k *known) bool {
 	switch {
 	case k.Leaving:
 		return false
@@ -149,22 +123,21 @@
 	return e.lapsed(k) && now.Sub(e.regainedAt) < returnGrace && now.Sub(k.goneAt) < goneGrace
 }
 
-// lapsed reports whether an entry may have disappeared only because the store was away; entriesMu is held.
-func (e *endpoints) lapsed(k *known) bool {
+// lapsed reports whether an entry may have disappeared only because the store was away; mu is held.
+func (e *entries) lapsed(k *known) bool {
 	since := k.goneAt.Sub(e.regainedAt)
 	return since >= 0 && since < lapseSeen
 }
 
 // configure tells the pool which endpoints there are and which of them leave.
-func (e *endpoints) configure(now time.Time) {
+func (e *entries) configure(now time.Time) {
 	t := e.g.table.Load()
 	if t == nil {
 		return
 	}
-	e.entriesMu.Lock()
+	e.mu.Lock()
 	maps.DeleteFunc(e.known, func(_ string, k *known) bool { return !k.goneAt.IsZero() && now.Sub(k.goneAt) > keepGone })
-	var list, fresh []endpoint.Endpoint
-	var leaving []endpoint.LeavingSeen
+	list := make([]placement.Located, 0, len(e.known))
 	for _, name := range slices.Sorted(maps.Keys(e.known)) {
 		k := e.known[name]
 		described := endpoint.Endpoint{Name: name, Serves: []string{k.Service}, Slots: k.Slots}
@@ -172,23 +145,12 @@
 			described.PromptPerSecond = startPromptRate
 			described.TokensPerSecond = startTokenRate
 		}
-		leaving = append(leaving, endpoint.LeavingSeen{Endpoint: name, Leaving: !e.usable(now, k)})
-		if e.restarted[name] {
-			fresh = append(fresh, described)
-			continue
-		}
-		list = append(list, described)
-	}
-	clear(e.restarted)
-	e.entriesMu.Unlock()
-	e.handle(now, endpoint.Configured{Endpoints: list})
-	if len(fresh) > 0 {
-		// What was known of an endpoint that started again no longer holds.
-		e.handle(now, endpoint.Configured{Endpoints: append(list, fresh...)})
-	}
-	for _, ev := range leaving {
-		e.handle(now, ev)
+		list = append(list, placement.Located{Endpoint: described, Address: k.Address, Leaving: !e.usable(now, k)})
 	}
+	restarted := e.restarted
+	e.restarted = map[string]bool{}
+	e.mu.Unlock()
+	e.g.endpoints.Configure(now, list, restarted)
 }
 
 // Speeds that a model engine is taken to have until they are measured, in tokens a second.
@@ -198,31 +160,15 @@
 )
 
 // tick lets time pass; entries that did not come back are dropped.
-func (e *endpoints) tick(now time.Time) {
-	e.entriesMu.Lock()
+func (e *entries) tick(now time.Time) {
+	e.mu.Lock()
 	pending := false
 	for _, k := range e.known {
 		pending = pending || !k.goneAt.IsZero()
 	}
-	e.entriesMu.Unlock()
+	e.mu.Unlock()
 	if pending {
 		e.configure(now)
 	}
-	e.handle(now, endpoint.Tick{})
-}
-
-// address returns where an endpoint listens.
-func (e *endpoints) address(name string) (string, bool) {
-	e.entriesMu.Lock()
-	defer e.entriesMu.Unlock()
-	k, ok := e.known[name]
-	if !ok {
-		return "", false
-	}
-	return k.Address, true
-}
-
-// reported takes over what an endpoint says of its load.
-func (e *endpoints) reported(now time.Time, name string, load endpoint.Load) {
-	e.handle(now, endpoint.Reported{Endpoint: name, Load: load})
+	e.g.endpoints.Handle(now, endpoint.Tick{})
 }
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/entries_test.go
@@ -26,8 +26,8 @@
 
 var began = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
-func newEndpoints(names ...string) *endpoints {
-	e := &endpoints{
+func newEntries(names ...string) *entries {
+	e := &entries{
 		g:         &Gateway{dialect: entryDialect{}, log: zap.NewNop()},
 		known:     map[string]*known{},
 		restarted: map[string]bool{},
@@ -38,14 +38,14 @@
 	return e
 }
 
-func (e *endpoints) remove(now time.Time, name string) {
+func (e *entries) remove(now time.Time, name string) {
 	e.changed(now, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/" + name}, Deleted: true})
 }
 
-func (e *endpoints) takes(now time.Time, name string) bool { return e.usable(now, e.known[name]) }
+func (e *entries) takes(now time.Time, name string) bool { return e.usable(now, e.known[name]) }
 
 func TestAnEntryThatLapsedDuringAnOutageMayReturn(t *testing.T) {
-	e := newEndpoints("back", "gone")
+	e := newEntries("back", "gone")
 	back := began.Add(10 * time.Second)
 	e.storeRegained(back)
 	e.remove(back, "back")
@@ -58,7 +58,7 @@
 
 // TestAnEntryRemovedOnAHealthyWatchIsGoneAtOnce keeps two findings: removals soon after an outage were held as if they had lapsed.
 func TestAnEntryRemovedOnAHealthyWatchIsGoneAtOnce(t *testing.T) {
-	e := newEndpoints("a", "b")
+	e := newEntries("a", "b")
 	back := began.Add(10 * time.Second)
 	e.storeRegained(back)
 	e.remove(back, "a")
@@ -72,7 +72,7 @@
 // TestAnEntryIsNeverHeldForTwoSeconds bounds what an endpoint gets that left in the moment of the store's return.
 func TestAnEntryIsNeverHeldForTwoSeconds(t *testing.T) {
 	for after := time.Duration(0); after < lapseSeen; after += 50 * time.Millisecond {
-		e := newEndpoints("a")
+		e := newEntries("a")
 		back := began.Add(10 * time.Second)
 		e.storeRegained(back)
 		e.remove(back.Add(after), "a")
@@ -81,7 +81,7 @@
 }
 
 func TestAReadAfterALostHistoryFindsWhatIsMissing(t *testing.T) {
-	e := newEndpoints("a", "b", "c")
+	e := newEntries("a", "b", "c")
 	now := began.Add(time.Minute)
 	e.read(now, []keyvalue.Entry{{Key: "e/a", Value: []byte("ready")}, {Key: "e/b", Value: []byte("leaving")}, {Key: "e/d", Value: []byte("\xff")}})
 	require.True(t, e.takes(now, "a"))
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -135,7 +135,7 @@
 	g.members.keepConfiguration(cfg.Version, value)
 	g.prepay(now, cfg.Accounts)
 	g.table.Store(route.NewTable(cfg))
-	g.endpoints.configure(now)
+	g.entries.configure(now)
 	g.log.Info("configuration in force", zap.Uint64("Version", cfg.Version), zap.String("Source", source),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Accounts", len(cfg.Accounts)))
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -5,10 +5,14 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
@@ -69,6 +73,14 @@
 	return max(leastInFlight, int64(requestsPart*float64(m.LimitMegabytes<<20)/requestBytes))
 }
 
+// call is a caller's request on its way through the gateway.
+type call struct {
+	g       *Gateway
+	req     request.Request
+	route   *route.Route
+	version uint64 // Of the configuration that decided.
+}
+
 // serveFront answers a caller's request.
 func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
@@ -76,24 +88,24 @@
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	r, refused := g.admit(now, ctx)
+	c, refused := g.admit(now, ctx)
 	if refused != nil {
-		g.log.Info("refused", zap.String("Request", r.req.ID), zap.Stringer("Kind", refused.Kind), zap.String("Detail", refused.Detail), zap.Uint64("Version", r.version))
+		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refused.Kind), zap.String("Detail", refused.Detail), zap.Uint64("Version", c.version))
 		g.metrics.ended("", refused.Kind.String(), time.Since(now))
 		g.dialect.Refuse(&ctx.Response, refused)
 		g.inFlight.Add(-1)
 		return
 	}
-	watch := watchCaller(ctx.Conn())
-	r.gone = watch.gone
+	watch := connection.WatchCaller(ctx.Conn())
+	c.req.Gone = watch.Gone
 	done := func() {
-		watch.stop()
+		watch.Stop()
 		g.inFlight.Add(-1)
 	}
-	out := r.serve()
-	r.observe(out)
+	out := g.forwarder.Carry(&c.req)
+	c.observe(out)
 	if out.Stream != nil {
-		out.Stream.closed = done
+		out.Stream.OnClose = done
 	} else {
 		done()
 	}
@@ -101,7 +113,7 @@
 }
 
 // write translates a reply.
-func (g *Gateway) write(ctx *fasthttp.RequestCtx, out *reply) {
+func (g *Gateway) write(ctx *fasthttp.RequestCtx, out *request.Reply) {
 	if out.Refused != nil {
 		if out.Refused.Kind == refusal.CallerGone {
 			ctx.SetConnectionClose()
@@ -121,63 +133,103 @@
 	ctx.SetBodyStream(out.Stream, -1)
 }
 
-// admit checks a request and finds its route and account.
+// admit checks a request and finds its terms.
 //
-// The run that comes with a refusal names the request for logs.
-func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx) (*run, *refusal.Error) {
-	r := &run{g: g, arrived: now}
+// The call that comes with a refusal names the request for logs.
+func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx) (*call, *refusal.Error) {
+	c := &call{g: g, req: request.Request{Arrived: now, Codec: g.dialect}}
 	switch {
 	case g.closing.Load():
-		return r, refusal.New(refusal.Draining, "")
+		return c, refusal.New(refusal.Draining, "")
 	case g.inFlight.Load() > g.most:
-		return r, refusal.New(refusal.Overloaded, "")
+		return c, refusal.New(refusal.Overloaded, "")
 	}
 	if problem := ambiguous(ctx.Request.Header.RawHeaders()); problem != "" {
 		ctx.SetConnectionClose()
-		return r, refusal.New(refusal.BadRequest, problem)
+		return c, refusal.New(refusal.BadRequest, problem)
 	}
 	t := g.table.Load()
 	if t == nil {
-		return r, refusal.New(refusal.NotConfigured, "")
+		return c, refusal.New(refusal.NotConfigured, "")
 	}
-	r.version = t.Version
-	req, err := g.dialect.Request(&ctx.Request.Header)
-	r.req = req
+	c.version = t.Version
+	asked, err := g.dialect.Request(&ctx.Request.Header)
+	c.req.Message = asked.Message
 	if err != nil {
-		return r, refusal.New(refusal.BadRequest, err.Error())
+		return c, refusal.New(refusal.BadRequest, err.Error())
 	}
-	if refused := r.find(t); refused != nil {
-		return r, refused
+	if refused := c.find(t, &asked); refused != nil {
+		return c, refused
 	}
 	if t.Limits.BodyBytes > 0 && len(ctx.Request.Body()) > t.Limits.BodyBytes {
-		return r, refusal.New(refusal.TooLarge, "body")
-	}
-	r.id = g.newID()
-	r.req.Body = ctx.Request.Body()
-	r.fingerprint = r.req.fingerprint()
-	r.lastEvent = r.req.LastEvent
-	r.deadline = now.Add(shortest(r.req.Wait, r.route.Timeout))
-	return r, nil
+		return c, refusal.New(refusal.TooLarge, "body")
+	}
+	c.req.Run = g.newID()
+	c.req.Body = ctx.Request.Body()
+	c.req.Fingerprint = fingerprint(asked.Key, &c.req.Message)
+	c.req.Deadline = now.Add(shortest(asked.Wait, c.route.Timeout))
+	return c, nil
+}
+
+// fingerprint names what is asked, so that a request that comes again is known again.
+func fingerprint(key string, m *request.Message) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{key, m.Method, m.Host, m.Target} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(m.Body)
+	return h.Sum64()
 }
 
-// find sets the route, the account and the service of a request.
-func (r *run) find(t *route.Table) *refusal.Error {
+// find sets the route and the terms of a request.
+func (c *call) find(t *route.Table, asked *Asked) *refusal.Error {
 	var ok bool
-	if r.route, ok = t.Lookup(r.req.Host, r.req.Path); !ok {
-		return refusal.New(refusal.UnknownRoute, r.req.Host+r.req.Path)
+	if c.route, ok = t.Lookup(asked.Host, asked.Path); !ok {
+		return refusal.New(refusal.UnknownRoute, asked.Host+asked.Path)
 	}
-	if t.Keyed && !r.route.Anonymous {
-		if r.account, ok = t.Account(r.req.Key); !ok {
-			return refusal.New(refusal.Unauthenticated, r.route.Name)
+	var account *route.Account
+	if t.Keyed && !c.route.Anonymous {
+		if account, ok = t.Account(asked.Key); !ok {
+			return refusal.New(refusal.Unauthenticated, c.route.Name)
 		}
 	}
-	name := r.route.Service(r.req.ID)
-	if r.service, ok = t.Service(name); !ok {
-		r.service = &route.Service{Name: name}
+	name := c.route.Service(asked.ID)
+	service, ok := t.Service(name)
+	if !ok {
+		service = &route.Service{Name: name}
 	}
+	c.req.Terms = terms(c.route, service, account, asked.Model)
 	return nil
 }
 
+// terms returns what the configuration says about the requests of a route and an account; the account is nil where no key is needed.
+func terms(r *route.Route, s *route.Service, a *route.Account, model bool) request.Terms {
+	out := request.Terms{
+		Urgency:        r.Rank,
+		Service:        s.Name,
+		TokensPerEvent: s.TokensPerEvent,
+		Repeatable:     r.Repeatable(),
+		Streams:        r.Kind == route.Stream,
+		Resumable:      r.Resumable,
+		Attempts:       r.Attempts,
+		Objective:      r.Objective,
+		Gap:            r.Gap,
+	}
+	if a != nil {
+		out.Account = a.Name
+		if a.Rank != nil {
+			out.Urgency = *a.Rank
+		}
+		if a.Limited && model {
+			out.Budget = a.Name
+			out.Prepaid = a.Prepaid
+		}
+	}
+	out.Class = endpoint.Class(min(max(out.Urgency, 0), int(endpoint.Batch)))
+	return out
+}
+
 // defaultWait bounds a request whose caller and route name no time.
 const defaultWait = 30 * time.Second
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,9 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/peer"
+	"github.com/foxtaillanding/foxtaillanding/internal/placement"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -55,11 +58,13 @@
 	closing  atomic.Bool // Requests are refused.
 
 	calls     *ants.Pool // Store and peer calls.
-	lines     connections
+	forwarder request.Forwarder
 	budgets   ledger.Ledger
-	endpoints endpoints
+	endpoints placement.Endpoints
+	entries   entries
 	members   members
-	peers     *peers
+	peers     *peer.Client
+	service   peer.Service
 	metrics   *metrics
 	store     *countedStore
 	guarded   *keyvalue.Guarded // The store for budgets.
@@ -73,6 +78,8 @@
 	membersWait  = 15 * time.Second
 	probeWait    = 20 * time.Millisecond
 
+	summaryPeriod = 10 * time.Second // Between two lines that sum up the store calls.
+
 	endpointsSettle = 500 * time.Millisecond // An endpoint that leaves may be used for 2 s.
 	membersSettle   = time.Second            // Probes find new routers meanwhile.
 )
@@ -94,28 +101,47 @@
 		return nil, err
 	}
 	g.store.count = g.metrics.storeCall
+	g.join()
+	return g, nil
+}
+
+// join connects the slices of the gateway with each other.
+func (g *Gateway) join() {
+	settings := g.cfg.Settings
 	self := fleet.Member{
-		VM:          cfg.Settings.VM,
+		VM:          settings.VM,
 		Incarnation: uint64(g.started.UnixNano()),
-		Address:     cfg.Settings.Listen.Peer,
-		DataCentre:  cfg.Settings.DataCentre,
+		Address:     settings.Listen.Peer,
+		DataCentre:  settings.DataCentre,
 		Size:        1,
 	}
-	g.members = members{g: g, name: self.Name(), entries: map[string]registration{}}
-	g.members.Open(self)
-	g.peers = newPeers(g)
-	g.endpoints = endpoints{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
-	g.endpoints.pool.Policy = g.endpointPolicy()
-	g.guarded = keyvalue.NewGuarded(g.store, perRouter(cfg.Settings.Store.WritesPerSecond), perRouter(cfg.Settings.Store.ReadsPerSecond))
+	g.members.open(g, self)
+	g.peers = peer.NewClient(peerTimeout)
+	g.peers.Members = &g.members.Members
+	g.peers.Log = g.log
+	g.peers.Background = g.background
+	g.service = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints}
+	g.entries = entries{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
+	g.endpoints.TellSuspect = g.peers.TellSuspect
+	g.endpoints.Open(g.endpointPolicy())
+	g.guarded = keyvalue.NewGuarded(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
 	g.budgets.Store = g.guarded
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
 	g.budgets.Background = g.background
 	g.budgets.Billed = g.metrics.billed
 	g.budgets.Open(self.Name(), budgetPolicy())
-	return g, nil
+	g.forwarder.Endpoints = &g.endpoints
+	g.forwarder.Budgets = &g.budgets
+	g.forwarder.Lenders = g.peers
+	g.forwarder.Log = g.log
+	g.forwarder.Observer = g.metrics
+	g.forwarder.Background = g.background
 }
 
+// peerTimeout bounds a call to a peer.
+const peerTimeout = 800 * time.Millisecond
+
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
@@ -161,7 +187,7 @@
 		{"Peer", g.cfg.Settings.Listen.Peer, g.servePeer},
 		{"Ready", g.cfg.Settings.Listen.Ready, g.serveReady},
 		{"Directory", g.cfg.Settings.Listen.Directory, g.serveDirectory},
-		{"Metrics", g.cfg.Settings.Listen.Metrics, g.metrics.handler()},
+		{"Metrics", g.cfg.Settings.Listen.Metrics, g.metrics.Handler()},
 		{"Front", g.cfg.Settings.Listen.Front, g.serveFront},
 	}
 	for _, l := range listeners {
@@ -202,9 +228,9 @@
 	go g.follow(feed{
 		name:     "endpoints",
 		prefix:   g.dialect.EntryPrefix(),
-		reset:    g.endpoints.read,
-		change:   g.endpoints.changed,
-		regained: g.endpoints.storeRegained,
+		reset:    g.entries.read,
+		change:   g.entries.changed,
+		regained: g.entries.storeRegained,
 		settle:   endpointsSettle,
 	})
 	go g.follow(feed{
@@ -218,12 +244,18 @@
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go decision.Every(decidePeriod, g.stop, g.decide)
+	go decision.Every(summaryPeriod, g.stop, g.summarize)
+}
+
+// summarize logs how often the store was called lately and how long it has been silent.
+func (g *Gateway) summarize(now time.Time) {
+	g.log.Info("store calls", zap.Any("Calls", g.store.takeRecent()), zap.Duration("Silence", g.store.silence(now)))
 }
 
 // decide lets time pass for the deciders that serve requests.
 func (g *Gateway) decide(now time.Time) {
 	g.budgets.Handle(now, budget.Tick{})
-	g.endpoints.tick(now)
+	g.entries.tick(now)
 }
 
 // background runs f on the pool for store and peer calls.
@@ -235,5 +267,5 @@
 
 // newID returns the name of a request within the fleet.
 func (g *Gateway) newID() string {
-	return g.members.name + "-" + strconv.FormatUint(g.sequence.Add(1), 36)
+	return g.members.Self().Name() + "-" + strconv.FormatUint(g.sequence.Add(1), 36)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -20,7 +20,6 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
-	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
@@ -43,7 +42,6 @@
 	membership.Members
 
 	g         *Gateway
-	name      string       // Of this incarnation.
 	changedAt atomic.Int64 // Last change of the set of serving routers, in nanoseconds of the Unix time.
 
 	entriesMu sync.Mutex
@@ -54,6 +52,19 @@
 	config   []byte // As it stands in the store; guarded by configMu.
 }
 
+func (m *members) open(g *Gateway, self fleet.Member) {
+	m.g = g
+	m.entries = map[string]registration{}
+	m.Budgets = &g.budgets
+	m.Endpoints = &g.endpoints
+	m.Background = g.background
+	m.Probe = func(address string, updates []fleet.Member) ([]fleet.Member, error) {
+		return g.peers.Probe(address, updates)
+	}
+	m.Changed = m.noteChange
+	m.Open(self)
+}
+
 // register keeps this router's key in the store until the gateway stops.
 func (m *members) register() {
 	s := m.g.cfg.Settings
@@ -149,22 +160,12 @@
 		seeds = append(seeds, fleet.Seed{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: 1})
 	}
 	m.entriesMu.Unlock()
-	m.handle(now, fleet.Configured{VMs: seeds})
-}
-
-func (m *members) handle(now time.Time, ev fleet.Event) {
-	probes, changed := m.Apply(now, ev)
-	for _, action := range probes {
-		m.g.background(func() { m.probe(action) })
-	}
-	if changed {
-		m.changedAt.Store(now.UnixNano())
-		m.log()
-		m.tellDeciders(now)
-	}
+	m.Handle(now, fleet.Configured{VMs: seeds})
 }
 
-func (m *members) log() {
+// noteChange records who serves and since when.
+func (m *members) noteChange(now time.Time) {
+	m.changedAt.Store(now.UnixNano())
 	var states []string
 	for _, p := range m.All() {
 		states = append(states, p.Name()+" "+p.State.String())
@@ -172,44 +173,13 @@
 	m.g.log.Info("members changed", zap.Strings("Members", states))
 }
 
-// tellDeciders brings the set of live routers to the deciders that act on it.
-func (m *members) tellDeciders(now time.Time) {
-	var changed budget.PeersChanged
-	for _, p := range m.Peers() {
-		changed.Peers = append(changed.Peers, p.Name())
-		if p.State == fleet.Alive && p.DataCentre != m.g.cfg.Settings.DataCentre {
-			changed.Witnesses = append(changed.Witnesses, p.Name())
-		}
-	}
-	m.g.budgets.Handle(now, changed)
-	m.g.endpoints.handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
-}
-
 func (m *members) tick(now time.Time) {
-	m.handle(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining.Load()})
-	m.handle(now, fleet.Tick{})
-	// Two changes that were told at once may have arrived in the wrong order.
-	m.tellDeciders(now)
+	m.Tick(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining.Load()})
 	m.fetchConfiguration(now)
-	m.g.lines.expire(now)
+	m.g.forwarder.Lines.Expire(now)
 	m.g.drawFirst(now)
 }
 
-func (m *members) probe(action fleet.Probe) {
-	updates, err := m.g.peers.probe(action.Address, action.Updates)
-	if err != nil {
-		m.handle(time.Now(), fleet.ProbeFailed{VM: action.VM})
-		return
-	}
-	m.handle(time.Now(), fleet.Heard{Updates: updates})
-}
-
-// answer takes a peer's updates and returns this router's own.
-func (m *members) answer(updates []fleet.Member) []fleet.Member {
-	m.handle(time.Now(), fleet.Heard{Updates: updates})
-	return m.Updates()
-}
-
 // fetchConfiguration asks a peer that has a newer configuration for it, in case the store does not tell this router.
 func (m *members) fetchConfiguration(now time.Time) {
 	newest := fleet.Member{Revision: m.configVersion()}
@@ -222,7 +192,7 @@
 		return
 	}
 	m.g.background(func() {
-		value, err := m.g.peers.configuration(newest.Address)
+		value, err := m.g.peers.Get(newest.Address, configurationPath)
 		if err != nil {
 			m.g.log.Warn("configuration not fetched", zap.String("Peer", newest.Name()), logfile.Problem(err))
 			return
@@ -298,3 +268,13 @@
 	}
 	return m.entries[vm].Front
 }
+
+// configuration returns the configuration in force as it stands in the store.
+func (m *members) configuration() ([]byte, error) {
+	m.configMu.Lock()
+	defer m.configMu.Unlock()
+	if m.config == nil {
+		return nil, errors.New("no configuration is known")
+	}
+	return m.config, nil
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -1,67 +1,30 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
-// Header is one header line.
-type Header struct{ Name, Value string }
+// Asked is a caller's request as its head tells it.
+type Asked struct {
+	request.Message
 
-// Request is a caller's request: opaque bytes and the facts that decide how it is handled.
-type Request struct {
-	ID           string // The caller's name of it, told to the endpoint.
-	Method       string
-	Target       string // Path and query as the caller sent them.
-	Host         string
-	Path         string
-	Headers      []Header // To be passed on.
-	Body         []byte
-	Key          string        // API key.
-	Wait         time.Duration // Time for which the caller waits; zero when it does not say.
-	LastEvent    string        // ID of the event after which a stream goes on.
-	Model        bool          // The request describes a prompt.
-	PromptTokens int64
-	OutputTokens int64 // At most.
-	Parts        []endpoint.Part
+	Path string        // The target without its query.
+	Key  string        // API key.
+	Wait time.Duration // Time for which the caller waits; zero when it does not say.
 }
 
-// Forwarding is what the router adds to a request for one attempt.
-type Forwarding struct {
-	Endpoint  string // Its ID; another endpoint at the address refuses the request.
-	Account   string
-	Wait      time.Duration // Time that is left.
-	LastEvent string
-	Urgency   int // 0 comes first.
-	Model     bool
-}
-
-// Facts are what an endpoint says about its answer beside status and body.
-type Facts struct {
-	ID      string // Of the request that it answers.
-	Sealed  bool   // The endpoint made the answer itself.
-	NotRun  bool   // The endpoint says that it did not run the request.
-	Encoded bool   // The body is not the one that the endpoint sealed.
-	Load    *Load
-}
-
-// Load is an endpoint's own count of its work.
-type Load struct{ Running, Waiting, Slots int }
-
-// Dialect translates between callers, endpoints and the gateway.
+// Dialect translates between callers, endpoints, operators and the gateway.
 type Dialect interface {
+	request.Codec
+
 	// Request reads a caller's request without its body.
-	Request(h *fasthttp.RequestHeader) (Request, error)
-	// Forward returns the headers of one attempt.
-	Forward(r *Request, f Forwarding) []Header
-	// Answer reads the head of an endpoint's answer.
-	Answer(status int, h http.Header) Facts
+	Request(h *fasthttp.RequestHeader) (Asked, error)
 	// Refuse writes a refusal.
 	Refuse(resp *fasthttp.Response, refused *refusal.Error)
 	// Directory reads a caller's question which addresses to use; ok is false when it is none.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -49,7 +49,7 @@
 func (g *Gateway) tellPeers() {
 	for _, p := range g.members.Peers() {
 		g.background(func() {
-			if _, err := g.peers.probe(p.Address, g.members.Updates()); err != nil {
+			if _, err := g.peers.Probe(p.Address, g.members.Updates()); err != nil {
 				g.log.Warn("peer not told of the shutdown", zap.String("Peer", p.Name()), logfile.Problem(err))
 			}
 		})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -46,6 +46,7 @@
 	// Decisions takes what was decided about each request.
 	Decisions decision.Waiters[budget.Action]
 
+	loans   loans
 	recalls decision.Waiters[struct{}]
 	raises  decision.Waiters[bool]
 
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -1,5 +1,6 @@
-// Package membership guards the roster of one router by a mutex and answers questions about it.
+// Package membership carries out what the roster of one router decides.
 //
-// What the roster decides is carried out by its owner, which also has the
-// connections to the other routers.
+// Members guards the roster by one mutex, which is never held during a probe,
+// and brings the set of live routers to the deciders that act on it: budgets
+// choose witnesses and borrow from peers, endpoints divide what the fleet shares.
 package membership
--- /dev/null
+++ b/internal/peer/service_test.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/placement"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+)
+
+var paths = []string{ProbePath, RecallPath, RaisePath, EntrustPath, ReservePath, SettlePath, SuspectPath}
+
+// newService returns the service of a router that is alone and whose budget has the given tokens.
+func newService(t testing.TB, tokens int64) *Service {
+	store := &keyvalue.Memory{}
+	record, err := budget.Record{Budget: "team"}.TopUp("first", tokens)
+	require.NoError(t, err)
+	require.NoError(t, ledger.PutRecord(t.Context(), store, record))
+	s := &Service{Members: &membership.Members{}, Budgets: &ledger.Ledger{}, Endpoints: &placement.Endpoints{}}
+	s.Members.Budgets = s.Budgets
+	s.Members.Endpoints = s.Endpoints
+	s.Members.Background = func(func()) {}
+	self := fleet.Member{VM: "vm-1", Incarnation: 1, Address: "a:1", DataCentre: "dc", Size: 1}
+	s.Members.Open(self)
+	s.Budgets.Store = store
+	s.Budgets.Log = zap.NewNop()
+	s.Budgets.Background = func(f func()) { go f() }
+	s.Budgets.Open(self.Name(), budget.Policy{})
+	return s
+}
+
+func ask(t *testing.T, s *Service, path string, message any) bool {
+	body, err := json.Marshal(message)
+	require.NoError(t, err)
+	answer, known, err := s.Answer(path, body)
+	require.True(t, known)
+	require.NoError(t, err)
+	var v verdict
+	require.NoError(t, json.Unmarshal(answer, &v))
+	return v.Granted
+}
+
+func TestALoanAskedForTwiceIsOneAndIsSettledOnce(t *testing.T) {
+	s := newService(t, 1000)
+	loan := ledger.Loan{Request: "run-1", Budget: "team", Tokens: 600, KeepMilliseconds: time.Minute.Milliseconds()}
+	require.True(t, ask(t, s, ReservePath, loan))
+	require.True(t, ask(t, s, ReservePath, loan), "the answer to the first one was lost")
+	view, _ := s.Budgets.View("team")
+	require.EqualValues(t, 600, view.Reserved)
+	for range 2 {
+		ask(t, s, SettlePath, ledger.Settlement{Request: "run-1", Tokens: 250})
+	}
+	view, _ = s.Budgets.View("team")
+	require.Zero(t, view.Reserved)
+	require.EqualValues(t, 250, view.Account.Spent)
+	require.False(t, ask(t, s, ReservePath, ledger.Loan{Request: "run-2", Budget: "team", Tokens: 5000}))
+}
+
+func TestALoanThatIsNeverSettledIsBilledInFull(t *testing.T) {
+	s := newService(t, 1000)
+	require.True(t, ask(t, s, ReservePath, ledger.Loan{Request: "run-1", Budget: "team", Tokens: 300, KeepMilliseconds: 1}))
+	require.Eventually(t, func() bool {
+		view, _ := s.Budgets.View("team")
+		return view.Account.Spent == 300 && view.Reserved == 0
+	}, 10*time.Second, time.Millisecond)
+}
+
+func TestALaterIncarnationDoesNotAnswerForAnEarlierOne(t *testing.T) {
+	s := newService(t, 1000)
+	raise := raiseMessage{Holder: "vm-2.1", Raise: budget.Raise{Budget: "team", Witness: "vm-1.0", Ceiling: 10}}
+	require.False(t, ask(t, s, RaisePath, raise))
+}
+
+// TestWitnessesAreOfOtherDataCentres counts whom the holder may choose: one of its own data centre could be lost with it.
+func TestWitnessesAreOfOtherDataCentres(t *testing.T) {
+	var told budget.PeersChanged
+	m := &membership.Members{Budgets: budgetsFunc(func(ev budget.Event) { told = ev.(budget.PeersChanged) }), Endpoints: &placement.Endpoints{}, Background: func(func()) {}}
+	m.Open(fleet.Member{VM: "vm-1", Incarnation: 1, Address: "a:1", DataCentre: "dc-1", Size: 1})
+	m.Handle(time.Now(), fleet.Configured{VMs: []fleet.Seed{
+		{VM: "vm-2", Address: "b:1", DataCentre: "dc-1", Size: 1},
+		{VM: "vm-3", Address: "c:1", DataCentre: "dc-2", Size: 1},
+	}})
+	m.Answer(time.Now(), []fleet.Member{
+		{VM: "vm-2", Incarnation: 1, Address: "b:1", DataCentre: "dc-1", Size: 1},
+		{VM: "vm-3", Incarnation: 1, Address: "c:1", DataCentre: "dc-2", Size: 1},
+	})
+	require.Len(t, told.Peers, 2)
+	require.Len(t, told.Witnesses, 1)
+	require.Contains(t, told.Witnesses[0], "vm-3")
+}
+
+type budgetsFunc func(budget.Event)
+
+func (f budgetsFunc) Handle(_ time.Time, ev budget.Event) { f(ev) }
+
+// FuzzAnswer sends arbitrary bytes to every path.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(`[{"VM":"a","Incarnation":1,"State":9}]`))
+	f.Add([]byte(`{"Budget":"t"}`))
+	f.Add([]byte(`{"Holder":"x","Raise":{"Witness":"vm-1.1","Ceiling":9}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := newService(t, 10)
+		for _, path := range paths {
+			_, known, _ := s.Answer(path, data)
+			require.True(t, known)
+		}
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/request/attempt.go
@@ -1,4 +1,4 @@
-package gateway
+package request
 
 import (
 	"bytes"
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 )
 
 // Limits of answers.
@@ -27,44 +29,55 @@
 
 // attempt is one exchange with one endpoint.
 type attempt struct {
-	conn  *connection
+	conn  *connection.Conn
 	resp  *http.Response
+	body  *answerBody
 	facts Facts
 
 	mu    sync.Mutex
 	ended bool // Guarded by mu; the connection is closed or kept.
 }
 
-// send writes a request to an endpoint and reads the head of its answer.
+// answerBody notes whether an answer's body was read to its end.
+type answerBody struct {
+	io.Reader
+
+	ended bool
+}
+
+// Read reads the next bytes.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// send writes the request to an endpoint and reads the head of its answer.
 //
-// An error that is errNotSent proves that the request did not run.
-func (g *Gateway) send(now time.Time, r *Request, f Forwarding, once bool, until time.Time, cancelled <-chan struct{}) (*attempt, error) {
-	address, ok := g.endpoints.address(f.Endpoint)
-	if !ok {
-		return nil, errors.Wrapf(errNotSent, "endpoint %s has no address", f.Endpoint)
-	}
+// An error that is connection.ErrNotSent proves that the request did not run.
+func (r *run) send(now time.Time, address string, f Forwarding) (*attempt, error) {
 	var usedAfter time.Time
-	if once {
-		usedAfter = now.Add(-freshFor)
+	if !r.req.Repeatable {
+		usedAfter = now.Add(-connection.FreshFor)
 	}
-	conn, err := g.lines.take(now, address, usedAfter)
+	conn, err := r.f.Lines.Take(now, address, usedAfter)
 	if err != nil {
 		return nil, err
 	}
-	g.metrics.connection(conn.kept)
+	r.f.observer().Connected(conn.Kept)
 	a := &attempt{conn: conn}
-	release := a.endOn(cancelled)
+	release := a.endOn(r.req.Gone)
 	defer release()
-	if err := conn.SetDeadline(until); err != nil {
+	if err := conn.SetDeadline(r.until(now)); err != nil {
 		a.end()
-		return nil, errors.Wrap(errNotSent, err.Error())
+		return nil, errors.Wrap(connection.ErrNotSent, err.Error())
 	}
-	message := net.Buffers{encodeHead(r, g.dialect.Forward(r, f), address), r.Body}
+	message := net.Buffers{encodeHead(&r.req.Message, r.req.Codec.Forward(&r.req.Message, f), address), r.req.Body}
 	if _, err := message.WriteTo(conn.Conn); err != nil {
 		a.end()
 		return nil, errors.Wrap(err, "writing a request")
 	}
-	if err := a.readHead(g.dialect, r); err != nil {
+	if err := a.readHead(r.req); err != nil {
 		a.end()
 		return nil, err
 	}
@@ -72,25 +85,23 @@
 }
 
 // readHead reads the head of the answer; answers to other requests are skipped.
-func (a *attempt) readHead(d Dialect, r *Request) error {
+func (a *attempt) readHead(r *Request) error {
 	for range 1 + strayAnswers {
-		resp, err := http.ReadResponse(a.conn.in, &http.Request{Method: r.Method}) //nolint:bodyclose // The attempt ends or keeps the connection.
+		resp, err := http.ReadResponse(a.conn.In, &http.Request{Method: r.Method}) //nolint:bodyclose // The attempt ends or keeps the connection.
 		if err != nil {
 			return errors.Wrap(err, "reading an answer")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // An interim answer.
 		}
-		facts := d.Answer(resp.StatusCode, resp.Header)
+		facts := r.Codec.Answer(r.ID, resp.StatusCode, resp.Header)
 		if facts.ID == r.ID {
-			a.resp = resp
-			a.facts = facts
+			a.take(resp, facts)
 			return nil
 		}
-		if !a.conn.kept || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if !a.conn.Kept || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			if facts.ID == "" && facts.NotRun {
-				a.resp = resp
-				a.facts = facts
+				a.take(resp, facts)
 				return nil
 			}
 			return errStray
@@ -102,9 +113,15 @@
 	return errStray
 }
 
+func (a *attempt) take(resp *http.Response, facts Facts) {
+	a.resp = resp
+	a.body = &answerBody{Reader: resp.Body}
+	a.facts = facts
+}
+
 // whole reads the rest of the answer's body.
 func (a *attempt) whole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(a.body, maxAnswer+1))
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "reading an answer's body")
@@ -143,19 +160,19 @@
 	_ = a.conn.Close()
 }
 
-// keep returns the connection after a whole answer for the next request.
-func (a *attempt) keep(now time.Time, lines *connections) {
+// keep returns the connection for the next request if the answer was read to its end.
+func (a *attempt) keep(now time.Time, lines *connection.Pool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
 		return
 	}
 	a.ended = true
-	if a.resp.Close {
+	if a.resp.Close || !a.body.ended {
 		_ = a.conn.Close()
 		return
 	}
-	lines.put(now, a.conn, keepAlive(a.resp.Header.Get("Keep-Alive")))
+	lines.Put(now, a.conn, keepAlive(a.resp.Header.Get("Keep-Alive")))
 }
 
 // keepAlive returns the idle time that a Keep-Alive header names, or zero.
@@ -170,7 +187,7 @@
 }
 
 // encodeHead returns the bytes of a request before its body.
-func encodeHead(r *Request, headers []Header, address string) []byte {
+func encodeHead(r *Message, headers []Header, address string) []byte {
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\n")
--- a/internal/gateway/events.go
+++ b/internal/request/events.go
@@ -1,4 +1,4 @@
-package gateway
+package request
 
 import (
 	"bufio"
@@ -8,50 +8,45 @@
 	"github.com/cockroachdb/errors"
 )
 
-// event is one event of a stream with the blank line that ends it.
-type event struct {
-	raw []byte
-	id  string
-}
-
 // maxEvent bounds an event in bytes.
 const maxEvent = 1 << 20
 
-// eventReader cuts a stream into whole events.
-type eventReader struct {
+// Cutter cuts server-sent events out of a stream; it implements EventReader.
+type Cutter struct {
 	in *bufio.Reader
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(body, 2<<10)}
+// NewCutter returns a Cutter of a body.
+func NewCutter(body io.Reader) *Cutter {
+	return &Cutter{in: bufio.NewReaderSize(body, 2<<10)}
 }
 
-// next returns the next whole event; io.EOF tells that the stream ended after a whole one.
-func (r *eventReader) next() (event, error) {
-	var e event
+// Next returns the next whole event; io.EOF tells that the stream ended after a whole one.
+func (r *Cutter) Next() (Event, error) {
+	var e Event
 	for {
 		line, err := r.in.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		e.Raw = append(e.Raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.raw) > maxEvent {
+			if len(e.Raw) > maxEvent {
 				return e, errors.Newf("an event exceeds %d bytes", maxEvent)
 			}
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) > 0:
 			return e, io.ErrUnexpectedEOF
 		case err != nil:
 			return e, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(bytes.TrimSpace(e.raw)) == 0 {
+			if len(bytes.TrimSpace(e.Raw)) == 0 {
 				continue // Blank lines between events go with the next one.
 			}
 			return e, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(value))
+			e.ID = string(bytes.TrimSpace(value))
 		}
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/request/run.go
@@ -1,32 +1,23 @@
-package gateway
+package request
 
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
-	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
-// run is one request on its way; the goroutine of its connection owns it.
+// run is one request on its way.
 type run struct {
-	g           *Gateway
-	id          string // Of this run within the fleet; the caller's own ID may come twice.
-	req         Request
-	route       *route.Route
-	service     *route.Service
-	account     *route.Account // Nil on a route that needs no key.
-	version     uint64         // Of the configuration that decided.
-	arrived     time.Time
-	deadline    time.Time
-	fingerprint uint64
-	gone        <-chan struct{} // Closed when the caller left.
+	f   *Forwarder
+	req *Request
 
+	direct    bool // To one address; the pool does not know the request.
 	decisions <-chan endpoint.Action
 	reserved  reservation
 	attempts  int
@@ -34,28 +25,23 @@
 	ran       bool      // An attempt may have run.
 	events    int64     // Passed on to the caller.
 	lastEvent string
-	fallback  *reply // A failure that an endpoint answered with, in case no other attempt succeeds.
+	fallback  *Reply // A failure that an endpoint answered with, in case no other attempt succeeds.
 }
 
-// reply is what a caller is answered; exactly one of Refused, Body and Stream counts.
-type reply struct {
-	Status  int
-	Headers []Header
-	Body    []byte
-	Stream  *stream
-	Refused *refusal.Error
-}
-
-func refused(kind refusal.Kind, detail string) *reply {
-	return &reply{Refused: refusal.New(kind, detail)}
+// told adds to a reply what was done for it.
+func (r *run) told(out *Reply) *Reply {
+	out.Ran = r.ran
+	out.Attempts = r.attempts
+	out.Lender = r.reserved.lender
+	return out
 }
 
 // serve carries a request to its answer, or to the first event of its stream.
-func (r *run) serve() *reply {
+func (r *run) serve() *Reply {
 	if out := r.reserve(); out != nil {
 		return out
 	}
-	r.decisions = r.g.endpoints.decisions.Open(r.id)
+	r.decisions = r.f.Endpoints.Decisions.Open(r.req.Run)
 	out := r.place()
 	if out.Stream == nil {
 		r.finish()
@@ -65,81 +51,64 @@
 
 // finish frees what the request holds and bills it.
 func (r *run) finish() {
-	r.g.endpoints.decisions.Close(r.id)
-	r.g.endpoints.handle(time.Now(), endpoint.Withdrawn{ID: r.id})
+	if r.direct {
+		return
+	}
+	r.f.Endpoints.Decisions.Close(r.req.Run)
+	r.f.Endpoints.Handle(time.Now(), endpoint.Withdrawn{ID: r.req.Run})
 	r.settle()
 }
 
 // place offers the request to the pool and makes the attempts that it decides on.
-func (r *run) place() *reply {
-	r.g.endpoints.handle(time.Now(), endpoint.Submitted{Request: r.described()})
+func (r *run) place() *Reply {
+	r.f.Endpoints.Handle(time.Now(), endpoint.Submitted{Request: r.described()})
 	for {
-		send, out := r.await()
+		send, out := r.await(r.req.startBy())
 		if out != nil {
 			return out
 		}
 		if out := r.try(send); out != nil {
 			return out
 		}
-		r.g.endpoints.handle(time.Now(), endpoint.Retried{ID: r.id})
+		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.Run})
 	}
 }
 
 func (r *run) described() endpoint.Request {
-	out := endpoint.Request{
-		ID:           r.id,
-		Serves:       r.service.Name,
-		Class:        class(r.rank()),
+	return endpoint.Request{
+		ID:           r.req.Run,
+		Serves:       r.req.Service,
+		Account:      r.req.Account,
+		Weight:       r.req.Weight,
+		Class:        r.req.Class,
 		PromptTokens: r.req.PromptTokens,
 		OutputTokens: max(1, r.req.OutputTokens),
+		Prefix:       r.req.Prefix,
 		Parts:        r.req.Parts,
-		Deadline:     r.deadline,
-		Fingerprint:  r.fingerprint,
-		Repeatable:   r.route.Repeatable(),
-		Attempts:     max(1, r.route.Attempts),
-	}
-	if r.account != nil {
-		out.Account = r.account.Name
-	}
-	return out
-}
-
-// fingerprint names what is asked, so that a request that comes again is known again.
-func (r *Request) fingerprint() uint64 {
-	h := xxhash.New()
-	for _, part := range []string{r.Key, r.Method, r.Host, r.Target} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.Body)
-	return h.Sum64()
-}
-
-// rank is the urgency of the request; an account's goes before its route's.
-func (r *run) rank() int {
-	if r.account != nil && r.account.Rank != nil {
-		return *r.account.Rank
+		Deadline:     r.req.startBy(),
+		Fingerprint:  r.req.Fingerprint,
+		Repeatable:   r.req.Repeatable,
+		Attempts:     max(1, r.req.Attempts),
 	}
-	return r.route.Rank
-}
-
-// class returns the class of a rank.
-func class(rank int) endpoint.Class {
-	return endpoint.Class(min(max(rank, 0), int(endpoint.Batch)))
 }
 
 // await waits for the pool's decision; reply is set when the request ends without an attempt.
-func (r *run) await() (endpoint.Send, *reply) {
-	timer := time.NewTimer(time.Until(r.deadline))
+func (r *run) await(until time.Time) (endpoint.Send, *Reply) {
+	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	select {
-	case <-r.gone:
+	case <-r.req.Gone:
 		return endpoint.Send{}, refused(refusal.CallerGone, "")
 	case <-timer.C:
 		return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
 	case action := <-r.decisions:
 		switch action := action.(type) {
 		case endpoint.Send:
+			if !time.Now().Before(until) {
+				// The process was held up: what was decided in time is no longer in time.
+				r.ended(endpoint.Abandoned, 0)
+				return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
+			}
 			return action, nil
 		case endpoint.Refuse:
 			return endpoint.Send{}, r.giveUp(action.Kind, action.After)
@@ -150,13 +119,13 @@
 }
 
 // giveUp ends a request for which no further attempt is made.
-func (r *run) giveUp(kind refusal.Kind, after time.Duration) *reply {
+func (r *run) giveUp(kind refusal.Kind, after time.Duration) *Reply {
 	if r.fallback != nil {
 		return r.fallback
 	}
 	switch kind {
 	case refusal.UnknownModel, refusal.UnknownService:
-		kind = refusal.NoEndpoint // The route names the service, so that it exists.
+		kind = refusal.NoEndpoint // The configuration names the service, so that it exists.
 	case refusal.Suspect:
 		kind = refusal.SuspectHeld
 	}
@@ -164,25 +133,17 @@
 		kind = refusal.AnswerBroken
 		after = 0
 	}
-	if kind == refusal.AnswerBroken && !time.Now().Before(r.deadline) {
+	if kind == refusal.AnswerBroken && !time.Now().Before(r.req.Deadline) {
 		kind = refusal.DeadlineExceeded
 	}
-	return &reply{Refused: &refusal.Error{Kind: kind, Detail: r.service.Name, After: after}}
+	return &Reply{Refused: &refusal.Error{Kind: kind, Detail: r.req.Service, After: after}}
 }
 
 // try makes one attempt; nil asks for another one.
-func (r *run) try(send endpoint.Send) *reply {
-	r.attempts++
+func (r *run) try(send endpoint.Send) *Reply {
 	now := time.Now()
-	r.sentAt = now
-	a, err := r.g.send(now, &r.req, r.forwarding(now, send), !r.route.Repeatable(), r.until(now), r.gone)
-	outcome, out := r.take(send, a, err)
-	if err != nil || outcome != endpoint.Finished {
-		r.g.log.Info("attempt failed",
-			zap.String("Request", r.req.ID), zap.String("Run", r.id), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
-			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Problem(err))
-	}
-	r.g.metrics.attempt(outcome)
+	outcome, out := r.exchange(now, send)
+	r.f.observer().Attempted(outcome)
 	r.ran = r.ran || outcome != endpoint.Rejected
 	if out != nil && out.Stream != nil {
 		return out // It ends when the stream does.
@@ -191,18 +152,55 @@
 	return out
 }
 
+// exchange sends the request to an endpoint and judges what comes back.
+func (r *run) exchange(now time.Time, send endpoint.Send) (endpoint.Outcome, *Reply) {
+	r.attempts++
+	r.sentAt = now
+	a, err := r.open(now, send)
+	outcome, out := r.take(send, a, err)
+	if err != nil || outcome != endpoint.Finished {
+		r.f.Log.Info("attempt failed",
+			zap.String("Request", r.req.ID), zap.String("Run", r.req.Run), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
+			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Problem(err))
+	}
+	return outcome, out
+}
+
+func (r *run) open(now time.Time, send endpoint.Send) (*attempt, error) {
+	address, ok := r.f.Endpoints.Address(send.Endpoint)
+	if !ok {
+		return nil, errors.Wrapf(connection.ErrNotSent, "endpoint %s has no address", send.Endpoint)
+	}
+	return r.send(now, address, r.forwarding(now, send))
+}
+
+// deliver makes the only attempt of a request that goes to one address.
+func (r *run) deliver(address string) *Reply {
+	now := time.Now()
+	r.attempts++
+	r.sentAt = now
+	a, err := r.send(now, address, Forwarding{Attempt: r.attempts, Account: r.req.Account, Wait: r.req.Deadline.Sub(now), LastEvent: r.lastEvent})
+	outcome, out := r.take(endpoint.Send{}, a, err)
+	r.ran = outcome != endpoint.Rejected
+	if out != nil {
+		return out
+	}
+	if outcome == endpoint.Rejected {
+		return refused(refusal.NoEndpoint, address)
+	}
+	return refused(refusal.AnswerBroken, address)
+}
+
 func (r *run) forwarding(now time.Time, send endpoint.Send) Forwarding {
-	f := Forwarding{
+	return Forwarding{
 		Endpoint:  send.Endpoint,
-		Wait:      r.deadline.Sub(now),
+		Attempt:   send.Attempt,
+		Account:   r.req.Account,
+		Wait:      r.req.Deadline.Sub(now),
 		LastEvent: r.lastEvent,
-		Urgency:   r.rank(),
+		Urgency:   r.req.Urgency,
 		Model:     r.req.Model,
 	}
-	if r.account != nil {
-		f.Account = r.account.Name
-	}
-	return f
 }
 
 // until returns when an attempt is given up for want of an answer or a first event.
@@ -210,25 +208,36 @@
 // A repeatable request that has another attempt left does not wait for a silent
 // endpoint until its deadline.
 func (r *run) until(now time.Time) time.Time {
-	left := r.deadline.Sub(now)
-	if !r.route.Repeatable() || r.attempts >= r.route.Attempts {
-		return r.deadline.Add(answerMargin)
+	last := r.req.Deadline.Add(answerMargin)
+	if r.req.Stall > 0 {
+		return earlier(last, now.Add(r.req.Stall))
+	}
+	if !r.req.Repeatable || r.attempts >= r.req.Attempts {
+		return last
 	}
-	return now.Add(max(2*r.route.Objective, left/2))
+	left := r.req.Deadline.Sub(now)
+	return now.Add(max(2*r.req.Objective, left/2))
 }
 
 // answerMargin is the time after the deadline in which an endpoint's own answer to it may arrive.
 const answerMargin = 50 * time.Millisecond
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // take judges what came back from an attempt.
-func (r *run) take(send endpoint.Send, a *attempt, err error) (endpoint.Outcome, *reply) {
+func (r *run) take(send endpoint.Send, a *attempt, err error) (endpoint.Outcome, *Reply) {
 	switch {
 	case r.callerGone():
 		if a != nil {
 			a.end()
 		}
 		return endpoint.Abandoned, refused(refusal.CallerGone, "")
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, connection.ErrNotSent):
 		return endpoint.Rejected, nil
 	case err != nil:
 		return endpoint.Died, nil
@@ -243,7 +252,7 @@
 	case !a.facts.Sealed || a.facts.Encoded:
 		a.end()
 		return endpoint.Incomplete, nil
-	case r.route.Kind == route.Stream && status < 300:
+	case r.req.Streams && status < 300:
 		return r.takeStream(a)
 	}
 	body, err := a.whole()
@@ -251,9 +260,9 @@
 		a.end()
 		return endpoint.Died, nil
 	}
-	a.keep(now, &r.g.lines)
-	out := &reply{Status: status, Headers: answerHeaders(a), Body: body}
-	if status >= 500 && r.route.Repeatable() {
+	a.keep(now, &r.f.Lines)
+	out := &Reply{Status: status, Headers: answerHeaders(a), Body: body}
+	if status >= 500 && r.req.Repeatable {
 		r.fallback = out
 		return endpoint.Incomplete, nil
 	}
@@ -270,7 +279,7 @@
 		a.end()
 		return
 	}
-	a.keep(time.Now(), &r.g.lines)
+	a.keep(time.Now(), &r.f.Lines)
 }
 
 func (r *run) reportLoad(now time.Time, name string, a *attempt) {
@@ -278,17 +287,20 @@
 		return
 	}
 	load := endpoint.Load{Running: a.facts.Load.Running, Waiting: a.facts.Load.Waiting}
-	r.g.endpoints.reported(now, name, load)
+	r.f.Endpoints.Handle(now, endpoint.Reported{Endpoint: name, Load: load})
 }
 
 // ended tells the pool how an attempt ended.
 func (r *run) ended(outcome endpoint.Outcome, tokens int64) {
-	r.g.endpoints.handle(time.Now(), endpoint.Ended{ID: r.id, Outcome: outcome, Tokens: tokens})
+	if r.direct {
+		return
+	}
+	r.f.Endpoints.Handle(time.Now(), endpoint.Ended{ID: r.req.Run, Outcome: outcome, Tokens: tokens})
 }
 
 func (r *run) callerGone() bool {
 	select {
-	case <-r.gone:
+	case <-r.req.Gone:
 		return true
 	default:
 		return false
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -103,16 +103,16 @@
 
 // Status returns the router's state.
 func (r *Router) Status() Status {
-	views, suspects, waiting := r.backends.views(time.Now())
+	seen := r.endpoints.State(time.Now())
 	return Status{
 		VM:         r.cfg.VM,
 		Revision:   r.configuration.revision(),
 		Draining:   r.draining.Load(),
 		InFlight:   r.inFlight.Load(),
-		Waiting:    waiting,
+		Waiting:    seen.Waiting,
 		Members:    r.members.states(),
-		Endpoints:  views,
-		Suspects:   suspects,
+		Endpoints:  seen.Endpoints,
+		Suspects:   seen.Suspects,
 		Budgets:    r.budgets.Views(),
 		OrdersOpen: r.orders.pending(),
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -1,72 +1,46 @@
 package router
 
 import (
-	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
-	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/telemetry"
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
-// metrics are the router's OpenTelemetry instruments.
+// metrics are the router's instruments.
 type metrics struct {
-	registry   *prometheus.Registry
-	requests   metric.Int64Counter
-	tokens     metric.Int64Counter
-	firstToken metric.Float64Histogram
-	between    metric.Float64Histogram
+	*telemetry.Registry
+
+	requests   telemetry.Counter
+	tokens     telemetry.Counter
+	firstToken telemetry.Histogram
+	between    telemetry.Histogram
 }
 
 func newMetrics(r *Router) (*metrics, error) {
-	m := &metrics{registry: prometheus.NewRegistry()}
-	exported, err := exporter.New(exporter.WithRegisterer(m.registry))
-	if err != nil {
-		return nil, errors.Wrap(err, "making the metrics exporter")
-	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(exported)).Meter("foxtaillanding")
-	var errs [5]error
-	m.requests, errs[0] = meter.Int64Counter("foxtaillanding.requests", metric.WithDescription("Requests by team and outcome."))
-	m.tokens, errs[1] = meter.Int64Counter("foxtaillanding.billed_tokens", metric.WithDescription("Tokens billed by budget."))
-	m.firstToken, errs[2] = meter.Float64Histogram("foxtaillanding.first_token", metric.WithUnit("s"),
-		metric.WithDescription("Time to the first token."),
-		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5, 10, 30))
-	m.between, errs[3] = meter.Float64Histogram("foxtaillanding.between_tokens", metric.WithUnit("s"),
-		metric.WithDescription("Mean time between tokens of one answer."),
-		metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.04, 0.068, 0.1, 0.2, 0.5, 1))
-	_, errs[4] = meter.Int64ObservableGauge("foxtaillanding.in_flight", metric.WithDescription("Requests whose answers are not yet written."), metric.WithInt64Callback(
-		func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(r.inFlight.Load())
-			return nil
-		}))
-	for _, err := range errs {
-		if err != nil {
-			return nil, errors.Wrap(err, "making the metrics instruments")
-		}
+	t := telemetry.New()
+	m := &metrics{
+		Registry: t,
+		requests: t.Counter("requests", "Requests by team and outcome."),
+		tokens:   t.Counter("billed_tokens", "Tokens billed by budget."),
+		firstToken: t.Histogram("first_token", "Time to the first token.",
+			0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5, 10, 30),
+		between: t.Histogram("between_tokens", "Mean time between tokens of one answer.",
+			0.005, 0.01, 0.02, 0.04, 0.068, 0.1, 0.2, 0.5, 1),
 	}
-	return m, nil
+	t.Gauge("in_flight", "Requests whose answers are not yet written.", r.inFlight.Load)
+	return m, t.Err()
 }
 
-func (m *metrics) handler() fasthttp.RequestHandler {
-	return fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-}
-
-func (m *metrics) billed(budget string, tokens int64) {
-	m.tokens.Add(context.Background(), tokens, metric.WithAttributes(attribute.String("budget", budget)))
-}
+func (m *metrics) billed(b budget.Bill) { m.tokens.Add(b.Tokens, attribute.String("budget", b.Budget)) }
 
 func (m *metrics) ended(team, outcome string) {
-	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("team", team), attribute.String("outcome", outcome)))
+	m.requests.Add(1, attribute.String("team", team), attribute.String("outcome", outcome))
 }
 
 // outcomeName is the outcome as logs and metrics spell it.
@@ -85,10 +59,10 @@
 	team := w.caller.team
 	r.log.Info("request",
 		zap.String("Request", w.id), zap.String("Team", team.Name), zap.String("Account", w.caller.account.Name),
-		zap.String("Stage", string(w.stage)), zap.String("Outcome", outcomeName(refused)),
-		zap.Duration("Took", now.Sub(w.arrived)), zap.Int64("Tokens", w.cost()))
+		zap.Bool("AtHome", w.atHome), zap.String("Outcome", outcomeName(refused)),
+		zap.Duration("Took", now.Sub(w.arrived)), zap.Int64("Tokens", w.billed().TotalTokens))
 	r.metrics.ended(team.Name, outcomeName(refused))
-	if w.stage != stageEntry {
+	if w.atHome {
 		return
 	}
 	levels := team.Levels.WithDefaults()
@@ -101,10 +75,10 @@
 		note(burn.FalseRefusal, refused.Kind != refusal.BudgetExhausted || !r.budgetHad(w))
 	}
 	r.observeSpeed(w, func(d time.Duration) {
-		r.metrics.firstToken.Record(context.Background(), d.Seconds())
+		r.metrics.firstToken.Record(d.Seconds())
 		note(burn.FirstToken, d <= time.Duration(levels.FirstTokenMilliseconds)*time.Millisecond)
 	}, func(d time.Duration) {
-		r.metrics.between.Record(context.Background(), d.Seconds())
+		r.metrics.between.Record(d.Seconds())
 		note(burn.BetweenTokens, d <= time.Duration(levels.BetweenTokensMilliseconds)*time.Millisecond)
 	})
 }
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -8,20 +8,19 @@
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
-	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
-	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
 )
 
 // peerRoutes adds what routers ask of each other.
 func (r *Router) peerRoutes(routes *frouter.Router) {
-	routes.POST(probePath, r.peerOnly(r.serveProbe))
-	routes.POST(recallPath, r.peerOnly(r.serveRecall))
-	routes.POST(raisePath, r.peerOnly(r.serveRaise))
-	routes.POST(entrustPath, r.peerOnly(r.serveEntrust))
-	routes.POST(suspectPath, r.peerOnly(r.serveSuspect))
+	for _, path := range []string{
+		peer.ProbePath, peer.RecallPath, peer.RaisePath, peer.EntrustPath, peer.ReservePath, peer.SettlePath, peer.SuspectPath,
+	} {
+		routes.POST(path, r.peerOnly(r.servePeer))
+	}
 	routes.POST(billPath, r.peerOnly(r.serveBill))
 	routes.GET(headPath, r.peerOnly(r.serveHead))
 	routes.GET(subtreePath, r.peerOnly(r.serveSubtree))
@@ -29,7 +28,7 @@
 
 // fromPeer reports whether a request carries the key that the routers share.
 func (r *Router) fromPeer(ctx *fasthttp.RequestCtx) bool {
-	key := string(ctx.Request.Header.Peek(headerPeerKey))
+	key := string(ctx.Request.Header.Peek(peer.KeyHeader))
 	return key != "" && sameSecret(key, r.snapshot().tree.Fleet.PeerKey)
 }
 
@@ -43,13 +42,14 @@
 	}
 }
 
-func (r *Router) serveProbe(ctx *fasthttp.RequestCtx) {
-	updates, err := r.members.answer(ctx.PostBody())
+// servePeer answers the messages that all daemons understand.
+func (r *Router) servePeer(ctx *fasthttp.RequestCtx) {
+	answer, _, err := r.service.Answer(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
 		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
-	writeJSON(ctx, updates)
+	ctx.SetBody(answer)
 }
 
 // readMessage decodes a peer message and reports whether it could.
@@ -61,43 +61,6 @@
 	return true
 }
 
-func (r *Router) serveRecall(ctx *fasthttp.RequestCtx) {
-	var message recallMessage
-	if readMessage(ctx, &message) {
-		r.budgets.AnswerRecall(message.Budget)
-	}
-}
-
-func (r *Router) serveRaise(ctx *fasthttp.RequestCtx) {
-	var message raiseMessage
-	if !readMessage(ctx, &message) {
-		return
-	}
-	acknowledged := message.Witness == r.members.Self().Name() && r.budgets.AnswerRaise(message.Holder, message.raise())
-	writeJSON(ctx, raiseAnswer{acknowledged})
-}
-
-func (r *Router) serveEntrust(ctx *fasthttp.RequestCtx) {
-	var left budget.LeftBehind
-	if readMessage(ctx, &left) {
-		r.budgets.Handle(time.Now(), left)
-	}
-}
-
-func (r *Router) serveSuspect(ctx *fasthttp.RequestCtx) {
-	var message suspectMessage
-	if !readMessage(ctx, &message) {
-		return
-	}
-	now := time.Now()
-	keep := time.Duration(message.KeepMilliseconds) * time.Millisecond
-	r.backends.handle(now, endpoint.SuspectHeard{Suspect: endpoint.Suspicion{
-		Fingerprint: message.Fingerprint,
-		Deaths:      message.Deaths,
-		Until:       now.Add(keep),
-	}})
-}
-
 func (r *Router) serveBill(ctx *fasthttp.RequestCtx) {
 	var message bill.Billed
 	if readMessage(ctx, &message) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,9 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/peer"
+	"github.com/foxtaillanding/foxtaillanding/internal/placement"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -38,15 +41,18 @@
 
 	workers    *ants.Pool // Requests.
 	calls      *ants.Pool // Store and peer calls.
-	peers      *peers
-	endpoints  *streamClient
+	peers      peers
+	service    peer.Service
 	metrics    *metrics
 	levels     burn.Recorder
 	server     *fasthttp.Server
 	listenAddr string
 
+	forwarder     request.Forwarder
 	budgets       ledger.Ledger
-	backends      backends
+	endpoints     placement.Endpoints
+	reports       *reports
+	vmLists       *fasthttp.Client // Asks the platform which VMs leave.
 	bills         bills
 	orders        orders
 	members       members
@@ -68,9 +74,7 @@
 	if err := r.makePools(); err != nil {
 		return nil, err
 	}
-	r.peers = newPeers(r)
-	r.endpoints = newStreamClient(r.stall)
-	r.initSlices()
+	r.join()
 	return r, nil
 }
 
@@ -88,7 +92,8 @@
 	return err
 }
 
-func (r *Router) initSlices() {
+// join connects the slices of the router with each other.
+func (r *Router) join() {
 	member := fleet.Member{
 		VM:          r.self.Name,
 		Incarnation: uint64(r.started.UnixNano()),
@@ -96,25 +101,49 @@
 		DataCentre:  r.self.DataCentre,
 		Size:        r.self.Size,
 	}
-	policy := r.cfg.Budget
-	if policy.Horizon == 0 {
-		policy.Horizon = time.Duration(r.snapshot().limits.GrantHorizonSeconds) * time.Second
-		policy.Step = time.Duration(r.snapshot().limits.CeilingStepSeconds) * time.Second
-	}
+	r.members.r = r
+	r.members.Budgets = &r.budgets
+	r.members.Endpoints = &r.endpoints
+	r.members.Background = r.background
+	r.peers = peers{peer.NewClient(peerTimeout), r}
+	r.peers.Members = &r.members.Members
+	r.peers.Key = func() string { return r.snapshot().tree.Fleet.PeerKey }
+	r.peers.Log = r.log
+	r.peers.Background = r.background
+	r.members.Probe = r.peers.Probe
+	r.members.Open(member)
+	r.service = peer.Service{Members: &r.members.Members, Budgets: &r.budgets, Endpoints: &r.endpoints}
+	r.endpoints.TellSuspect = r.peers.TellSuspect
+	r.endpoints.Open(r.cfg.Endpoint)
 	r.budgets.Store = r.cfg.Store
 	r.budgets.Peers = r.peers
 	r.budgets.Log = r.log
 	r.budgets.Background = r.background
-	r.budgets.Billed = func(bill budget.Bill) { r.metrics.billed(bill.Budget, bill.Tokens) }
-	r.budgets.Open(member.Name(), policy)
-	r.backends = backends{r: r, pool: endpoint.Pool{Policy: r.cfg.Endpoint}}
+	r.budgets.Billed = r.metrics.billed
+	r.budgets.Open(member.Name(), r.budgetPolicy())
+	r.forwarder.Endpoints = &r.endpoints
+	r.forwarder.Budgets = &r.budgets
+	r.forwarder.Lenders = r.peers
+	r.forwarder.Log = r.log
+	r.forwarder.Background = r.background
+	r.reports = newReports(r)
+	r.vmLists = keyvalue.NewHTTPClient(vmListPeriod, 1)
 	r.bills = bills{r: r}
 	r.orders = orders{r: r}
-	r.members.r = r
-	r.members.Open(member)
 	r.configuration = configuration{r: r}
 }
 
+// budgetPolicy returns the policy that the router was started with, or the one of its settings.
+func (r *Router) budgetPolicy() budget.Policy {
+	policy := r.cfg.Budget
+	if policy.Horizon == 0 {
+		limits := r.snapshot().limits
+		policy.Horizon = time.Duration(limits.GrantHorizonSeconds) * time.Second
+		policy.Step = time.Duration(limits.CeilingStepSeconds) * time.Second
+	}
+	return policy
+}
+
 // Start listens, takes the settings over and serves until Shutdown.
 func (r *Router) Start(ctx context.Context) error {
 	r.apply(time.Now(), r.snapshot())
@@ -148,7 +177,7 @@
 func (r *Router) startTimers() {
 	go r.configuration.run(r.stop)
 	go decision.Every(fleet.ProbePeriod, r.stop, r.members.tick)
-	go decision.Every(reportPeriod, r.stop, r.backends.poll)
+	go decision.Every(reportPeriod, r.stop, r.reports.poll)
 	go decision.Every(vmListPeriod, r.stop, r.pollVMList)
 	go decision.Every(decidePeriod, r.stop, r.decide)
 }
@@ -156,7 +185,8 @@
 // decide lets time pass for the deciders that serve requests.
 func (r *Router) decide(now time.Time) {
 	r.budgets.Handle(now, budget.Tick{})
-	r.backends.handle(now, endpoint.Tick{})
+	r.endpoints.Handle(now, endpoint.Tick{})
+	r.forwarder.Lines.Expire(now)
 	r.orders.tick(now)
 }
 
@@ -180,7 +210,7 @@
 		return
 	}
 	r.current.Store(s)
-	r.backends.configure(now, s)
+	r.endpoints.Configure(now, s.located(), nil)
 	r.members.configure(now, s)
 	r.log.Info("settings in force", zap.Uint64("Revision", s.revision))
 }
@@ -198,10 +228,10 @@
 		return
 	}
 	r.background(func() {
-		list, err := keyvalue.ReadVMList(r.peers.http, address)
+		list, err := keyvalue.ReadVMList(r.vmLists, address)
 		if err != nil {
 			return // The list lags anyway; the last one stands.
 		}
-		r.members.handle(now, fleet.PlatformListed{Leaving: list.Leaving})
+		r.members.Handle(now, fleet.PlatformListed{Leaving: list.Leaving})
 	})
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -88,9 +89,9 @@
 		{"unknown call", "POST", "/v1/services/orders/burn", key, `{}`, refusal.UnknownService},
 		{"unknown path", "GET", "/nothing", nil, "", refusal.NotFound},
 		{"admin without key", "GET", AdminStatusPath, key, "", refusal.Forbidden},
-		{"peer without key", "POST", probePath, nil, "[]", refusal.Forbidden},
-		{"peer with a malformed message", "POST", probePath, map[string]string{headerPeerKey: testPeerKey}, "{", refusal.BadRequest},
-		{"unknown account", "POST", chat.Path, map[string]string{headerPeerKey: testPeerKey, headerAccount: "t/y"}, good, refusal.Unauthenticated},
+		{"peer without key", "POST", peer.ProbePath, nil, "[]", refusal.Forbidden},
+		{"peer with a malformed message", "POST", peer.ProbePath, map[string]string{peer.KeyHeader: testPeerKey}, "{", refusal.BadRequest},
+		{"unknown account", "POST", chat.Path, map[string]string{peer.KeyHeader: testPeerKey, headerAccount: "t/y"}, good, refusal.Unauthenticated},
 	} {
 		refused := ask(t, r, c.method, c.path, c.headers, c.body)
 		require.NotNil(t, refused, c.name)
@@ -145,12 +146,8 @@
 			require.GreaterOrEqual(t, record.Free(), int64(0))
 		}
 		_ = strict.Decode(data, &order.Claim{})
-		var message raiseMessage
-		_ = json.Unmarshal(data, &message)
 		var billed bill.Billed
 		_ = json.Unmarshal(data, &billed)
-		m := members{r: &Router{}}
-		_, _ = m.answer(data)
 		_, _ = DecodeStatus(data)
 		_ = json.Unmarshal(data, &chat.LoadReport{})
 		_ = json.Unmarshal(data, &keyvalue.VMList{})
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -1,14 +1,17 @@
 package router
 
 import (
+	"encoding/json"
+	"io"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/answer"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
-	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -35,7 +38,7 @@
 
 // runKeyed attaches a request with an Idempotency-Key to earlier runs of the key at its home.
 func (r *Router) runKeyed(w *work) *refusal.Error {
-	if w.key == "" || w.stage == stageBudget {
+	if w.key == "" {
 		return r.runPaid(w)
 	}
 	if done, refused := r.runAtHome(w); done {
@@ -46,8 +49,8 @@
 	r.bills.handle(time.Now(), bill.Began{Request: w.id, Key: w.key, BodyHash: w.bodyHash})
 	for {
 		select {
-		case <-w.gone:
-			return refusal.New(refusal.AnswerBroken, "the caller has gone")
+		case <-w.left:
+			return refusal.New(refusal.CallerGone, "")
 		case decision := <-decisions:
 			switch decision := decision.(type) {
 			case bill.Start:
@@ -68,140 +71,117 @@
 		r.bills.handle(time.Now(), bill.Failed{Request: w.id, Kind: refused.Kind})
 		return refused
 	}
+	usage := w.billed()
 	r.bills.handle(time.Now(), bill.Finished{Request: w.id, Answer: bill.Answer{
-		Content:      string(w.content),
+		Content:      w.content.String(),
 		Finish:       w.finish,
-		PromptTokens: w.finalUsage().PromptTokens,
-		OutputTokens: w.finalUsage().CompletionTokens,
+		PromptTokens: usage.PromptTokens,
+		OutputTokens: usage.CompletionTokens,
 	}})
 	return nil
 }
 
+// replay answers with what the first request of a key was answered.
 func replay(w *work, a bill.Answer) *refusal.Error {
-	w.emit(piece{chunk: &answer.Chunk{Content: a.Content, Finish: a.Finish}})
+	event, err := w.pass(time.Now(), answer.Chunk{Content: a.Content, Finish: a.Finish})
+	if err != nil {
+		return refusal.New(refusal.Internal, err.Error())
+	}
+	if event.Raw != nil {
+		w.emit(piece{event: event.Raw})
+	}
 	usage := chat.Usage{PromptTokens: a.PromptTokens, CompletionTokens: a.OutputTokens, TotalTokens: a.PromptTokens + a.OutputTokens}
 	w.emit(piece{usage: &usage})
 	return nil
 }
 
-// runAtHome forwards a keyed request to its home; done is false when this router is the home or stands in for it.
-func (r *Router) runAtHome(w *work) (done bool, refused *refusal.Error) {
-	if w.stage != stageEntry {
-		return false, nil
-	}
-	home := bill.Home(w.key, r.members.aliveVMs())
-	vm, ok := r.snapshot().tree.Fleet.VM(home)
-	if !ok || home == r.cfg.VM {
-		return false, nil
-	}
-	refused = r.forward(w, vm.Address, stageHome)
-	if refused != nil && refused.Kind == refusal.Draining && !w.sent {
-		return false, nil
-	}
-	return true, refused
-}
-
-// runPaid reserves the worst case and runs the request here or where the tokens are.
+// runPaid runs the request and tells its key's home what it was billed.
 func (r *Router) runPaid(w *work) *refusal.Error {
-	decisions := r.budgets.Decisions.Open(w.id)
-	defer r.budgets.Decisions.Close(w.id)
-	r.budgets.Handle(time.Now(), budget.Reserve{
-		Request:   w.id,
-		Budget:    w.caller.team.Budget,
-		Tokens:    w.worstCase(),
-		Deadline:  w.deadline,
-		Forwarded: w.stage == stageBudget,
-	})
-	for decision := range decisions {
-		switch decision := decision.(type) {
-		case budget.Dispatch:
-			refused := r.serve(w)
-			r.settle(w)
-			return refused
-		case budget.Refuse:
-			return refusal.New(decision.Kind, "budget "+w.caller.team.Budget)
-		case budget.Forward:
-			if done, refused := r.runAtPeerWithTokens(w, decision.Peer); done {
-				return refused
-			}
-		}
+	refused := w.hand(r.forwarder.Carry(r.described(w)), engineRefusal)
+	if tokens := w.cost(request.Usage{}); w.key != "" && tokens > 0 {
+		r.bills.report(bill.Billed{Key: w.key, Request: w.id, Budget: w.caller.team.Budget, Tokens: tokens})
 	}
-	return refusal.New(refusal.Internal, "no decision on the budget")
+	return refused
 }
 
-func (r *Router) runAtPeerWithTokens(w *work, peer string) (done bool, refused *refusal.Error) {
-	address, ok := r.members.Address(peer)
-	if ok {
-		refused = r.forward(w, address, stageBudget)
+// described returns the request as the request path takes it.
+func (r *Router) described(w *work) *request.Request {
+	limits := r.snapshot().limits
+	out := &request.Request{
+		Message: request.Message{
+			ID:           w.id,
+			Method:       fasthttp.MethodPost,
+			Target:       chat.Path,
+			Headers:      []request.Header{{Name: fasthttp.HeaderContentType, Value: "application/json"}},
+			Body:         w.streamedBody(),
+			Model:        true,
+			PromptTokens: w.request.PromptBound(),
+			OutputTokens: w.request.MaxTokens,
+			Prefix:       w.request.Prefix(),
+		},
+		Terms: request.Terms{
+			Account:    w.caller.name(),
+			Weight:     w.caller.account.Weight,
+			Class:      w.caller.class(),
+			Service:    w.request.Model,
+			Repeatable: true,
+			Streams:    true,
+			Resumable:  true,
+			Attempts:   endpoint.DefaultMaxAttempts,
+			Stall:      r.stall(),
+			Budget:     w.caller.team.Budget,
+			Cost:       w.cost,
+		},
+		Run:         w.id,
+		Fingerprint: w.bodyHash,
+		Arrived:     w.arrived,
+		StartBy:     w.startBy,
+		Deadline:    w.arrived.Add(time.Duration(limits.AnswerSeconds) * time.Second),
+		Codec:       &w.exchange,
 	}
-	notRun := !ok || (refused != nil && refused.Kind.Answer().Ran == refusal.NotRun && !w.sent)
-	if notRun {
-		r.budgets.Handle(time.Now(), budget.ForwardRefused{Request: w.id, Peer: peer})
-		return false, nil
+	if w.key == "" {
+		out.Gone = w.left // A keyed request goes on for the caller's retry.
 	}
-	r.budgets.Handle(time.Now(), budget.ForwardTaken{Request: w.id})
-	return true, refused
+	return out
 }
 
-// settle bills the request once and tells the key's home.
-func (r *Router) settle(w *work) {
-	tokens := w.cost()
-	r.budgets.Handle(time.Now(), budget.Settle{Request: w.id, Tokens: tokens})
-	if w.key != "" && tokens > 0 {
-		r.bills.report(bill.Billed{Key: w.key, Request: w.id, Budget: w.caller.team.Budget, Tokens: tokens})
-	}
+// streamedBody is the request as it is sent to an endpoint or a router: always streamed, with the output limit that was reserved.
+func (w *work) streamedBody() []byte {
+	asked := w.request
+	asked.Stream = true
+	body, _ := json.Marshal(asked) // A request that was decoded from JSON can be encoded.
+	return body
 }
 
-// serve runs the request on endpoints until its answer is whole or given up.
-func (r *Router) serve(w *work) *refusal.Error {
-	decisions := r.backends.decisions.Open(w.id)
-	defer r.backends.decisions.Close(w.id)
-	r.backends.handle(time.Now(), endpoint.Submitted{Request: endpoint.Request{
-		ID:           w.id,
-		Serves:       w.request.Model,
-		Account:      w.caller.name(),
-		Weight:       w.caller.account.Weight,
-		Class:        w.caller.class(),
-		PromptTokens: w.request.PromptBound(),
-		OutputTokens: w.request.MaxTokens,
-		Prefix:       w.request.Prefix(),
-		Deadline:     w.deadline,
-		Fingerprint:  w.bodyHash,
-		Repeatable:   true,
-	}})
-	gone := w.gone
+// hand gives the caller the events of a reply as they come; refuse reads a reply that is no stream.
+func (w *work) hand(out *request.Reply, refuse func(status int, body []byte) *refusal.Error) *refusal.Error {
+	w.sent = w.sent || out.Ran
+	switch {
+	case out.Refused != nil:
+		return out.Refused
+	case out.Stream == nil:
+		return refuse(out.Status, out.Body)
+	}
+	defer func() { _ = out.Stream.Close() }()
 	for {
-		select {
-		case <-gone:
-			if w.key == "" {
-				r.backends.handle(time.Now(), endpoint.Withdrawn{ID: w.id})
-				return refusal.New(refusal.AnswerBroken, "the caller has gone")
-			}
-			gone = nil // A keyed request goes on for the caller's retry.
-		case decision := <-decisions:
-			switch decision := decision.(type) {
-			case endpoint.Refuse:
-				return &refusal.Error{Kind: decision.Kind, After: decision.After}
-			case endpoint.Send:
-				if done, refused := r.tryEndpoint(w, decision); done {
-					return refused
-				}
-			}
+		event, err := out.Stream.Next()
+		switch {
+		case err == io.EOF:
+			usage := w.billed()
+			w.emit(piece{usage: &usage})
+			return nil
+		case err != nil:
+			return streamRefusal(err)
+		case !w.emit(piece{event: event}) && w.key == "":
+			return refusal.New(refusal.CallerGone, "")
 		}
 	}
 }
 
-// tryEndpoint makes one attempt and asks for another one when the answer is not whole.
-func (r *Router) tryEndpoint(w *work, send endpoint.Send) (done bool, refused *refusal.Error) {
-	outcome, refused := r.attempt(w, send)
-	r.log.Info("attempt",
-		zap.String("Request", w.id), zap.String("Team", w.caller.team.Name), zap.String("Endpoint", send.Endpoint),
-		zap.Int("Attempt", send.Attempt), zap.Stringer("Outcome", outcome), zap.Int("Chunks", w.assembler.Next()))
-	r.backends.handle(time.Now(), endpoint.Ended{ID: w.id, Outcome: outcome, Tokens: int64(w.assembler.Next())})
-	if refused != nil || outcome == endpoint.Finished || outcome == endpoint.Abandoned {
-		r.backends.handle(time.Now(), endpoint.Withdrawn{ID: w.id})
-		return true, refused
+// engineRefusal tells the caller what an engine answered in place of a stream.
+func engineRefusal(status int, body []byte) *refusal.Error {
+	if status >= fasthttp.StatusInternalServerError {
+		return refusal.New(refusal.AnswerBroken, "")
 	}
-	r.backends.handle(time.Now(), endpoint.Retried{ID: w.id})
-	return false, nil
+	return refusal.New(refusal.BadRequest, "the endpoint refused it: "+string(body))
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/pkg/answer"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -38,7 +39,7 @@
 	routes.POST(chat.Path, r.counted(r.serveChat))
 	routes.POST(ServicePath, r.counted(r.serveCall))
 	routes.GET(EntriesPath, r.serveEntries)
-	routes.GET(MetricsPath, r.metrics.handler())
+	routes.GET(MetricsPath, r.metrics.Handler())
 	r.peerRoutes(routes)
 	r.adminRoutes(routes)
 	routes.NotFound = func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, refusal.New(refusal.NotFound, string(ctx.Path()))) }
@@ -93,38 +94,43 @@
 		writeRefusal(ctx, refused)
 		return
 	}
-	if r.workers.Submit(func() { r.run(w) }) != nil {
+	watch := connection.WatchCaller(ctx.Conn())
+	w.left = watch.Gone
+	end := func() {
+		watch.Stop()
 		done()
+	}
+	if r.workers.Submit(func() { r.run(w) }) != nil {
+		end()
 		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
 		return
 	}
 	first := <-w.pieces
 	switch {
 	case first.refused != nil:
-		done()
+		end()
 		writeRefusal(ctx, first.refused)
 	case w.request.Stream:
 		ctx.SetContentType("text/event-stream")
 		ctx.SetBodyStreamWriter(func(out *bufio.Writer) {
-			defer done()
+			defer end()
 			defer w.abandon()
 			w.writeStream(out, first)
 		})
+	case first.usage == nil:
+		end()
+		writeRefusal(ctx, refusal.New(refusal.AnswerBroken, ""))
 	default:
-		defer done()
-		w.writeWhole(ctx, first)
+		end()
+		writeJSON(ctx, chat.NewCompletion(w.id, w.request.Model, w.content.String(), w.finish, *first.usage))
 	}
 }
 
 // admit checks a model request and finds its account.
 func (r *Router) admit(ctx *fasthttp.RequestCtx) (*work, *refusal.Error) {
 	s := r.snapshot()
-	w := &work{
-		id:      newID(),
-		arrived: time.Now(),
-		pieces:  make(chan piece, piecesKept),
-		gone:    make(chan struct{}),
-	}
+	w := &work{arrived: time.Now(), pieces: make(chan piece, piecesKept), gone: make(chan struct{})}
+	w.id = newID()
 	if refused := r.identify(ctx, s, w); refused != nil {
 		return nil, refused
 	}
@@ -139,6 +145,8 @@
 		return nil, refusal.New(refusal.UnknownModel, request.Model)
 	}
 	w.request = request
+	w.class = int(w.caller.class())
+	w.keeps = w.key != "" || !request.Stream
 	w.bodyHash = fingerprint(w.caller.name(), request)
 	w.assembler.Limit = int(request.MaxTokens)
 	return w, nil
@@ -166,11 +174,11 @@
 			return refusal.New(refusal.Unauthenticated, "the account is not in the settings in force here")
 		}
 		w.caller = c
-		w.stage = stage(header.Peek(headerStage))
+		w.atHome = string(header.Peek(headerStage)) == stageHome
 		w.id = string(header.Peek(chat.HeaderRequestID))
 		w.key = key
 		milliseconds, _ := strconv.ParseInt(string(header.Peek(headerWait)), 10, 64)
-		w.deadline = w.arrived.Add(min(wait, time.Duration(milliseconds)*time.Millisecond))
+		w.startBy = w.arrived.Add(min(wait, time.Duration(milliseconds)*time.Millisecond))
 		return nil
 	}
 	c, ok := s.caller(bearer(ctx))
@@ -178,7 +186,7 @@
 		return refusal.New(refusal.Unauthenticated, "")
 	}
 	w.caller = c
-	w.deadline = w.arrived.Add(wait)
+	w.startBy = w.arrived.Add(wait)
 	if key != "" {
 		w.key = c.name() + "/" + key
 	}
@@ -196,14 +204,10 @@
 // writeStream writes an answer as server-sent events; an answer that cannot be completed ends with an error event.
 func (w *work) writeStream(out *bufio.Writer, first piece) {
 	for p, ok := first, true; ok; p, ok = <-w.pieces {
-		event := w.event(p)
-		if chat.WriteEvent(out, event) != nil {
-			return
-		}
-		if p.usage != nil && chat.WriteDone(out) != nil {
+		if w.writePiece(out, p) != nil {
 			return
 		}
-		last := p.chunk == nil
+		last := p.event == nil
 		// Pieces that are ready together leave together.
 		if (last || len(w.pieces) == 0) && out.Flush() != nil {
 			return
@@ -214,9 +218,10 @@
 	}
 }
 
-func (w *work) event(p piece) chat.Chunk {
-	if p.chunk != nil {
-		return chat.NewChunk(w.id, w.request.Model, *p.chunk)
+func (w *work) writePiece(out *bufio.Writer, p piece) error {
+	if p.event != nil {
+		_, err := out.Write(p.event)
+		return err
 	}
 	event := chat.NewChunk(w.id, w.request.Model, answer.Chunk{})
 	event.Sequence = nil
@@ -226,27 +231,10 @@
 		detail := p.refused.Body().Error
 		event.Error = &detail
 	}
-	return event
-}
-
-// writeWhole answers with the whole answer or with a refusal, never with a part.
-func (w *work) writeWhole(ctx *fasthttp.RequestCtx, first piece) {
-	var content strings.Builder
-	finish := ""
-	for p, ok := first, true; ok; p, ok = <-w.pieces {
-		switch {
-		case p.refused != nil:
-			writeRefusal(ctx, p.refused)
-			return
-		case p.usage != nil:
-			writeJSON(ctx, chat.NewCompletion(w.id, w.request.Model, content.String(), finish, *p.usage))
-			return
-		default:
-			content.WriteString(p.chunk.Content)
-			finish = p.chunk.Finish
-		}
+	if err := chat.WriteEvent(out, event); err != nil || p.usage == nil {
+		return err
 	}
-	writeRefusal(ctx, refusal.New(refusal.AnswerBroken, ""))
+	return chat.WriteDone(out)
 }
 
 func (r *Router) serveEntries(ctx *fasthttp.RequestCtx) {
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -18,7 +22,7 @@
 // maxServiceAnswer is the largest answer of a service that is passed on, in bytes; it has to fit into a claim.
 const maxServiceAnswer = 512 << 10
 
-// serviceCall is one call of a plain service.
+// serviceCall is one call of a plain service; it implements request.Codec.
 type serviceCall struct {
 	id       string
 	service  string
@@ -27,9 +31,24 @@
 	key      string
 	body     []byte
 	bodyHash uint64
+	arrived  time.Time
 	deadline time.Time
+	left     <-chan struct{} // Closed when the caller closed its connection.
 }
 
+// Forward returns the headers of a call.
+func (c *serviceCall) Forward(m *request.Message, _ request.Forwarding) []request.Header {
+	return m.Headers
+}
+
+// Answer reads the head of a service's answer; whatever the status is, it is the answer.
+func (c *serviceCall) Answer(id string, _ int, _ http.Header) request.Facts {
+	return request.Facts{ID: id, Sealed: true}
+}
+
+// Events is not asked for: a service answers as a whole.
+func (c *serviceCall) Events(body io.Reader) request.EventReader { return request.NewCutter(body) }
+
 // serveCall answers a call of a plain service.
 func (r *Router) serveCall(ctx *fasthttp.RequestCtx, done func()) {
 	defer done()
@@ -38,6 +57,9 @@
 		writeRefusal(ctx, refused)
 		return
 	}
+	watch := connection.WatchCaller(ctx.Conn())
+	defer watch.Stop()
+	c.left = watch.Gone
 	answers := make(chan callResult, 1)
 	if r.workers.Submit(func() { answers <- r.runCall(c) }) != nil {
 		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
@@ -98,14 +120,15 @@
 		return nil, refusal.New(refusal.KeyRequired, service+"/"+name)
 	}
 	c := &serviceCall{
-		id:       newID(),
-		service:  service,
-		call:     described,
-		caller:   who,
-		key:      key,
-		body:     append([]byte(nil), ctx.PostBody()...),
-		deadline: time.Now().Add(time.Duration(s.limits.FirstTokenSeconds) * time.Second),
-	}
+		id:      newID(),
+		service: service,
+		call:    described,
+		caller:  who,
+		key:     key,
+		body:    append([]byte(nil), ctx.PostBody()...),
+		arrived: time.Now(),
+	}
+	c.deadline = c.arrived.Add(time.Duration(s.limits.FirstTokenSeconds) * time.Second)
 	c.bodyHash = xxhash.Sum64String(who.name() + "\x00" + service + "/" + name + "\x00" + string(c.body))
 	return c, nil
 }
@@ -140,94 +163,69 @@
 }
 
 // sendOrder sends a claimed order once and reports what came of it.
+//
+// It goes on when the caller left: the outcome is recorded for the next request with the key.
 func (r *Router) sendOrder(c *serviceCall) order.Event {
-	send, kind, ok := r.place(c)
-	if !ok {
-		return order.Failed{Request: c.id, Kind: kind, Sent: false}
-	}
-	answer, outcome := r.callOnce(c, send)
-	r.backends.handle(time.Now(), endpoint.Ended{ID: c.id, Outcome: outcome})
-	r.backends.handle(time.Now(), endpoint.Withdrawn{ID: c.id})
-	switch outcome {
-	case endpoint.Finished:
-		return order.Answered{Request: c.id, Answer: answer}
-	case endpoint.Rejected:
-		return order.Failed{Request: c.id, Kind: refusal.NoEndpoint, Sent: false}
-	default:
+	out := r.forwarder.Carry(r.describedCall(c))
+	switch {
+	case out.Refused != nil && out.Ran:
+		return order.Failed{Request: c.id, Kind: refusal.OrderUnknown, Sent: true}
+	case out.Refused != nil:
+		return order.Failed{Request: c.id, Kind: out.Refused.Kind, Sent: false}
+	case len(out.Body) > maxServiceAnswer:
 		return order.Failed{Request: c.id, Kind: refusal.OrderUnknown, Sent: true}
 	}
-}
-
-// place waits until an endpoint is chosen for the call.
-func (r *Router) place(c *serviceCall) (endpoint.Send, refusal.Kind, bool) {
-	decisions := r.backends.decisions.Open(c.id)
-	defer r.backends.decisions.Close(c.id)
-	r.submitCall(c)
-	switch decision := (<-decisions).(type) {
-	case endpoint.Send:
-		return decision, 0, true
-	case endpoint.Refuse:
-		return endpoint.Send{}, decision.Kind, false
-	default:
-		return endpoint.Send{}, refusal.Internal, false
-	}
-}
-
-func (r *Router) submitCall(c *serviceCall) {
-	r.backends.handle(time.Now(), endpoint.Submitted{Request: endpoint.Request{
-		ID:           c.id,
-		Serves:       c.service,
-		Account:      c.caller.name(),
-		Weight:       c.caller.account.Weight,
-		Class:        c.caller.class(),
-		OutputTokens: 1,
-		Deadline:     c.deadline,
-		Fingerprint:  c.bodyHash,
-		Repeatable:   c.call.Repeatable,
-	}})
+	return order.Answered{Request: c.id, Answer: serviceAnswer(out)}
 }
 
 // runRepeatable runs a call that may be repeated, on another endpoint when one fails.
 func (r *Router) runRepeatable(c *serviceCall) callResult {
-	decisions := r.backends.decisions.Open(c.id)
-	defer r.backends.decisions.Close(c.id)
-	r.submitCall(c)
-	for decision := range decisions {
-		switch decision := decision.(type) {
-		case endpoint.Refuse:
-			return callResult{refused: &refusal.Error{Kind: decision.Kind, After: decision.After}}
-		case endpoint.Send:
-			answer, outcome := r.callOnce(c, decision)
-			r.backends.handle(time.Now(), endpoint.Ended{ID: c.id, Outcome: outcome})
-			if outcome == endpoint.Finished {
-				return callResult{answer: answer}
-			}
-			r.backends.handle(time.Now(), endpoint.Retried{ID: c.id})
-		}
+	described := r.describedCall(c)
+	described.Gone = c.left
+	out := r.forwarder.Carry(described)
+	if out.Refused != nil {
+		return callResult{refused: out.Refused}
 	}
-	return callResult{refused: refusal.New(refusal.Internal, "no decision on the call")}
+	return callResult{answer: serviceAnswer(out)}
 }
 
-// callOnce sends a call to one endpoint.
-func (r *Router) callOnce(c *serviceCall, send endpoint.Send) (order.Answer, endpoint.Outcome) {
-	address, ok := r.snapshot().address[send.Endpoint]
-	if !ok {
-		return order.Answer{}, endpoint.Rejected
+// describedCall returns the call as the request path takes it.
+func (r *Router) describedCall(c *serviceCall) *request.Request {
+	headers := []request.Header{
+		{Name: fasthttp.HeaderContentType, Value: "application/json"},
+		{Name: chat.HeaderRequestID, Value: c.id},
 	}
-	headers := map[string]string{chat.HeaderRequestID: c.id}
 	if c.key != "" {
-		headers[chat.HeaderIdempotencyKey] = c.key
-	}
-	answered, err := r.endpoints.post(call{address: address, path: c.call.Path, body: c.body, headers: headers})
-	if err != nil {
-		r.log.Warn("service call failed", zap.String("Request", c.id), zap.String("Endpoint", send.Endpoint), zap.Error(err))
-		return order.Answer{}, failedCall(err)
+		headers = append(headers, request.Header{Name: chat.HeaderIdempotencyKey, Value: c.key})
+	}
+	limits := r.snapshot().limits
+	return &request.Request{
+		Message: request.Message{ID: c.id, Method: fasthttp.MethodPost, Target: c.call.Path, Headers: headers, Body: c.body},
+		Terms: request.Terms{
+			Account:    c.caller.name(),
+			Weight:     c.caller.account.Weight,
+			Class:      c.caller.class(),
+			Service:    c.service,
+			Repeatable: c.call.Repeatable,
+			Attempts:   endpoint.DefaultMaxAttempts,
+			Stall:      r.stall(),
+		},
+		Run:         c.id,
+		Fingerprint: c.bodyHash,
+		Arrived:     c.arrived,
+		StartBy:     c.deadline,
+		Deadline:    c.arrived.Add(time.Duration(limits.AnswerSeconds) * time.Second),
+		Codec:       c,
 	}
-	defer answered.close()
-	body, err := answered.read(maxServiceAnswer)
-	if err != nil {
-		return order.Answer{}, endpoint.Died
+}
+
+// serviceAnswer returns what a service answered.
+func serviceAnswer(out *request.Reply) order.Answer {
+	answer := order.Answer{Status: out.Status, Body: out.Body}
+	for _, h := range out.Headers {
+		if strings.EqualFold(h.Name, fasthttp.HeaderContentType) {
+			answer.ContentType = h.Value
+		}
 	}
-	contentType := string(answered.resp.Header.ContentType())
-	return order.Answer{Status: answered.status(), ContentType: contentType, Body: body}, endpoint.Finished
+	return answer
 }
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -14,7 +14,6 @@
 	limits   settings.Limits
 	byKey    map[string]caller // By the hash of the API key.
 	byName   map[string]caller // By account.
-	address  map[string]string // By endpoint.
 }
 
 // caller is the client account that a request comes from.
@@ -30,7 +29,6 @@
 		limits:   tree.Fleet.EffectiveLimits(),
 		byKey:    map[string]caller{},
 		byName:   map[string]caller{},
-		address:  map[string]string{},
 	}
 	for _, team := range tree.Teams {
 		for _, a := range team.Accounts {
@@ -39,9 +37,6 @@
 			s.byName[team.Name+"/"+a.Name] = c
 		}
 	}
-	for _, e := range tree.Fleet.Endpoints {
-		s.address[e.Name] = e.Address
-	}
 	return s
 }
 
@@ -68,20 +63,6 @@
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
-func (s *snapshot) endpoints() []endpoint.Endpoint {
-	list := make([]endpoint.Endpoint, 0, len(s.tree.Fleet.Endpoints))
-	for _, e := range s.tree.Fleet.Endpoints {
-		list = append(list, endpoint.Endpoint{
-			Name:            e.Name,
-			Serves:          e.Serves,
-			Slots:           e.Slots,
-			TokensPerSecond: e.TokensPerSecond,
-			PromptPerSecond: e.PromptTokensPerSecond,
-		})
-	}
-	return list
-}
-
 func (s *snapshot) serves(name string) bool {
 	for _, e := range s.tree.Fleet.Endpoints {
 		for _, served := range e.Serves {
