Keep a budget's grants at two homes in a large fleet, and wait longer for changes

Ruled out: one transaction for several budgets (a router is home of about two of 24 here); freeing what dead routers held (no proof that it was unspent).

Change: in a fleet of more than 6 routers a budget has two homes. A home looks for tokens for another router's request as for its own and its answer is final; it names the router that holds them when it has none. A router that is no home draws what the request needs and returns the rest after 1 s. A starting router ranks those that it was told of and has not heard. Watches wait 15 s on connections of their own, which are probed when silent and end when a renewal of the lease, every 2 s, finds the store out of reach. A line 'budget written' tells each write.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -20,11 +20,17 @@
 	userTimeout    = 2 * time.Second // Unacknowledged bytes end a connection after this time.
 	keepIdle       = 3 * time.Second // For a connection whose endpoint names no time of its own.
 	idlePerAddress = 24
+	probes         = 2                      // Unanswered ones that end a connection.
 	FreshFor       = 300 * time.Millisecond // Age of the last use up to which a kept connection may carry a request that must not be repeated.
 )
 
 // Pool keeps idle connections to endpoints; its zero value is empty.
 type Pool struct {
+	// ProbeAfter is the silence after which the other side is probed, so that a
+	// connection on which an answer is long awaited ends when it went dead;
+	// zero never probes.
+	ProbeAfter time.Duration
+
 	mu   sync.Mutex
 	idle map[string][]*Conn // By address, the last used at the end; guarded by mu.
 }
@@ -49,7 +55,7 @@
 	for {
 		kept := p.pop(address)
 		if kept == nil {
-			return dial(address)
+			return p.dial(address)
 		}
 		if now.After(kept.until) || kept.usedAt.Before(usedAfter) || !kept.quiet() {
 			_ = kept.Close()
@@ -116,8 +122,11 @@
 	}
 }
 
-func dial(address string) (*Conn, error) {
+func (p *Pool) dial(address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: boundSilence}
+	if p.ProbeAfter > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.ProbeAfter, Interval: p.ProbeAfter, Count: probes}
+	}
 	conn, err := d.Dial("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dialling %s: %v", address, err)
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +22,6 @@
 	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
 	change func(now time.Time, c keyvalue.Change)
 
-	wait     time.Duration       // Longest wait of one watch; zero is watchWait.
 	settle   time.Duration       // Pause after changes, in which further ones gather.
 	regained func(now time.Time) // Called before what the store says after it was away; nil when nothing depends on that.
 }
@@ -33,6 +32,38 @@
 	feedPauseMax = 600 * time.Millisecond
 )
 
+// reach ends the watches that wait when the store is found to be out of reach by other means.
+//
+// A watch waits for long and its connection may go on without the store, so
+// that it does not find out by itself; the renewals of the lease do. The zero
+// value works.
+type reach struct {
+	mu     sync.Mutex
+	ctx    context.Context // Of the watches that wait now; guarded by mu.
+	cancel context.CancelFunc
+}
+
+// context returns the context of the next watch.
+func (r *reach) context() context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx == nil {
+		r.ctx, r.cancel = context.WithCancel(context.Background())
+	}
+	return r.ctx
+}
+
+// lose ends all watches that wait.
+func (r *reach) lose() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.ctx = nil
+	r.cancel = nil
+}
+
 // follow keeps a feed up to date until the gateway stops.
 //
 // While the store cannot be reached, the last state stands. A lost history is
@@ -43,7 +74,8 @@
 	wait := feedPause
 	lost := false
 	for !g.stopped() {
-		next, err := g.step(f, revision, known, lost)
+		ctx := g.reach.context()
+		next, err := g.step(ctx, f, revision, known, lost)
 		switch {
 		case err == nil:
 			if lost {
@@ -62,6 +94,9 @@
 		case !lost:
 			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), logfile.Problem(err))
 			lost = true
+			if ctx.Err() == nil {
+				g.reach.lose()
+			}
 		}
 		decision.Pause(wait/2+rand.N(wait/2), g.stop)
 		wait = min(2*wait, feedPauseMax)
@@ -69,8 +104,7 @@
 }
 
 // step reads a feed as a whole, or waits for its next changes.
-func (g *Gateway) step(f feed, revision uint64, known, lost bool) (uint64, error) {
-	ctx := context.Background()
+func (g *Gateway) step(ctx context.Context, f feed, revision uint64, known, lost bool) (uint64, error) {
 	if !known {
 		entries, at, err := g.store.Range(ctx, f.prefix)
 		if err != nil {
@@ -84,7 +118,7 @@
 		f.reset(now, entries)
 		return at, nil
 	}
-	wait := cmp.Or(f.wait, watchWait)
+	wait := watchWait
 	if lost {
 		wait = probeWait // The first answer tells when the store is back.
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,14 +68,14 @@
 	metrics   *metrics
 	store     *countedStore
 	guarded   *keyvalue.Guarded // The store for budgets.
+	reach     reach
 }
 
 // Periods of the gateway's timers.
 const (
 	decidePeriod = 25 * time.Millisecond // Ticks of the deciders that serve requests.
 	storeTimeout = time.Second
-	watchWait    = 4 * time.Second // Longest wait of one watch, and so of one that went silent.
-	membersWait  = 15 * time.Second
+	watchWait    = 15 * time.Second // Longest wait of one watch; each is a call to the store.
 	probeWait    = 20 * time.Millisecond
 
 	summaryPeriod = 10 * time.Second // Between two lines that sum up the store calls.
@@ -120,7 +120,7 @@
 	g.peers.Members = &g.members.Members
 	g.peers.Log = g.log
 	g.peers.Background = g.background
-	g.service = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints}
+	g.service = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
 	g.entries = entries{g: g, known: map[string]*known{}, restarted: map[string]bool{}}
 	g.endpoints.TellSuspect = g.peers.TellSuspect
 	g.endpoints.Open(g.endpointPolicy())
@@ -239,7 +239,6 @@
 		reset:  g.members.read,
 		change: g.members.changed,
 		settle: membersSettle,
-		wait:   membersWait,
 	})
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -26,8 +26,12 @@
 // memberPrefix is the prefix of the routers' keys in the store.
 const memberPrefix = "members/"
 
-// memberLease is the time after which a dead router's key disappears.
-const memberLease = 10 * time.Second
+// Times of a router's key.
+const (
+	memberLease   = 10 * time.Second // After which a dead router's key disappears.
+	renewEvery    = 2 * time.Second  // A renewal also finds out that the store is out of reach.
+	registerAgain = time.Second      // After a renewal that failed.
+)
 
 // registration is what a router writes about itself.
 type registration struct {
@@ -75,17 +79,19 @@
 	}
 	var lease uint64
 	for !m.g.stopped() {
+		asked := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		next, err := m.renew(ctx, lease, value)
 		cancel()
+		wait := renewEvery
 		if err != nil {
 			m.g.log.Warn("registration not renewed", zap.Uint64("Lease", lease), logfile.Problem(err))
+			wait = registerAgain
+			if now := time.Now(); errors.Is(err, keyvalue.ErrUnavailable) && m.g.store.silence(now) >= now.Sub(asked) {
+				m.g.reach.lose()
+			}
 		}
 		lease = next
-		wait := memberLease / 3
-		if err != nil {
-			wait = time.Second
-		}
 		decision.Pause(wait, m.g.stop)
 	}
 	if lease != 0 {
@@ -171,6 +177,7 @@
 		states = append(states, p.Name()+" "+p.State.String())
 	}
 	m.g.log.Info("members changed", zap.Strings("Members", states))
+	m.g.budgets.Rehome(now, m.g.peers.IsHome)
 }
 
 func (m *members) tick(now time.Time) {
--- a/internal/gateway/prepaid.go
+++ b/internal/gateway/prepaid.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -30,7 +29,7 @@
 	}
 	g.drawn = true
 	for _, a := range t.Accounts {
-		if a.Limited && slices.Contains(g.peers.Homes(a.Name), g.peers.Self()) {
+		if a.Limited && g.peers.IsHome(a.Name) {
 			g.budgets.Handle(now, budget.Prepaid{Budget: a.Name, Tokens: a.Prepaid, Draw: true})
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -46,6 +46,7 @@
 	// Decisions takes what was decided about each request.
 	Decisions decision.Waiters[budget.Action]
 
+	name    string // Of the holder; set before the first event.
 	loans   loans
 	recalls decision.Waiters[struct{}]
 	raises  decision.Waiters[bool]
@@ -60,6 +61,7 @@
 func (b *Ledger) Open(name string, policy budget.Policy) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.name = name
 	b.holder = budget.Holder{Name: name, Policy: policy}
 }
 
@@ -123,9 +125,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	written, err := WriteRecord(ctx, b.Store, action.Record, action.Version)
-	if err != nil {
-		b.Log.Warn("budget not written", zap.String("Budget", action.Budget), logfile.Problem(err))
-	}
+	b.logWrite(action, written, err)
 	b.Handle(time.Now(), budget.Committed{
 		Budget:  action.Budget,
 		Outcome: written.Outcome,
@@ -134,6 +134,18 @@
 	})
 }
 
+// logWrite records what a write was to change and what came of it.
+func (b *Ledger) logWrite(action budget.Commit, written keyvalue.Written, err error) {
+	if err != nil {
+		b.Log.Warn("budget not written", zap.String("Budget", action.Budget), zap.Stringer("Outcome", written.Outcome), logfile.Problem(err))
+		return
+	}
+	row := action.Record.Holders[b.name]
+	b.Log.Info("budget written", zap.String("Budget", action.Budget), zap.Stringer("Outcome", written.Outcome),
+		zap.Uint64("Base", action.Version), zap.Uint64("Version", written.Version), zap.Int("Holders", len(action.Record.Holders)),
+		zap.Int64("Granted", row.Granted), zap.Int64("Returned", row.Returned), zap.Int64("Spent", row.Spent), zap.Int64("Free", action.Record.Free()))
+}
+
 // current returns the record that stood in the way of a write, or nil.
 func (b *Ledger) current(name string, entry *keyvalue.Entry) *budget.Loaded {
 	if entry == nil {
@@ -212,6 +224,16 @@
 	return b.holder.Views()
 }
 
+// Rehome tells the holder of which of its budgets this router is a home.
+func (b *Ledger) Rehome(now time.Time, home func(name string) bool) {
+	b.mu.Lock()
+	names := b.holder.Budgets()
+	b.mu.Unlock()
+	for _, name := range names {
+		b.Handle(now, budget.Homed{Budget: name, Home: home(name)})
+	}
+}
+
 // View returns the state of one budget, and whether the holder keeps it.
 func (b *Ledger) View(name string) (budget.View, bool) {
 	b.mu.Lock()
--- a/internal/ledger/loans.go
+++ b/internal/ledger/loans.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
 // Loan is what a router is asked to set aside for a request of another one.
@@ -16,6 +17,14 @@
 	Prepaid          int64 // As the asking router's configuration says.
 	Tokens           int64
 	KeepMilliseconds int64 // After this time the tokens count as spent.
+	Search           bool  // The lender draws and recalls tokens as for a request of its own.
+}
+
+// Lent is the answer to a Loan.
+type Lent struct {
+	Granted bool
+	Peer    string // A router that is believed to hold the tokens, when it is not the lender.
+	Kind    string // Why not, as refusal.Kind spells it; empty when Granted or when a Peer is named.
 }
 
 // Settlement tells what a request used of a loan.
@@ -31,9 +40,11 @@
 )
 
 // Lend sets tokens aside for a request of another router; the same loan asked for twice is one.
-func (b *Ledger) Lend(loan Loan) bool {
+//
+// Passing tells that this router is no home of the budget.
+func (b *Ledger) Lend(loan Loan, passing bool) Lent {
 	if b.loans.has(loan.Request) {
-		return true
+		return Lent{Granted: true}
 	}
 	decisions := b.Decisions.Open(loan.Request)
 	defer b.Decisions.Close(loan.Request)
@@ -44,22 +55,36 @@
 		Budget:    loan.Budget,
 		Tokens:    loan.Tokens,
 		Deadline:  now.Add(lendWithin),
-		Forwarded: true,
+		Forwarded: !loan.Search,
+		Passing:   passing,
 	})
 	select {
 	case decision := <-decisions:
-		if _, ok := decision.(budget.Dispatch); !ok {
-			return false
-		}
+		return b.lent(loan, decision)
 	case <-time.After(lendWait):
 		b.Handle(time.Now(), budget.Withdraw{Request: loan.Request})
-		return false
+		return Lent{Kind: refusal.BudgetUnavailable.String()}
+	}
+}
+
+// lent turns the holder's decision into the answer to a loan.
+func (b *Ledger) lent(loan Loan, decision budget.Action) Lent {
+	switch decision := decision.(type) {
+	case budget.Dispatch:
+		b.loans.start(loan.Request, time.Duration(loan.KeepMilliseconds)*time.Millisecond, func() {
+			b.Log.Warn("loan not settled", zap.String("Run", loan.Request), zap.String("Budget", loan.Budget), zap.Int64("Tokens", loan.Tokens))
+			b.Handle(time.Now(), budget.Settle{Request: loan.Request, Tokens: loan.Tokens})
+		})
+		return Lent{Granted: true}
+	case budget.Forward:
+		// The asking router turns to that peer itself.
+		b.Handle(time.Now(), budget.ForwardTaken{Request: loan.Request})
+		return Lent{Peer: decision.Peer}
+	case budget.Refuse:
+		return Lent{Kind: decision.Kind.String()}
+	default:
+		return Lent{Kind: refusal.Internal.String()}
 	}
-	b.loans.start(loan.Request, time.Duration(loan.KeepMilliseconds)*time.Millisecond, func() {
-		b.Log.Warn("loan not settled", zap.String("Run", loan.Request), zap.String("Budget", loan.Budget), zap.Int64("Tokens", loan.Tokens))
-		b.Handle(time.Now(), budget.Settle{Request: loan.Request, Tokens: loan.Tokens})
-	})
-	return true
 }
 
 // SettleLoan bills a loan once; one that is not open is left alone.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -137,7 +137,14 @@
 	return m.roster.Members()
 }
 
-// Homes returns the incarnations of the live routers that are preferred for a key.
+// Expected returns the number of routers that serve, this one included, as far as is known.
+func (m *Members) Expected() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Expected()
+}
+
+// Homes returns the incarnations of the routers that are heard among the n that are preferred for a key.
 func (m *Members) Homes(key string, n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,15 +121,32 @@
 // Self returns this router's incarnation.
 func (c *Client) Self() string { return c.Members.Self().Name() }
 
-// homesEach is the number of routers that hold grants of a budget; more would write its record too often.
-const homesEach = 6
+// Homes of a budget, which hold grants ready.
+const (
+	homesEach  = 2 // Each writes the budget's record; a second one goes on when the first fails.
+	smallFleet = 6 // Routers up to which each is a home of every budget.
+)
+
+// Homes returns the incarnations that hold grants of a budget ready.
+func (c *Client) Homes(name string) []string {
+	n := homesEach
+	if c.Members.Expected() <= smallFleet {
+		n = smallFleet
+	}
+	return c.Members.Homes(name, n)
+}
 
-// Homes returns the incarnations that hold grants of a budget.
-func (c *Client) Homes(name string) []string { return c.Members.Homes(name, homesEach) }
+// IsHome reports whether this router is a home of a budget.
+func (c *Client) IsHome(name string) bool { return slices.Contains(c.Homes(name), c.Self()) }
 
 // Reserve asks a router to set tokens aside for a request of this one.
-func (c *Client) Reserve(peer string, loan ledger.Loan) (bool, error) {
-	return c.ask(peer, ReservePath, loan)
+func (c *Client) Reserve(peer string, loan ledger.Loan) (ledger.Lent, error) {
+	address, ok := c.Members.Address(peer)
+	if !ok {
+		return ledger.Lent{}, ErrNotAPeer
+	}
+	var answer ledger.Lent
+	return answer, c.Post(address, ReservePath, loan, &answer)
 }
 
 // Settle tells a lender what a request used; it is tried a few times, since a lost one bills the request in full.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -18,6 +18,7 @@
 	Members   *membership.Members
 	Budgets   *ledger.Ledger
 	Endpoints *placement.Endpoints
+	IsHome    func(budget string) bool // Whether this router holds grants of a budget ready.
 }
 
 // Answer answers a message; known is false when the path is not one of this package.
@@ -41,7 +42,7 @@
 			return verdict{true}
 		})
 	case ReservePath:
-		answer, err = answerTo(body, func(loan ledger.Loan) any { return verdict{s.Budgets.Lend(loan)} })
+		answer, err = answerTo(body, func(loan ledger.Loan) any { return s.Budgets.Lend(loan, !s.IsHome(loan.Budget)) })
 	case SettlePath:
 		answer, err = answerTo(body, func(m ledger.Settlement) any {
 			s.Budgets.SettleLoan(m)
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -28,6 +28,7 @@
 	s.Members.Budgets = s.Budgets
 	s.Members.Endpoints = s.Endpoints
 	s.Members.Background = func(func()) {}
+	s.IsHome = func(string) bool { return true }
 	self := fleet.Member{VM: "vm-1", Incarnation: 1, Address: "a:1", DataCentre: "dc", Size: 1}
 	s.Members.Open(self)
 	s.Budgets.Store = store
@@ -43,7 +44,7 @@
 	answer, known, err := s.Answer(path, body)
 	require.True(t, known)
 	require.NoError(t, err)
-	var v verdict
+	var v struct{ Granted bool }
 	require.NoError(t, json.Unmarshal(answer, &v))
 	return v.Granted
 }
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -18,8 +18,8 @@
 	Self() string
 	// Homes returns the incarnations that hold grants of a budget.
 	Homes(budget string) []string
-	// Reserve sets tokens aside at a router.
-	Reserve(peer string, loan ledger.Loan) (bool, error)
+	// Reserve asks a router to set tokens aside.
+	Reserve(peer string, loan ledger.Loan) (ledger.Lent, error)
 	// Settle tells a router what a request used of a loan.
 	Settle(peer string, s ledger.Settlement)
 }
@@ -35,32 +35,66 @@
 
 // reserve sets aside the most that the request can cost; a reply ends the request.
 func (r *run) reserve() *Reply {
-	if r.req.Budget == "" || r.reserveAtHome() {
+	if r.req.Budget == "" {
 		return nil
 	}
-	return r.reserveHere()
-}
-
-// reserveAtHome sets tokens aside at a router that holds grants of the budget, unless this one does.
-//
-// A refusal there is not final: this router's own attempt finds out why.
-func (r *run) reserveAtHome() bool {
 	homes := r.f.Lenders.Homes(r.req.Budget)
 	if slices.Contains(homes, r.f.Lenders.Self()) {
-		return false
+		return r.reserveHere(false)
+	}
+	answer := r.reserveAtHome(homes)
+	switch {
+	case answer.Granted:
+		return nil
+	case answer.Kind == refusal.BudgetExhausted.String():
+		return r.notReserved(refusal.BudgetExhausted)
 	}
-	const tries = 2
+	return r.reserveHere(true) // The homes cannot be reached, or cannot reach the store, which this router may.
+}
+
+// reserveAtHome sets tokens aside at a home of the budget, or where a home says that there are some.
+//
+// The answer of a home that has looked for tokens is final, but for a home that
+// cannot look, because the store is out of its reach or it stops.
+func (r *run) reserveAtHome(homes []string) ledger.Lent {
+	var last ledger.Lent
 	first := int(r.req.Fingerprint % uint64(max(1, len(homes))))
-	for i := range min(tries, len(homes)) {
-		if granted, _ := r.lentBy(homes[(first+i)%len(homes)]); granted {
-			return true
+	for i := range homes {
+		home := homes[(first+i)%len(homes)]
+		answer, err := r.lentBy(home, true)
+		if err == nil && answer.Peer != "" {
+			answer = r.lentElsewhere(home, answer.Peer)
 		}
+		switch {
+		case err != nil:
+		case answer.Granted, answer.Kind == refusal.BudgetExhausted.String():
+			return answer
+		default:
+			last = answer
+		}
+	}
+	return last
+}
+
+// lentElsewhere asks the router to which a home points.
+func (r *run) lentElsewhere(home, peer string) ledger.Lent {
+	if peer == r.f.Lenders.Self() {
+		return ledger.Lent{Kind: refusal.BudgetUnavailable.String()}
+	}
+	answer, err := r.lentBy(peer, false)
+	if err != nil {
+		r.f.Log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Home", home), zap.String("Peer", peer), logfile.Problem(err))
+	}
+	if !answer.Granted {
+		answer = ledger.Lent{Kind: refusal.BudgetUnavailable.String()} // What the home believed is no longer so.
 	}
-	return false
+	return answer
 }
 
 // reserveHere sets tokens aside at this router, or where its holder says.
-func (r *run) reserveHere() *Reply {
+//
+// A router that is no home of the budget is passing: it keeps nothing ready.
+func (r *run) reserveHere(passing bool) *Reply {
 	decisions := r.f.Budgets.Decisions.Open(r.req.Run)
 	defer r.f.Budgets.Decisions.Close(r.req.Run)
 	now := time.Now()
@@ -70,6 +104,7 @@
 		Budget:   r.req.Budget,
 		Tokens:   r.req.WorstCase(),
 		Deadline: r.reserveUntil(),
+		Passing:  passing,
 	})
 	for {
 		select {
@@ -124,11 +159,11 @@
 
 // borrow asks a peer that is believed to hold tokens to set them aside for this request.
 func (r *run) borrow(peer string) bool {
-	granted, err := r.lentBy(peer)
+	answer, err := r.lentBy(peer, false)
 	if err != nil {
 		r.f.Log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), logfile.Problem(err))
 	}
-	if !granted {
+	if !answer.Granted {
 		r.f.Budgets.Handle(time.Now(), budget.ForwardRefused{Request: r.req.Run, Peer: peer})
 		return false
 	}
@@ -136,24 +171,26 @@
 	return true
 }
 
-// lentBy asks a router to set the tokens of this request aside.
-func (r *run) lentBy(peer string) (bool, error) {
-	granted, err := r.f.Lenders.Reserve(peer, ledger.Loan{
+// lentBy asks a router to set the tokens of this request aside; one that searches looks for them as for a request of its own.
+func (r *run) lentBy(peer string, search bool) (ledger.Lent, error) {
+	answer, err := r.f.Lenders.Reserve(peer, ledger.Loan{
 		Request:          r.req.Run,
 		Budget:           r.req.Budget,
 		Prepaid:          r.req.Prepaid,
 		Tokens:           r.req.WorstCase(),
 		KeepMilliseconds: time.Until(r.req.Deadline.Add(lendMargin)).Milliseconds(),
+		Search:           search,
 	})
-	r.f.observer().Reserved(AtPeer, granted)
+	r.f.observer().Reserved(AtPeer, answer.Granted)
 	switch {
-	case granted:
-		r.reserved = reservation{held: true, lender: peer}
 	case err != nil:
 		// The answer may be lost though the tokens are set aside.
 		r.f.Background(func() { r.f.Lenders.Settle(peer, ledger.Settlement{Request: r.req.Run}) })
+		return ledger.Lent{}, err
+	case answer.Granted:
+		r.reserved = reservation{held: true, lender: peer}
 	}
-	return granted, err
+	return answer, nil
 }
 
 // settle bills the request once and frees the rest of what was set aside.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -111,8 +111,9 @@
 	r.peers.Log = r.log
 	r.peers.Background = r.background
 	r.members.Probe = r.peers.Probe
+	r.members.Changed = func(now time.Time) { r.budgets.Rehome(now, r.peers.IsHome) }
 	r.members.Open(member)
-	r.service = peer.Service{Members: &r.members.Members, Budgets: &r.budgets, Endpoints: &r.endpoints}
+	r.service = peer.Service{Members: &r.members.Members, Budgets: &r.budgets, Endpoints: &r.endpoints, IsHome: r.peers.IsHome}
 	r.endpoints.TellSuspect = r.peers.TellSuspect
 	r.endpoints.Open(r.cfg.Endpoint)
 	r.budgets.Store = r.cfg.Store
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -19,6 +19,7 @@
 	record   Record // As last read or written.
 	version  uint64
 	total    int64 // Prepaid tokens as the configuration gives them; zero when only top-ups count.
+	passing  bool  // This router is no home of the budget.
 	drawing  bool  // A first grant is still to be drawn.
 	known    bool  // record and version were read at least once.
 	loadedAt time.Time
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -87,6 +87,8 @@
 		if first := a.record.Free() / (p.ShareParts * p.ShareParts); a.mine.Granted == 0 && first > 0 {
 			return h.commit(now, a, first, 0)
 		}
+	case a.passing && headroom > 0 && now.Sub(a.usedAt) >= p.PassAfter:
+		return h.commit(now, a, 0, headroom)
 	case headroom < target/refillParts*(refillParts-1) && !idle && now.Sub(a.flushedAt) >= p.RefillEvery:
 		if extra := h.extra(a, p, 0); extra > target/(2*refillParts) {
 			return h.commit(now, a, extra, 0)
@@ -137,6 +139,9 @@
 
 // extra returns the tokens to be granted beyond need: enough for the horizon, but a bounded part of what is free.
 func (h *Holder) extra(a *account, p Policy, need int64) int64 {
+	if a.passing {
+		return 0
+	}
 	free := a.record.Free()
 	want := a.target(p) - max(0, a.headroom())
 	return max(0, min(want, (free-need)/p.ShareParts))
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -16,6 +16,13 @@
 	Tokens    int64
 	Deadline  time.Time
 	Forwarded bool // The request came from another router and is not forwarded again.
+	Passing   bool // This router is no home of the budget: it draws what the request needs and returns the rest soon.
+}
+
+// Homed tells whether this router is a home of a budget, which holds grants ready; an unknown budget is left alone.
+type Homed struct {
+	Budget string
+	Home   bool
 }
 
 // Settle reports the tokens that a reserved request used; zero frees the whole reservation.
@@ -128,7 +135,13 @@
 	NoEffect
 )
 
+var outcomeNames = [...]string{"OutcomeUnknown", "TookEffect", "NoEffect"}
+
+// String returns the name of the outcome as logs spell it.
+func (o Outcome) String() string { return outcomeNames[min(o, NoEffect)] }
+
 func (Reserve) isEvent()        {}
+func (Homed) isEvent()          {}
 func (Settle) isEvent()         {}
 func (Withdraw) isEvent()       {}
 func (Refund) isEvent()         {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -31,6 +31,9 @@
 	tried    map[string]bool
 }
 
+// Budgets returns the names of the budgets that the holder keeps accounts of, sorted.
+func (h *Holder) Budgets() []string { return slices.Sorted(maps.Keys(h.accounts)) }
+
 // View is the state of one budget as a holder sees it, in tokens.
 type View struct {
 	Budget   string
@@ -61,6 +64,11 @@
 		return h.advance(now, a)
 	case Prepaid:
 		return h.prepaid(now, ev)
+	case Homed:
+		if a, ok := h.accounts[ev.Budget]; ok {
+			a.passing = !ev.Home
+		}
+		return nil
 	case Loaded:
 		return h.loaded(now, ev)
 	case LoadFailed:
@@ -179,6 +187,7 @@
 		return []Action{Refuse{ev.Request, refusal.BudgetUnavailable}}
 	}
 	a.usedAt = now
+	a.passing = ev.Passing
 	h.requests[ev.Request] = &reservation{Reserve: ev}
 	a.waiting = append(a.waiting, ev.Request)
 	return h.advance(now, a)
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -34,8 +35,10 @@
 		act := func(s step) { m.apply(t, s) }
 		act(step{Op: "TopUp", Tokens: draw("prepaid", 1, 4000)})
 		t.Repeat(map[string]func(*rapid.T){
-			"":             m.check,
-			"request":      func(*rapid.T) { act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900)}) },
+			"": m.check,
+			"request": func(*rapid.T) {
+				act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900), Index: int(draw("passing", 0, 1))})
+			},
 			"deliver":      m.deliverAny,
 			"run":          func(*rapid.T) { act(step{Op: "Run", Index: int(draw("deliveries", 1, 8))}) },
 			"land late":    func(*rapid.T) { act(step{Op: "LandLate", Index: int(draw("late", 0, 3))}) },
@@ -50,6 +53,7 @@
 			"top up again": func(*rapid.T) { act(step{Op: "TopUpAgain"}) },
 			"kill":         func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
 			"leave":        func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
+			"homed":        func(*rapid.T) { act(step{Op: "Homed", Holder: holder(), Index: int(draw("home", 0, 1))}) },
 		})
 		m.finish(t)
 	})
@@ -65,8 +69,10 @@
 		act := func(s step) { m.apply(t, s) }
 		act(step{Op: "Total", Holder: m.names[0], Tokens: draw("prepaid", 1, 4000)})
 		t.Repeat(map[string]func(*rapid.T){
-			"":          m.check,
-			"request":   func(*rapid.T) { act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900)}) },
+			"": m.check,
+			"request": func(*rapid.T) {
+				act(step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900), Index: int(draw("passing", 0, 1))})
+			},
 			"deliver":   m.deliverAny,
 			"run":       func(*rapid.T) { act(step{Op: "Run", Index: int(draw("deliveries", 1, 8))}) },
 			"land late": func(*rapid.T) { act(step{Op: "LandLate", Index: int(draw("late", 0, 3))}) },
@@ -145,7 +151,7 @@
 	m := newFleetMachine()
 	m.topUp(t, "first", 1000)
 	name := m.names[0]
-	m.request(name, 100)
+	m.request(name, 100, false)
 	for len(m.transit) > 0 {
 		m.deliver(0, 0)
 	}
@@ -157,3 +163,30 @@
 	require.Contains(t, h.Handle(m.now, Committed{Budget: testBudget, Outcome: NoEffect, Version: 0}), Load{testBudget})
 	require.Contains(t, h.Handle(m.now, Loaded{testBudget, m.store.version, m.store.record}), Refuse{"x", refusal.BudgetUnavailable})
 }
+
+// TestAPassingHolderDrawsWhatARequestNeedsAndReturnsTheRest replays single requests at routers that are no homes of the budget.
+//
+// Each of 78 routers that kept a grant of its own would leave the tokens of a
+// budget in many places, which a loss of all routers strands.
+func TestAPassingHolderDrawsWhatARequestNeedsAndReturnsTheRest(t *testing.T) {
+	m := newFleetMachine()
+	m.topUp(t, "first", 1_000_000)
+	name := m.names[0]
+	for range 5 {
+		m.request(name, 900, true)
+		for len(m.transit) > 0 {
+			m.deliver(0, 0)
+		}
+		require.EqualValues(t, 900, m.store.record.Holders[name].Held(), "nothing beyond the need")
+		m.settle(sampleKey(m.running), 100)
+	}
+	for range 4 {
+		m.now = m.now.Add(time.Second)
+		m.handle(name, Tick{})
+		for len(m.transit) > 0 {
+			m.deliver(0, 0)
+		}
+	}
+	require.Zero(t, m.store.record.Holders[name].Held())
+	require.EqualValues(t, 1_000_000-5*100, m.store.record.Free())
+}
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -287,11 +287,11 @@
 	m.handle(r.Peer, RecallWanted{r.Budget, id})
 }
 
-func (m *fleetMachine) request(holder string, tokens int64) {
+func (m *fleetMachine) request(holder string, tokens int64, passing bool) {
 	id := m.id("request")
 	m.home[id] = holder
 	m.reserved[id] = tokens
-	m.handle(holder, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: m.now.Add(time.Hour)})
+	m.handle(holder, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: m.now.Add(time.Hour), Passing: passing})
 }
 
 func (m *fleetMachine) settle(key string, tokens int64) {
@@ -386,7 +386,7 @@
 	m.trace = append(m.trace, s)
 	switch s.Op {
 	case "Request":
-		m.request(s.Holder, s.Tokens)
+		m.request(s.Holder, s.Tokens, s.Index > 0)
 	case "Deliver":
 		if s.Index < len(m.transit) {
 			m.deliver(s.Index, s.Fate)
@@ -431,6 +431,8 @@
 	case "Leave":
 		m.handle(s.Holder, Leave{})
 		m.kill(slices.Index(m.names, s.Holder))
+	case "Homed":
+		m.handle(s.Holder, Homed{testBudget, s.Index > 0})
 	case "Total":
 		m.total = max(m.total, s.Tokens)
 		m.handle(s.Holder, Prepaid{testBudget, s.Tokens, s.Index > 0})
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -14,6 +14,7 @@
 	RefillEvery time.Duration // Least time between two writes that only refill a grant.
 	FlushEvery  time.Duration // Longest time for which spent tokens stay unreported.
 	ReturnAfter time.Duration // Time without use after which unused tokens return to the budget.
+	PassAfter   time.Duration // Time without use after which a router that is no home of a budget returns what it holds.
 	RetireAfter time.Duration // Time without use after which the account is closed and forgotten.
 	SeekAfter   time.Duration // Age of a store call after which waiting requests look for tokens at peers.
 	FreshFor    time.Duration // Age up to which a read record may serve as ground for a refusal.
@@ -32,6 +33,7 @@
 	DefaultRefillEvery = 500 * time.Millisecond
 	DefaultFlushEvery  = 5 * time.Second
 	DefaultReturnAfter = 10 * time.Second
+	DefaultPassAfter   = time.Second
 	DefaultRetireAfter = time.Minute
 	DefaultSeekAfter   = 60 * time.Millisecond
 	DefaultFreshFor    = 200 * time.Millisecond
@@ -49,6 +51,7 @@
 	p.RefillEvery = cmp.Or(p.RefillEvery, DefaultRefillEvery)
 	p.FlushEvery = cmp.Or(p.FlushEvery, DefaultFlushEvery)
 	p.ReturnAfter = cmp.Or(p.ReturnAfter, DefaultReturnAfter)
+	p.PassAfter = cmp.Or(p.PassAfter, DefaultPassAfter)
 	p.RetireAfter = cmp.Or(p.RetireAfter, DefaultRetireAfter)
 	p.SeekAfter = cmp.Or(p.SeekAfter, DefaultSeekAfter)
 	p.FreshFor = cmp.Or(p.FreshFor, DefaultFreshFor)
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -30,6 +30,7 @@
 	Member
 
 	known   bool // A message of the VM's own incarnation was heard.
+	missing bool // It was asked and did not answer before it was ever heard.
 	since   time.Time
 	told    int // Times that the current news was told.
 	askedAt time.Time
@@ -183,6 +184,9 @@
 // probeFailed suspects a VM; a VM that was never heard of stays unknown.
 func (r *Roster) probeFailed(now time.Time, vm string) []Action {
 	p, ok := r.peers[vm]
+	if ok && !p.known {
+		p.missing = true
+	}
 	if !ok || !p.known || p.State >= Suspected {
 		return nil
 	}
@@ -241,25 +245,53 @@
 	return nil
 }
 
-// Homes returns the names of the live routers that are preferred for a key, the best first, at most n.
+// candidate reports whether a VM serves as far as is known; one that was never asked may.
+func (p *peer) candidate() bool {
+	if !p.known {
+		return !p.missing
+	}
+	return p.State == Alive
+}
+
+// Expected returns the number of routers that serve, this one included, as far as is known.
+func (r *Roster) Expected() int {
+	n := 1
+	for _, p := range r.peers {
+		if p.candidate() {
+			n++
+		}
+	}
+	return n
+}
+
+// Homes returns the names of those routers that are heard among the n that are preferred for a key, the best first.
 //
 // Routers with the same view return the same ones; a router that joins or
-// leaves changes few keys.
+// leaves changes few keys. A router that has just started ranks those that it
+// was told of and has not heard yet, so that it does not take their keys over.
 func (r *Roster) Homes(key string, n int) []string {
 	type ranked struct {
-		name  string
+		name  string // Empty for a router that is not heard yet.
 		score uint64
 	}
+	score := func(vm string) uint64 { return xxhash.Sum64String(vm + "\x00" + key) }
 	var list []ranked
-	for _, m := range append([]Member{r.Self}, r.Peers()...) {
-		if m.State == Alive {
-			list = append(list, ranked{m.Name(), xxhash.Sum64String(m.VM + "\x00" + key)})
+	if r.Self.State == Alive {
+		list = append(list, ranked{r.Self.Name(), score(r.Self.VM)})
+	}
+	for _, p := range r.sorted((*peer).candidate) {
+		one := ranked{score: score(p.VM)}
+		if p.known {
+			one.name = p.Name()
 		}
+		list = append(list, one)
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	names := make([]string, 0, n)
+	var names []string
 	for _, one := range list[:min(n, len(list))] {
-		names = append(names, one.name)
+		if one.name != "" {
+			names = append(names, one.name)
+		}
 	}
 	return names
 }
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -167,3 +167,29 @@
 	r.Handle(start, PlatformListed{[]string{"a", "b"}})
 	require.Len(t, r.EntryList(time.Second, random.Float64).Entries, 1)
 }
+
+// TestAStartingRouterDoesNotTakeKeysOver starts a router that was told of 77 others and has heard none of them.
+//
+// After a loss of power of all routers each one would otherwise take itself
+// for the home of every budget and draw a grant of it.
+func TestAStartingRouterDoesNotTakeKeysOver(t *testing.T) {
+	var seeds []Seed
+	for i := range 78 {
+		seeds = append(seeds, Seed{VM: fmt.Sprint("vm-", i), Address: fmt.Sprint("a:", i), DataCentre: "dc", Size: 1})
+	}
+	now := time.Unix(0, 0)
+	r := Roster{Self: Member{VM: "vm-0", Incarnation: 1}}
+	r.Handle(now, Configured{seeds})
+	mine := 0
+	for key := range 200 {
+		mine += len(r.Homes(fmt.Sprint(key), 2))
+	}
+	require.Less(t, mine, 20, "about 2 in 78 of 200 keys")
+	require.Equal(t, 78, r.Expected())
+	for i := 1; i < 78; i++ {
+		r.Handle(now, ProbeFailed{VM: fmt.Sprint("vm-", i)})
+	}
+	require.Equal(t, []string{r.Self.Name()}, r.Homes("key", 2), "nobody else answers")
+	r.Handle(now, Heard{[]Member{{VM: "vm-1", Incarnation: 7}}})
+	require.Len(t, r.Homes("key", 2), 2)
+}
