Speak the platform's store protocol everywhere; the ETag client and its stand-in go

Cause: two clients of two store protocols. The tests of the chat router ran a client that is deployed nowhere, against a stand-in that knew no leases, no ranges and no lost history.

Change: platform/wire holds the store's messages, platform/standin a store that speaks them with the faults down, busy, slow, lost answers, late writes, forgotten history and rates; the chat router, its process tests and the platform's tests use platform.Store. Keys have no time to live there: a claim of an order says until when it is kept, and one router removes old ones every 10 minutes with a margin of an hour for clocks that differ. A watch of one key begins with what stands in the store, since its last version may be older than the history.

Ruled out: claims under leases, which last ten minutes at most and would let an order run again once the router that renews them stops.

--- a/internal/command/partition_test.go
+++ b/internal/command/partition_test.go
@@ -13,6 +13,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+	platformstandin "github.com/foxtaillanding/foxtaillanding/platform/standin"
 )
 
 // links are the paths of one router that a test can cut.
@@ -114,10 +115,10 @@
 		go c.order(2, fmt.Sprint("open-", i))
 	}
 	require.Eventually(t, func() bool { return c.tokensRun(t) > before }, patience, time.Millisecond)
-	setFaults(t, c.store, standin.StoreFaults{Down: true})
+	setFaults(t, c.store, platformstandin.StoreFaults{Down: true})
 	c.routers[2].kill()
 	storm()
-	setFaults(t, c.store, standin.StoreFaults{LoseWriteAnswers: 5})
+	setFaults(t, c.store, platformstandin.StoreFaults{LoseWriteAnswers: 5})
 	c.routers[2] = c.startRouter(t, 2)
 	c.topUp(t, 0, "first", prepaid)
 	storm()
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+	platformstandin "github.com/foxtaillanding/foxtaillanding/platform/standin"
 )
 
 func TestWholePath(t *testing.T) {
@@ -134,11 +135,11 @@
 	c := startCluster(t, 1_000_000)
 	// Unused grants go back after a while, so a slow machine may need another round.
 	require.Eventually(t, func() bool {
-		setFaults(t, c.store, standin.StoreFaults{})
+		setFaults(t, c.store, platformstandin.StoreFaults{})
 		for i := range c.routers {
 			_, _ = c.chat(i, "", prompt("warm up", 200))
 		}
-		setFaults(t, c.store, standin.StoreFaults{Down: true})
+		setFaults(t, c.store, platformstandin.StoreFaults{Down: true})
 		code, _ := c.chat(0, "", prompt("x", 20))
 		return code == http.StatusOK
 	}, patience, time.Millisecond, "no grant was served while the store was down")
@@ -146,7 +147,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Equal(t, refusal.StoreUnavailable, refusal.Parse(body).Kind)
 	require.Empty(t, c.orderRuns(t))
-	setFaults(t, c.store, standin.StoreFaults{LoseWriteAnswers: 3})
+	setFaults(t, c.store, platformstandin.StoreFaults{LoseWriteAnswers: 3})
 	require.Eventually(t, func() bool {
 		code, _ := c.order(1, "outage")
 		return code == http.StatusOK
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -15,6 +15,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/router"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
+	"github.com/foxtaillanding/foxtaillanding/platform"
 )
 
 func settingsFlag() *cli.StringFlag {
@@ -69,7 +70,7 @@
 		VM:      c.String("vm"),
 		Listen:  ln,
 		Initial: tree,
-		Store:   keyvalue.NewGuarded(keyvalue.NewClient(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
+		Store:   keyvalue.NewGuarded(platform.NewStore(store.Address, timeout), store.WritesPerSecond, store.ReadsPerSecond),
 		Log:     log,
 	})
 	if err != nil {
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
+	platformstandin "github.com/foxtaillanding/foxtaillanding/platform/standin"
 )
 
 func listenFlag() cli.Flag {
@@ -34,11 +35,11 @@
 		Usage: "the platform's key-value service",
 		Flags: []cli.Flag{
 			listenFlag(),
-			&cli.IntFlag{Name: "writes", Usage: "writes a second", Value: standin.DefaultWritesPerSecond},
-			&cli.IntFlag{Name: "reads", Usage: "reads a second", Value: standin.DefaultReadsPerSecond},
+			&cli.IntFlag{Name: "writes", Usage: "writes a second", Value: platformstandin.DefaultWritesPerSecond},
+			&cli.IntFlag{Name: "reads", Usage: "reads a second", Value: platformstandin.DefaultReadsPerSecond},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s := &standin.Store{WritesPerSecond: c.Int("writes"), ReadsPerSecond: c.Int("reads")}
+			s := &platformstandin.Store{WritesPerSecond: c.Int("writes"), ReadsPerSecond: c.Int("reads")}
 			return serveStandin(ctx, c, s.Handle)
 		},
 	}
--- a/internal/gateway/counted_store.go
+++ b/internal/gateway/counted_store.go
@@ -70,6 +70,13 @@
 	return written, err
 }
 
+// Remove removes one key on a condition.
+func (s *countedStore) Remove(ctx context.Context, key string, ifVersion uint64) (keyvalue.Written, error) {
+	written, err := s.Store.Remove(ctx, key, ifVersion)
+	s.note("Remove", err)
+	return written, err
+}
+
 // Range reads all keys that begin with prefix.
 func (s *countedStore) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, uint64, error) {
 	entries, revision, err := s.Store.Range(ctx, prefix)
--- a/internal/keyvalue/doc.go
+++ b/internal/keyvalue/doc.go
@@ -4,6 +4,6 @@
 // against: one decision a call, every call counted by the store. A conditional
 // write has one of three outcomes, and no layer below the deciders repeats it,
 // because a repeated conditional write turns its own success into a conflict.
-// Memory keeps everything in one process; Client speaks HTTP with ETag,
-// If-Match and If-None-Match; Budgeted limits and guards another Store.
+// Memory keeps everything in one process; the platform's adapter speaks the
+// protocol of the platform's store; Guarded limits and spares another Store.
 package keyvalue
--- a/internal/keyvalue/guarded.go
+++ b/internal/keyvalue/guarded.go
@@ -75,6 +75,16 @@
 	return written, err
 }
 
+// Remove removes one key on a condition; a call that is held back has no effect.
+func (g *Guarded) Remove(ctx context.Context, key string, ifVersion uint64) (Written, error) {
+	if err := g.allow(g.writes); err != nil {
+		return Written{Outcome: budget.NoEffect}, err
+	}
+	written, err := g.Store.Remove(ctx, key, ifVersion)
+	g.note(err)
+	return written, err
+}
+
 // List reads all keys that begin with prefix.
 func (g *Guarded) List(ctx context.Context, prefix string) ([]Entry, error) {
 	if err := g.allow(g.reads); err != nil {
--- a/internal/keyvalue/memory.go
+++ b/internal/keyvalue/memory.go
@@ -16,18 +16,9 @@
 // Memory is a Store that lives in this process; its zero value is empty.
 type Memory struct {
 	mu       sync.Mutex
-	entries  map[string]stored // Guarded by mu.
-	revision uint64            // Guarded by mu; the version given to the last write.
-	changed  chan struct{}     // Guarded by mu; closed at the next write.
-}
-
-type stored struct {
-	entry  Entry
-	expiry time.Time // Zero for a key without a time to live.
-}
-
-func (s stored) live(now time.Time) bool {
-	return s.expiry.IsZero() || now.Before(s.expiry)
+	entries  map[string]Entry // Guarded by mu.
+	revision uint64           // Guarded by mu; the version given to the last write.
+	changed  chan struct{}    // Guarded by mu; closed at the next write.
 }
 
 // Get reads one key.
@@ -38,11 +29,11 @@
 }
 
 func (m *Memory) get(key string) Entry {
-	s, ok := m.entries[key]
-	if !ok || !s.live(time.Now()) {
+	entry, ok := m.entries[key]
+	if !ok {
 		return Entry{Key: key}
 	}
-	return s.entry
+	return entry
 }
 
 // Put writes one key on a condition.
@@ -56,30 +47,43 @@
 		return Written{Outcome: budget.NoEffect}, nil
 	}
 	m.revision++
-	s := stored{entry: Entry{Key: put.Key, Value: slices.Clone(put.Value), Version: m.revision}}
-	if put.TTL > 0 {
-		s.expiry = time.Now().Add(put.TTL)
-	}
 	if m.entries == nil {
-		m.entries = map[string]stored{}
+		m.entries = map[string]Entry{}
 	}
-	m.entries[put.Key] = s
+	m.entries[put.Key] = Entry{Key: put.Key, Value: slices.Clone(put.Value), Version: m.revision}
+	m.wake()
+	return Written{Outcome: budget.TookEffect, Version: m.revision}, nil
+}
+
+// Remove removes one key on the condition that it has a version.
+func (m *Memory) Remove(_ context.Context, key string, ifVersion uint64) (Written, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ifVersion == 0 || m.get(key).Version != ifVersion {
+		return Written{Outcome: budget.NoEffect}, nil
+	}
+	m.revision++
+	delete(m.entries, key)
+	m.wake()
+	return Written{Outcome: budget.TookEffect, Version: m.revision}, nil
+}
+
+// wake ends all watches; mu is held.
+func (m *Memory) wake() {
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
 	}
-	return Written{Outcome: budget.TookEffect, Version: m.revision}, nil
 }
 
 // List reads all keys that begin with prefix, in order.
 func (m *Memory) List(_ context.Context, prefix string) ([]Entry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
 	var found []Entry
-	for key, s := range m.entries {
-		if strings.HasPrefix(key, prefix) && s.live(now) {
-			found = append(found, s.entry)
+	for key, entry := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, entry)
 		}
 	}
 	slices.SortFunc(found, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -29,9 +29,8 @@
 type Put struct {
 	Key       string
 	Value     []byte
-	IfVersion uint64        // Zero means that the key must not exist.
-	TTL       time.Duration // When positive, the key disappears after this time without a further Put.
-	Lease     uint64        // When not zero, the key disappears when this lease ends.
+	IfVersion uint64 // Zero means that the key must not exist.
+	Lease     uint64 // When not zero, the key disappears when this lease ends.
 }
 
 // Written is the result of a Put.
@@ -47,6 +46,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// Put writes one key on a condition. The error says why the outcome is not TookEffect.
 	Put(ctx context.Context, put Put) (Written, error)
+	// Remove removes one key on the condition that it has a version; the outcome is that of a Put.
+	Remove(ctx context.Context, key string, ifVersion uint64) (Written, error)
 	// List reads all keys that begin with prefix, in order.
 	List(ctx context.Context, prefix string) ([]Entry, error)
 	// Watch waits until a key has a version above after, or until wait has passed, and reads it.
--- a/internal/keyvalue/client_test.go
+++ b/internal/keyvalue/store_test.go
@@ -13,6 +13,8 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/platform"
+	platformstandin "github.com/foxtaillanding/foxtaillanding/platform/standin"
 )
 
 const callTimeout = 30 * time.Second // Long, so that no verdict depends on the machine's speed.
@@ -46,12 +48,12 @@
 }
 
 // stores are the two forms of the store, which must behave alike.
-func stores(t *testing.T) (map[string]keyvalue.Store, *standin.Store) {
-	served := &standin.Store{}
+func stores(t *testing.T) (map[string]keyvalue.Store, *platformstandin.Store) {
+	served := &platformstandin.Store{}
 	s, err := standin.Serve("127.0.0.1:0", served.Handle)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
-	return map[string]keyvalue.Store{"memory": &keyvalue.Memory{}, "client": keyvalue.NewClient(s.Address, callTimeout)}, served
+	return map[string]keyvalue.Store{"memory": &keyvalue.Memory{}, "client": platform.NewStore(s.Address, callTimeout)}, served
 }
 
 func TestConditionalWrites(t *testing.T) {
@@ -77,6 +79,15 @@
 		list, err := store.List(ctx, "Settings/")
 		require.NoError(t, err, name)
 		require.Len(t, list, 1, name)
+		kept, err := store.Remove(ctx, key, first.Version)
+		require.NoError(t, err, name)
+		require.Equal(t, budget.NoEffect, kept.Outcome, name)
+		removed, err := store.Remove(ctx, key, next.Version)
+		require.NoError(t, err, name)
+		require.Equal(t, budget.TookEffect, removed.Outcome, name)
+		gone, err := store.Get(ctx, key)
+		require.NoError(t, err, name)
+		require.Zero(t, gone.Version, name)
 		large, err := store.Put(ctx, keyvalue.Put{Key: "large", Value: make([]byte, keyvalue.MaxValue+1)})
 		require.ErrorIs(t, err, keyvalue.ErrTooLarge, name)
 		require.Equal(t, budget.NoEffect, large.Outcome, name)
@@ -102,7 +113,7 @@
 	all, served := stores(t)
 	store := all["client"]
 	ctx := context.Background()
-	served.SetFaults(standin.StoreFaults{LoseWriteAnswers: 1})
+	served.SetFaults(platformstandin.StoreFaults{LoseWriteAnswers: 1})
 	written, err := store.Put(ctx, keyvalue.Put{Key: "a", Value: []byte("1")})
 	require.ErrorIs(t, err, keyvalue.ErrUnavailable)
 	require.Equal(t, budget.OutcomeUnknown, written.Outcome)
@@ -124,27 +135,14 @@
 func TestBreakerSparesAStoreThatIsDown(t *testing.T) {
 	all, served := stores(t)
 	guarded := keyvalue.NewGuarded(all["client"], 1000, 1000)
-	served.SetFaults(standin.StoreFaults{Down: true})
+	served.SetFaults(platformstandin.StoreFaults{Down: true})
 	for range 50 {
 		_, err := guarded.Get(context.Background(), "a")
 		require.Error(t, err)
 	}
-	served.SetFaults(standin.StoreFaults{})
+	served.SetFaults(platformstandin.StoreFaults{})
 	require.Eventually(t, func() bool {
 		_, err := guarded.Get(context.Background(), "a")
 		return err == nil
 	}, callTimeout, 10*time.Millisecond)
 }
-
-func FuzzParseETag(f *testing.F) {
-	f.Add(`"12"`)
-	f.Add(`W/"1"`)
-	f.Fuzz(func(t *testing.T, tag string) {
-		version, err := keyvalue.ParseETag(tag)
-		if err == nil {
-			again, err := keyvalue.ParseETag(keyvalue.ETag(version))
-			require.NoError(t, err)
-			require.Equal(t, version, again)
-		}
-	})
-}
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	entry, err := o.r.cfg.Store.Get(ctx, action.Key)
-	var claim order.Claim
+	var claim keptClaim
 	if err == nil && entry.Version != 0 {
 		err = strict.Decode(entry.Value, &claim)
 	}
@@ -60,17 +60,16 @@
 		o.handle(time.Now(), order.ReadFailed{Key: action.Key})
 		return
 	}
-	o.handle(time.Now(), order.Read{Key: action.Key, Version: entry.Version, Claim: claim})
+	o.handle(time.Now(), order.Read{Key: action.Key, Version: entry.Version, Claim: claim.Claim})
 }
 
 func (o *orders) write(action order.WriteClaim) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	written := keyvalue.Written{}
-	value, err := json.Marshal(action.Claim)
+	value, err := json.Marshal(keptClaim{action.Claim, time.Now().Add(o.retention()).Unix()})
 	if err == nil {
-		keep := time.Duration(o.r.snapshot().limits.OrderRetentionSeconds) * time.Second
-		written, err = o.r.cfg.Store.Put(ctx, keyvalue.Put{Key: action.Key, Value: value, IfVersion: action.Version, TTL: keep})
+		written, err = o.r.cfg.Store.Put(ctx, keyvalue.Put{Key: action.Key, Value: value, IfVersion: action.Version})
 	}
 	if err != nil {
 		o.r.log.Warn("claim not written", zap.Error(err))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -181,6 +181,7 @@
 	go decision.Every(reportPeriod, r.stop, r.reports.poll)
 	go decision.Every(vmListPeriod, r.stop, r.pollVMList)
 	go decision.Every(decidePeriod, r.stop, r.decide)
+	go decision.Every(sweepPeriod, r.stop, r.orders.sweep)
 }
 
 // decide lets time pass for the deciders that serve requests.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -135,6 +135,24 @@
 	require.EqualValues(t, 1006, r.snapshot().revision)
 }
 
+// TestOldClaimsAreRemoved writes claims of which some have passed their time, with a margin for clocks that differ.
+func TestOldClaimsAreRemoved(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	entry := func(key string, until time.Time) keyvalue.Entry {
+		value, err := json.Marshal(keptClaim{order.Claim{Attempt: key, State: order.Done}, until.Unix()})
+		require.NoError(t, err)
+		return keyvalue.Entry{Key: key, Value: value, Version: 1}
+	}
+	found := oldClaims(now, []keyvalue.Entry{
+		entry("kept", now.Add(time.Minute)),
+		entry("just passed", now.Add(-sweepMargin/2)),
+		entry("old", now.Add(-2*sweepMargin)),
+		{Key: "of a newer router", Value: []byte(`{"Shape":2}`), Version: 1},
+	})
+	require.Len(t, found, 1)
+	require.Equal(t, "old", found[0].Key)
+}
+
 // FuzzMessages decodes what other routers and the store send.
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte(`{"Budget":"t","Holders":{"a":{"Granted":5,"Ceiling":9}}}`))
@@ -145,7 +163,7 @@
 		if strict.Decode(data, &record) == nil && record.Check() == nil {
 			require.GreaterOrEqual(t, record.Free(), int64(0))
 		}
-		_ = strict.Decode(data, &order.Claim{})
+		_ = strict.Decode(data, &keptClaim{})
 		var billed bill.Billed
 		_ = json.Unmarshal(data, &billed)
 		_, _ = DecodeStatus(data)
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -135,7 +135,7 @@
 
 // claimKey is the store key of an order's claim; the caller's key is hashed so that its length and characters do not matter.
 func (c *serviceCall) claimKey() string {
-	return "Orders/" + c.caller.name() + "/" + settings.HashKey(c.key)
+	return claimPrefix + c.caller.name() + "/" + settings.HashKey(c.key)
 }
 
 // runOrder runs a call that may not be repeated: claimed, sent at most once, its outcome recorded.
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -46,7 +46,7 @@
 // serve reads the state, or replaces it with the body of a PUT.
 func (c *control) serve(ctx *fasthttp.RequestCtx, ignoreFencing bool) {
 	if !ctx.IsPut() {
-		writeJSON(ctx, c.get())
+		WriteJSON(ctx, c.get())
 		return
 	}
 	var order Control
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -37,7 +38,7 @@
 	TokensPerSecond float64       // Of one stream. Zero takes 200.
 	FirstToken      time.Duration // Time to the first token.
 
-	faults switched[EngineFaults]
+	faults Switch[EngineFaults]
 	cache  prefixCache
 
 	control control
@@ -64,19 +65,19 @@
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		e.faults.serve(ctx)
+		e.faults.Serve(ctx)
 		return
 	case "/Counts":
-		writeJSON(ctx, e.Counts())
+		WriteJSON(ctx, e.Counts())
 		return
 	}
 	if e.dead(time.Now()) {
-		breakConnection(ctx)
+		BreakConnection(ctx)
 		return
 	}
 	switch string(ctx.Path()) {
 	case chat.LoadPath:
-		writeJSON(ctx, e.load(ctx.QueryArgs().GetUintOrZero("After")))
+		WriteJSON(ctx, e.load(ctx.QueryArgs().GetUintOrZero("After")))
 	case chat.Path:
 		e.complete(ctx)
 	case ControlPath:
@@ -94,7 +95,7 @@
 		return
 	}
 	if e.dies(string(ctx.PostBody())) {
-		breakConnection(ctx)
+		BreakConnection(ctx)
 		return
 	}
 	attempt := string(ctx.Request.Header.Peek(chat.HeaderRequestID))
@@ -197,7 +198,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.slots == nil {
-		e.slots = make(chan struct{}, orDefault(e.Slots, 8))
+		e.slots = make(chan struct{}, cmp.Or(e.Slots, 8))
 	}
 	e.waiting++
 	return e.slots, e.epoch
@@ -261,10 +262,10 @@
 }
 
 // Faults returns the faults in force.
-func (e *Engine) Faults() EngineFaults { return e.faults.get() }
+func (e *Engine) Faults() EngineFaults { return e.faults.Get() }
 
 // SetFaults replaces the faults.
-func (e *Engine) SetFaults(f EngineFaults) { e.faults.set(f) }
+func (e *Engine) SetFaults(f EngineFaults) { e.faults.Set(f) }
 
 // Counts returns what the engine did so far.
 func (e *Engine) Counts() EngineCounts {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -60,35 +60,37 @@
 
 func (silentLogger) Printf(string, ...any) {}
 
-// switched is a value that is read and replaced over HTTP, such as the faults of a stand-in.
-type switched[F any] struct {
+// Switch is a value that is read and replaced over HTTP, such as the faults of a stand-in.
+type Switch[F any] struct {
 	mu    sync.Mutex
 	value F // Guarded by mu.
 }
 
-func (s *switched[F]) get() F {
+// Get returns the value.
+func (s *Switch[F]) Get() F {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.value
 }
 
-func (s *switched[F]) set(value F) {
+// Set replaces the value.
+func (s *Switch[F]) Set(value F) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.value = value
 }
 
-// update changes the value under the lock.
-func (s *switched[F]) update(change func(*F)) {
+// Update changes the value under the lock.
+func (s *Switch[F]) Update(change func(*F)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change(&s.value)
 }
 
-// serve reads the value, or replaces it with the body of a PUT.
-func (s *switched[F]) serve(ctx *fasthttp.RequestCtx) {
+// Serve reads the value, or replaces it with the body of a PUT.
+func (s *Switch[F]) Serve(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsPut() {
-		writeJSON(ctx, s.get())
+		WriteJSON(ctx, s.Get())
 		return
 	}
 	var value F
@@ -96,10 +98,11 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	s.set(value)
+	s.Set(value)
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+// WriteJSON answers with a value as JSON.
+func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
@@ -109,8 +112,8 @@
 	ctx.SetBody(body)
 }
 
-// breakConnection closes the connection without an answer.
-func breakConnection(ctx *fasthttp.RequestCtx) {
+// BreakConnection closes the connection without an answer.
+func BreakConnection(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -19,7 +19,7 @@
 
 // Service is the order-and-stock stand-in; it counts the runs of each call body.
 type Service struct {
-	faults switched[ServiceFaults]
+	faults Switch[ServiceFaults]
 
 	mu      sync.Mutex
 	runs    map[string]int // Guarded by mu; by path and body.
@@ -30,11 +30,11 @@
 func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		s.faults.serve(ctx)
+		s.faults.Serve(ctx)
 	case "/Counts":
-		writeJSON(ctx, s.Runs())
+		WriteJSON(ctx, s.Runs())
 	case chat.LoadPath:
-		writeJSON(ctx, s.load())
+		WriteJSON(ctx, s.load())
 	default:
 		s.call(ctx)
 	}
@@ -43,17 +43,17 @@
 func (s *Service) call(ctx *fasthttp.RequestCtx) {
 	faults := s.Faults()
 	if faults.Down {
-		breakConnection(ctx)
+		BreakConnection(ctx)
 		return
 	}
 	n, lost := s.run(string(ctx.Path()) + " " + string(ctx.PostBody()))
 	defer s.end()
 	time.Sleep(time.Duration(faults.SlowMilliseconds) * time.Millisecond)
 	if lost {
-		breakConnection(ctx)
+		BreakConnection(ctx)
 		return
 	}
-	writeJSON(ctx, struct {
+	WriteJSON(ctx, struct {
 		Path string
 		Run  int
 	}{string(ctx.Path()), n})
@@ -67,7 +67,7 @@
 	}
 	s.runs[call]++
 	s.running++
-	s.faults.update(func(f *ServiceFaults) {
+	s.faults.Update(func(f *ServiceFaults) {
 		lost = f.LoseAnswers > 0
 		f.LoseAnswers = max(0, f.LoseAnswers-1)
 	})
@@ -99,7 +99,7 @@
 }
 
 // Faults returns the faults in force.
-func (s *Service) Faults() ServiceFaults { return s.faults.get() }
+func (s *Service) Faults() ServiceFaults { return s.faults.Get() }
 
 // SetFaults replaces the faults.
-func (s *Service) SetFaults(f ServiceFaults) { s.faults.set(f) }
+func (s *Service) SetFaults(f ServiceFaults) { s.faults.Set(f) }
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -8,16 +8,16 @@
 
 // VMs serves the platform's list of VMs; it is switched as a whole, so that a test decides how far it lags.
 type VMs struct {
-	list switched[keyvalue.VMList]
+	list Switch[keyvalue.VMList]
 }
 
 // Handle serves one call.
 func (v *VMs) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case FaultsPath:
-		v.list.serve(ctx)
+		v.list.Serve(ctx)
 	case keyvalue.VMsPath:
-		writeJSON(ctx, v.list.get())
+		WriteJSON(ctx, v.list.Get())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
