--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -15,6 +15,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
+	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -26,7 +27,10 @@
 const testPeerKey = "a-shared-peer-key"
 
 // testRouter starts a router with an in-memory store and one engine that cannot be reached.
-func testRouter(t testing.TB) *Router {
+func testRouter(t testing.TB) *Router { return testRouterWith(t, "127.0.0.1:1") }
+
+// testRouterWith starts a router with an in-memory store and one engine.
+func testRouterWith(t testing.TB, engine string) *Router {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := ln.Addr().String()
@@ -34,7 +38,7 @@
 		Fleet: settings.Fleet{
 			Name: "test", PeerKey: testPeerKey, AdminSHA256: settings.HashKey("admin"), DataCentres: []string{"a"},
 			VMs:       []settings.VM{{Name: "vm-1", DataCentre: "a", Address: address, Size: 1}},
-			Endpoints: []settings.Endpoint{{Name: "e", DataCentre: "a", Address: "127.0.0.1:1", Serves: []string{"m", "orders"}, Slots: 1}},
+			Endpoints: []settings.Endpoint{{Name: "e", DataCentre: "a", Address: engine, Serves: []string{"m", "orders"}, Slots: 1}},
 			Services:  []settings.Service{{Name: "orders", Calls: []settings.Call{{Name: "place", Path: "/place"}}}},
 			Limits:    settings.Limits{BodyBytes: 4096, OutputTokens: 100, EntryKeepSeconds: 1, FirstTokenSeconds: 1},
 		},
@@ -127,6 +131,30 @@
 	}
 }
 
+// TestWhatAnEngineAnswersInPlaceOfAStream tells a failure of the engine from one of the caller, and work that did not run from both.
+func TestWhatAnEngineAnswersInPlaceOfAStream(t *testing.T) {
+	engine := &standin.Engine{}
+	s, err := standin.Serve("127.0.0.1:0", engine.Handle)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	r := testRouterWith(t, s.Address)
+	headers := map[string]string{"Authorization": "Bearer secret"}
+	require.Nil(t, ask(t, r, "POST", "/Admin/Budgets/t/TopUps", map[string]string{"Authorization": "Bearer admin"}, `{"ID":"first","Tokens":1000}`))
+	for _, stream := range []string{"true", "false"} {
+		for status, kind := range map[int]refusal.Kind{500: refusal.AnswerBroken, 400: refusal.BadRequest, 503: refusal.NoEndpoint, 429: refusal.NoEndpoint} {
+			engine.SetFaults(standin.EngineFaults{Status: status})
+			body := `{"model":"m","stream":` + stream + `,"messages":[{"role":"user","content":"x` + fmt.Sprint(status) + `"}]}`
+			refused := ask(t, r, "POST", chat.Path, headers, body)
+			require.NotNil(t, refused, status)
+			require.Equal(t, kind.String(), refused.Kind.String(), "status %d, stream %s", status, stream)
+		}
+	}
+	engine.SetFaults(standin.EngineFaults{})
+	require.Eventually(t, func() bool {
+		return ask(t, r, "POST", chat.Path, headers, `{"model":"m","messages":[{"role":"user","content":"again"}]}`) == nil
+	}, time.Minute, 50*time.Millisecond, "the engine is used again")
+}
+
 func TestOlderSettingsAreNotApplied(t *testing.T) {
 	r := testRouter(t)
 	tree := r.snapshot().tree
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -18,6 +18,7 @@
 // EngineFaults are the faults of the engine stand-in.
 type EngineFaults struct {
 	Down                 bool   // Every connection is closed without an answer.
+	Status               int    // When not zero, every request is answered with this status in place of a stream.
 	DieOnMark            string // A request that contains this text breaks all streams of the engine.
 	DeadMilliseconds     int    // Time for which the engine is down after a death.
 	SlowFactor           float64
@@ -98,6 +99,10 @@
 		BreakConnection(ctx)
 		return
 	}
+	if status := e.Faults().Status; status != 0 {
+		ctx.Error("no stream", status)
+		return
+	}
 	attempt := string(ctx.Request.Header.Peek(chat.HeaderRequestID))
 	from, _ := strconv.Atoi(string(ctx.Request.Header.Peek(chat.HeaderResumeFrom)))
 	if prefix, err := strconv.ParseUint(string(ctx.Request.Header.Peek(chat.HeaderPrefix)), 10, 64); err == nil {
--- a/pkg/order/keeper_test.go
+++ b/pkg/order/keeper_test.go
@@ -233,3 +233,32 @@
 	}
 	m.check(t)
 }
+
+// claimed brings a keeper to the point at which its claim write had an unknown outcome, based on the given version.
+func claimed(t *testing.T, deadline time.Time) (*Keeper, Claim) {
+	k := &Keeper{}
+	actions := k.Handle(start, Placed{Request: "r", Key: "key", Attempt: "a", BodyHash: 1, Deadline: deadline})
+	require.Len(t, actions, 1)
+	return k, actions[0].(WriteClaim).Claim
+}
+
+// TestAnOlderReadOfAClaimIsNotBelieved reads a version below one that was seen, as a lagging replica of the store would answer.
+func TestAnOlderReadOfAClaimIsNotBelieved(t *testing.T) {
+	k, mine := claimed(t, start.Add(time.Minute))
+	k.Handle(start, Written{Key: "key", Outcome: budget.NoEffect})
+	// Another attempt's claim that did not run is replaced.
+	actions := k.Handle(start, Read{Key: "key", Version: 7, Claim: Claim{Attempt: "b", BodyHash: 1, State: NotRun}})
+	require.Equal(t, []Action{WriteClaim{"key", 7, mine}}, actions)
+	k.Handle(start, Written{Key: "key", Outcome: budget.OutcomeUnknown})
+	actions = k.Handle(start, Read{Key: "key", Version: 3, Claim: mine})
+	require.Equal(t, []Action{Refuse{"r", refusal.StoreUnavailable}}, actions, "neither sent nor told as done")
+}
+
+// TestAnOrderIsNotSentAfterItsDeadline lets the claim land when the caller no longer waits.
+func TestAnOrderIsNotSentAfterItsDeadline(t *testing.T) {
+	k, mine := claimed(t, start.Add(time.Second))
+	late := start.Add(2 * time.Second)
+	actions := k.Handle(late, Written{Key: "key", Outcome: budget.TookEffect, Version: 4})
+	mine.State = NotRun
+	require.Equal(t, []Action{Refuse{"r", refusal.DeadlineUnreachable}, WriteClaim{"key", 4, mine}}, actions)
+}
