End a request whose caller left while its tokens were sought; ask a lost store once

Cause of many calls during cuts: three feeds of each router asked for the store while it was busy or reset connections, and refused calls are priced too.

Change: a request looks whether its caller left before each home and before it is sent. A loan is awaited for 0.3 s and a router that was silent is not asked for 1 s. While the store is lost, one feed asks for it, and the first answer of any call lets the others go on. Changes of endpoints gather for 0.8 s.

--- a/internal/gateway/counted_store.go
+++ b/internal/gateway/counted_store.go
@@ -16,6 +16,7 @@
 	Store
 
 	count    func(call string, err error)
+	heard    func()       // Called at each answer.
 	answered atomic.Int64 // Nanoseconds of the Unix time; zero before the first answer.
 
 	mu     sync.Mutex
@@ -44,6 +45,7 @@
 	s.mu.Unlock()
 	if err == nil || errors.Is(err, keyvalue.ErrHistoryGone) || errors.Is(err, keyvalue.ErrLeaseEnded) {
 		s.answered.Store(time.Now().UnixNano())
+		s.heard()
 	}
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -22,6 +22,7 @@
 	reset  func(now time.Time, entries []keyvalue.Entry) // All that is there.
 	change func(now time.Time, c keyvalue.Change)
 
+	probes   bool                // It asks for the store while that is lost.
 	settle   time.Duration       // Pause after changes, in which further ones gather.
 	regained func(now time.Time) // Called before what the store says after it was away; nil when nothing depends on that.
 }
@@ -30,17 +31,21 @@
 const (
 	feedPause    = 100 * time.Millisecond
 	feedPauseMax = 600 * time.Millisecond
+
+	feedPauseIdle = 3 * time.Second // Of a feed that another one asks for.
 )
 
-// reach ends the watches that wait when the store is found to be out of reach by other means.
+// reach is what the feeds know together of whether the store can be reached; its zero value takes it for reachable.
 //
 // A watch waits for long and its connection may go on without the store, so
-// that it does not find out by itself; the renewals of the lease do. The zero
-// value works.
+// that it does not find out by itself; other calls do. While the store is lost,
+// one feed asks for it, since each call has its price, and the first answer of
+// any call lets all feeds go on.
 type reach struct {
 	mu     sync.Mutex
 	ctx    context.Context // Of the watches that wait now; guarded by mu.
 	cancel context.CancelFunc
+	back   chan struct{} // Closed at the next answer; nil while the store is reachable; guarded by mu.
 }
 
 // context returns the context of the next watch.
@@ -62,6 +67,26 @@
 	}
 	r.ctx = nil
 	r.cancel = nil
+	if r.back == nil {
+		r.back = make(chan struct{})
+	}
+}
+
+// regain notes an answer of the store.
+func (r *reach) regain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.back != nil {
+		close(r.back)
+		r.back = nil
+	}
+}
+
+// returned is closed at the store's next answer; it is nil while the store is reachable.
+func (r *reach) returned() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.back
 }
 
 // follow keeps a feed up to date until the gateway stops.
@@ -71,7 +96,7 @@
 func (g *Gateway) follow(f feed) {
 	var revision uint64
 	known := false
-	wait := feedPause
+	pause := feedPause
 	lost := false
 	for !g.stopped() {
 		ctx := g.reach.context()
@@ -85,7 +110,7 @@
 			lost = false
 			revision = next
 			known = true
-			wait = feedPause
+			pause = feedPause
 			decision.Pause(f.settle, g.stop)
 			continue
 		case errors.Is(err, keyvalue.ErrHistoryGone):
@@ -98,8 +123,28 @@
 				g.reach.lose()
 			}
 		}
-		decision.Pause(wait/2+rand.N(wait/2), g.stop)
-		wait = min(2*wait, feedPauseMax)
+		g.awaitStore(f, pause)
+		pause = min(2*pause, feedPauseMax)
+	}
+}
+
+// awaitStore pauses a feed that lost the store until it is to ask again.
+//
+// One that does not probe waits for the store's next answer, unless there was
+// one since it failed.
+func (g *Gateway) awaitStore(f feed, pause time.Duration) {
+	back := g.reach.returned()
+	if f.probes {
+		back = nil // An answer to another call may be older than this feed's failure.
+	} else if back != nil {
+		pause = feedPauseIdle
+	}
+	timer := time.NewTimer(pause/2 + rand.N(pause/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-back:
+	case <-g.stop:
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 
 	summaryPeriod = 10 * time.Second // Between two lines that sum up the store calls.
 
-	endpointsSettle = 500 * time.Millisecond // An endpoint that leaves may be used for 2 s.
+	endpointsSettle = 800 * time.Millisecond // An endpoint that leaves may be used for 2 s.
 	membersSettle   = time.Second            // Probes find new routers meanwhile.
 )
 
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	g.store.count = g.metrics.storeCall
+	g.store.heard = g.reach.regain
 	g.join()
 	return g, nil
 }
@@ -224,6 +225,7 @@
 		prefix: g.dialect.ConfigurationKey(),
 		reset:  g.configurationRead,
 		change: g.configurationChanged,
+		probes: true,
 	})
 	go g.follow(feed{
 		name:     "endpoints",
--- a/internal/ledger/loans.go
+++ b/internal/ledger/loans.go
@@ -35,8 +35,8 @@
 
 // Times of a loan, within what the asking router waits for its answer.
 const (
-	lendWithin = 400 * time.Millisecond // For the holder to find the tokens.
-	lendWait   = 800 * time.Millisecond // For the holder to answer at all.
+	lendWithin = 200 * time.Millisecond // For the holder to find the tokens.
+	lendWait   = 250 * time.Millisecond // For the holder to answer at all.
 )
 
 // Lend sets tokens aside for a request of another router; the same loan asked for twice is one.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -33,7 +33,8 @@
 	http    *fasthttp.Client
 
 	mu       sync.Mutex
-	suspects []suspectMessage // Not yet told; guarded by mu.
+	suspects []suspectMessage     // Not yet told; guarded by mu.
+	silentAt map[string]time.Time // When a router last did not answer a loan, by address; guarded by mu.
 }
 
 // NewClient returns a client whose calls take at most timeout each.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding a peer message")
 	}
-	answer, err := c.do(fasthttp.MethodPost, address, path, body)
+	answer, err := c.do(fasthttp.MethodPost, address, path, body, c.timeout)
 	if err != nil || out == nil {
 		return err
 	}
@@ -57,10 +58,10 @@
 
 // Get reads what stands at a path of the router at address.
 func (c *Client) Get(address, path string) ([]byte, error) {
-	return c.do(fasthttp.MethodGet, address, path, nil)
+	return c.do(fasthttp.MethodGet, address, path, nil, c.timeout)
 }
 
-func (c *Client) do(method, address, path string, body []byte) ([]byte, error) {
+func (c *Client) do(method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -70,10 +71,10 @@
 		req.Header.Set(KeyHeader, c.Key())
 	}
 	req.SetBody(body)
-	err := c.http.DoTimeout(req, resp, c.timeout)
+	err := c.http.DoTimeout(req, resp, timeout)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) {
 		// A kept connection of a router that started again; every message may be repeated.
-		err = c.http.DoTimeout(req, resp, c.timeout)
+		err = c.http.DoTimeout(req, resp, timeout)
 	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "calling the router at %s", address)
@@ -139,14 +140,51 @@
 // IsHome reports whether this router is a home of a budget.
 func (c *Client) IsHome(name string) bool { return slices.Contains(c.Homes(name), c.Self()) }
 
+// Times of a loan.
+const (
+	reserveTimeout = 300 * time.Millisecond // A request waits for it; a lender answers sooner.
+	silentFor      = time.Second            // For which a router that did not answer is not asked again.
+)
+
 // Reserve asks a router to set tokens aside for a request of this one.
 func (c *Client) Reserve(peer string, loan ledger.Loan) (ledger.Lent, error) {
+	var answer ledger.Lent
 	address, ok := c.Members.Address(peer)
 	if !ok {
-		return ledger.Lent{}, ErrNotAPeer
+		return answer, ErrNotAPeer
 	}
-	var answer ledger.Lent
-	return answer, c.Post(address, ReservePath, loan, &answer)
+	now := time.Now()
+	if c.silent(now, address) {
+		return answer, errSilent
+	}
+	body, err := json.Marshal(loan)
+	if err != nil {
+		return answer, errors.Wrap(err, "encoding a loan")
+	}
+	text, err := c.do(fasthttp.MethodPost, address, ReservePath, body, reserveTimeout)
+	if err != nil {
+		c.noteSilent(now, address)
+		return answer, err
+	}
+	return answer, errors.Wrap(json.Unmarshal(text, &answer), "decoding a loan's answer")
+}
+
+// errSilent tells that a router is not asked because it did not answer a moment ago.
+var errSilent = errors.New("the router did not answer a moment ago")
+
+func (c *Client) silent(now time.Time, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.silentAt[address]) < silentFor
+}
+
+func (c *Client) noteSilent(now time.Time, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silentAt == nil {
+		c.silentAt = map[string]time.Time{}
+	}
+	c.silentAt[address] = now
 }
 
 // Settle tells a lender what a request used; it is tried a few times, since a lost one bills the request in full.
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -60,6 +60,9 @@
 	var last ledger.Lent
 	first := int(r.req.Fingerprint % uint64(max(1, len(homes))))
 	for i := range homes {
+		if r.callerGone() {
+			break // The request ends where it would wait next.
+		}
 		home := homes[(first+i)%len(homes)]
 		answer, err := r.lentBy(home, true)
 		if err == nil && answer.Peer != "" {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -104,6 +104,10 @@
 	case action := <-r.decisions:
 		switch action := action.(type) {
 		case endpoint.Send:
+			if r.callerGone() {
+				r.ended(endpoint.Abandoned, 0)
+				return endpoint.Send{}, refused(refusal.CallerGone, "")
+			}
 			if !time.Now().Before(until) {
 				// The process was held up: what was decided in time is no longer in time.
 				r.ended(endpoint.Abandoned, 0)
--- a/internal/request/run_test.go
+++ b/internal/request/run_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -131,3 +132,40 @@
 	carry("run-3", plainCodec{})
 	require.EqualValues(t, 2, connections.Load(), "a connection whose answer was read to its end is used again")
 }
+
+// slowLenders lend after a while, in which the caller leaves.
+type slowLenders struct{ leave func() }
+
+func (slowLenders) Self() string { return "self" }
+
+func (slowLenders) Homes(string) []string { return []string{"home"} }
+
+func (l slowLenders) Reserve(string, ledger.Loan) (ledger.Lent, error) {
+	l.leave()
+	return ledger.Lent{Granted: true}, nil
+}
+
+func (slowLenders) Settle(string, ledger.Settlement) {}
+
+// TestNothingIsSentForACallerThatLeftMeanwhile keeps a finding: a request whose tokens were sought for 1.5 s was sent on after its caller had left (GONE, trouble-2 of gflm-charms-grown).
+func TestNothingIsSentForACallerThatLeftMeanwhile(t *testing.T) {
+	f, accepted := newForwarder(t)
+	f.Background = func(run func()) { run() }
+	for i := range 30 {
+		gone := make(chan struct{})
+		f.Lenders = slowLenders{func() { close(gone) }}
+		now := time.Now()
+		out := f.Carry(&Request{
+			Message:  Message{ID: "id", Method: http.MethodPost, Target: "/", Model: true, PromptTokens: 10},
+			Terms:    Terms{Service: "s", Budget: "b"},
+			Run:      "run-" + string(rune('a'+i)),
+			Arrived:  now,
+			Deadline: now.Add(time.Minute),
+			Gone:     gone,
+			Codec:    plainCodec{},
+		})
+		require.NotNil(t, out.Refused)
+		require.Equal(t, refusal.CallerGone, out.Refused.Kind)
+	}
+	require.Zero(t, accepted.Load())
+}
