Trial: grants of 12 s, registrations that name the incarnation, no draws while the store is lost

Change: the key of a router names its incarnation, so that the others know it when they read the key. A request that its homes cannot cover while this router cannot reach the store either is refused at once. Test: the ports of the platform's tests lie below the kernel's range: TestEveryWayACallCanEnd failed once, traced to a port that another test's connection had taken meanwhile.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// lost reports whether the store has not answered since it was lost.
+func (r *reach) lost() bool { return r.returned() != nil }
+
 // returned is closed at the store's next answer; it is nil while the store is reachable.
 func (r *reach) returned() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 
 	summaryPeriod = 10 * time.Second // Between two lines that sum up the store calls.
 
-	endpointsSettle = 800 * time.Millisecond // An endpoint that leaves may be used for 2 s.
+	endpointsSettle = 500 * time.Millisecond // An endpoint that leaves may be used for 2 s.
 	membersSettle   = time.Second            // Probes find new routers meanwhile.
 )
 
@@ -138,6 +138,7 @@
 	g.forwarder.Log = g.log
 	g.forwarder.Observer = g.metrics
 	g.forwarder.Background = g.background
+	g.forwarder.StoreLost = g.reach.lost
 }
 
 // peerTimeout bounds a call to a peer.
@@ -146,8 +147,9 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     6 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
+		Horizon:     12 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
 		Step:        2 * time.Second,
+		ShareParts:  3,
 		SealAfter:   6 * time.Second,
 		FlushEvery:  5 * time.Second,
 		ReturnAfter: 30 * time.Second,
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -18,7 +18,6 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
-	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
@@ -35,10 +34,11 @@
 
 // registration is what a router writes about itself.
 type registration struct {
-	VM         string
-	DataCentre string
-	Peer       string // Address for the other routers.
-	Front      string // Address for callers.
+	VM          string
+	Incarnation uint64
+	DataCentre  string
+	Peer        string // Address for the other routers.
+	Front       string // Address for callers.
 }
 
 // members follows the routers' keys and carries out what the roster decides.
@@ -72,7 +72,7 @@
 // register keeps this router's key in the store until the gateway stops.
 func (m *members) register() {
 	s := m.g.cfg.Settings
-	value, err := json.Marshal(registration{s.VM, s.DataCentre, s.Listen.Peer, s.Listen.Front})
+	value, err := json.Marshal(registration{s.VM, m.Self().Incarnation, s.DataCentre, s.Listen.Peer, s.Listen.Front})
 	if err != nil {
 		m.g.log.Error("registration not encoded", logfile.Problem(err))
 		return
@@ -149,7 +149,7 @@
 
 func (m *members) take(key string, value []byte) {
 	var r registration
-	if err := strict.Decode(value, &r); err != nil || r.VM != strings.TrimPrefix(key, memberPrefix) || r.Peer == "" {
+	if err := json.Unmarshal(value, &r); err != nil || r.VM != strings.TrimPrefix(key, memberPrefix) || r.Peer == "" {
 		m.g.log.Warn("registration not read", zap.String("Key", key), logfile.Problem(err))
 		return
 	}
@@ -161,12 +161,16 @@
 func (m *members) configure(now time.Time) {
 	m.entriesMu.Lock()
 	seeds := make([]fleet.Seed, 0, len(m.entries))
+	registered := make([]fleet.Member, 0, len(m.entries))
 	for _, vm := range slices.Sorted(maps.Keys(m.entries)) {
 		r := m.entries[vm]
 		seeds = append(seeds, fleet.Seed{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: 1})
+		registered = append(registered, fleet.Member{VM: r.VM, Incarnation: r.Incarnation})
 	}
 	m.entriesMu.Unlock()
 	m.Handle(now, fleet.Configured{VMs: seeds})
+	// A key lives for as long as its router renews it, so that it tells of a router before the router's first probe does.
+	m.Handle(now, fleet.Heard{Updates: registered})
 }
 
 // noteChange records who serves and since when.
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -49,7 +49,10 @@
 	case answer.Kind == refusal.BudgetExhausted.String():
 		return r.notReserved(refusal.BudgetExhausted)
 	}
-	return r.reserveHere(true) // The homes cannot be reached, or cannot reach the store, which this router may.
+	if answer.Kind != "" && r.f.StoreLost != nil && r.f.StoreLost() {
+		return r.notReserved(refusal.BudgetUnavailable) // Neither the homes nor this router can draw tokens.
+	}
+	return r.reserveHere(true)
 }
 
 // reserveAtHome sets tokens aside at a home of the budget, or where a home says that there are some.
