--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -61,6 +61,7 @@
 			standinEngineCommand(),
 			standinServiceCommand(),
 			standinVMsCommand(),
+			standinServerCommand(),
 		},
 	}
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
@@ -73,6 +78,40 @@
 	}
 }
 
+func standinServerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "server",
+		Usage: "a server of opaque requests on the platform",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "id", Usage: "`ID` of this incarnation", Required: true},
+			&cli.IntFlag{Name: "events", Usage: "events of a whole stream", Value: 10},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ln, err := net.Listen("tcp4", c.String("listen"))
+			if err != nil {
+				return errors.Wrap(err, "listening for callers")
+			}
+			server := &http.Server{
+				Handler:           &platformstandin.Server{ID: c.String("id"), Events: c.Int("events")},
+				ReadHeaderTimeout: time.Minute,
+				ErrorLog:          log.New(io.Discard, "", 0),
+			}
+			if _, err := fmt.Fprintln(c.Root().Writer, "serving on "+ln.Addr().String()); err != nil {
+				return err
+			}
+			go func() {
+				<-ctx.Done()
+				_ = server.Close()
+			}()
+			if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+}
+
 func standinVMsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "vms",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     12 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
+		Horizon:     8 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
 		Step:        2 * time.Second,
 		ShareParts:  3,
 		SealAfter:   6 * time.Second,
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -244,7 +244,7 @@
 	case errors.Is(err, connection.ErrNotSent):
 		return endpoint.Rejected, nil
 	case err != nil:
-		return endpoint.Died, nil
+		return broken(err), nil
 	}
 	now := time.Now()
 	r.reportLoad(now, send.Endpoint, a)
@@ -262,7 +262,7 @@
 	body, err := a.whole()
 	if err != nil {
 		a.end()
-		return endpoint.Died, nil
+		return broken(err), nil
 	}
 	a.keep(now, &r.f.Lines)
 	out := &Reply{Status: status, Headers: answerHeaders(a), Body: body}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,10 +59,14 @@
 	return endpoint.Finished, &Reply{Status: a.resp.StatusCode, Headers: answerHeaders(a), Stream: s}
 }
 
-// broken tells what an error of a stream says about the endpoint.
+// broken tells what an error of an answer says about the endpoint.
 func broken(err error) endpoint.Outcome {
-	if errors.Is(err, ErrSpoilt) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, ErrSpoilt):
 		return endpoint.Incomplete
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return endpoint.Silent
 	}
 	return endpoint.Died
 }
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -9,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Link is a network path to another address that can be cut; bytes pass unchanged.
+// Link is a network path to another address that can be cut, silenced or slowed; bytes pass unchanged.
 type Link struct {
 	Address string // Host and port that it listens on.
 
@@ -18,9 +17,60 @@
 
 	mu   sync.Mutex
 	cut  bool              // Guarded by mu.
+	mute Mute              // Guarded by mu.
+	wait time.Duration     // Of each piece; guarded by mu.
 	open map[net.Conn]bool // Guarded by mu.
 }
 
+// Mute tells in which directions a link holds bytes back; connections stay open.
+type Mute struct{ Forth, Back bool }
+
+// Silence holds bytes back until it is called again.
+func (l *Link) Silence(m Mute) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = m
+}
+
+// Delay holds each piece back for a time.
+func (l *Link) Delay(wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wait = wait
+}
+
+// pass waits until a piece may go on in a direction.
+func (l *Link) pass(forth bool) {
+	const look = 10 * time.Millisecond
+	for {
+		l.mu.Lock()
+		wait, held := l.wait, forth && l.mute.Forth || !forth && l.mute.Back
+		l.mu.Unlock()
+		if !held {
+			time.Sleep(wait)
+			return
+		}
+		time.Sleep(look)
+	}
+}
+
+// copy passes bytes on in one direction until a connection ends.
+func (l *Link) copy(to, from net.Conn, forth bool) {
+	piece := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(piece)
+		if n > 0 {
+			l.pass(forth)
+			if _, err := to.Write(piece[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // NewLink starts a link to target.
 func NewLink(target string) (*Link, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -84,10 +134,10 @@
 	}
 	defer l.end(to)
 	go func() {
-		_, _ = io.Copy(to, c)
+		l.copy(to, c, true)
 		_ = to.Close()
 	}()
-	_, _ = io.Copy(c, to)
+	l.copy(c, to, false)
 }
 
 func (l *Link) end(c net.Conn) {
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -155,7 +155,7 @@
 	switch outcome {
 	case Finished:
 		b.failures -= failureSmoothing * b.failures
-	case Died, Incomplete:
+	case Died, Silent, Incomplete:
 		b.failures += failureSmoothing * (1 - b.failures)
 	}
 }
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -69,17 +69,18 @@
 
 // The ways in which an attempt ends; the zero value assumes that the endpoint died.
 const (
-	Died       Outcome = iota // The connection broke or the endpoint stopped answering.
+	Died       Outcome = iota // The connection broke.
 	Finished                  // The answer is whole.
 	Rejected                  // The endpoint did not take the request; it did not run.
 	Incomplete                // The endpoint is alive but its answer is not whole.
 	Abandoned                 // The router or the caller ended it.
+	Silent                    // The endpoint did not answer in time.
 )
 
-var outcomeNames = [...]string{"Died", "Finished", "Rejected", "Incomplete", "Abandoned"}
+var outcomeNames = [...]string{"Died", "Finished", "Rejected", "Incomplete", "Abandoned", "Silent"}
 
 // String returns the name of the outcome as logs spell it.
-func (o Outcome) String() string { return outcomeNames[min(o, Abandoned)] }
+func (o Outcome) String() string { return outcomeNames[min(o, Silent)] }
 
 // Load is an endpoint's own report.
 type Load struct {
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -225,8 +225,11 @@
 		p.finished(now, j, b, ev.Tokens)
 	case Died:
 		p.down(now, b.Name)
-		told := p.suspects.blame(now, j.Fingerprint, p.Policy.SuspectFor)
-		actions = append(actions, TellSuspect{told})
+		if told, blamed := p.suspects.blame(now, j.Fingerprint, p.Policy.SuspectFor); blamed {
+			actions = append(actions, TellSuspect{told})
+		}
+	case Silent:
+		p.down(now, b.Name)
 	case Rejected:
 		b.downUntil = now.Add(p.Policy.DownFor)
 	case Abandoned:
