--- a/internal/command/budget.go
+++ b/internal/command/budget.go
@@ -13,7 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 )
 
 func budgetCommand() *cli.Command {
@@ -53,7 +53,7 @@
 }
 
 func showBudget(_ context.Context, c *cli.Command) error {
-	var state router.BudgetState
+	var state operators.BudgetState
 	if err := newOperator(c).get(budgetPath(c, ""), &state); err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 	return printBudget(c, state)
 }
 
-func printBudget(c *cli.Command, state router.BudgetState) error {
+func printBudget(c *cli.Command, state operators.BudgetState) error {
 	w := c.Root().Writer
 	_, err := fmt.Fprintf(w, "budget %s, in tokens\n  prepaid %12d\n  spent   %12d\n  free    %12d\n",
 		state.Record.Budget, state.Prepaid, state.Spent, state.Free)
@@ -84,14 +84,14 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	return postBudget(c, "/TopUps", router.TopUp{ID: id, Tokens: c.Int64("tokens")}, "top-up "+id)
+	return postBudget(c, "/TopUps", operators.TopUp{ID: id, Tokens: c.Int64("tokens")}, "top-up "+id)
 }
 
 func closeHolder(_ context.Context, c *cli.Command) error {
 	if !c.Bool("yes") {
 		return errors.New("closing a holder that still runs breaks the budget's limit; confirm with --yes")
 	}
-	return postBudget(c, "/Close", router.Close{Holder: c.String("holder")}, "close")
+	return postBudget(c, "/Close", operators.Close{Holder: c.String("holder")}, "close")
 }
 
 func postBudget(c *cli.Command, rest string, message any, what string) error {
@@ -103,7 +103,7 @@
 	if err != nil {
 		return errors.Wrap(err, what)
 	}
-	var state router.BudgetState
+	var state operators.BudgetState
 	if err := json.Unmarshal(answer.body, &state); err != nil {
 		return errors.Wrap(err, "decoding a router's answer")
 	}
--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -19,7 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
 )
@@ -194,10 +194,10 @@
 	return resp.StatusCode, answer
 }
 
-func (c *cluster) status(t *testing.T, i int) router.Status {
-	code, body := send(http.MethodGet, "http://"+c.routers[i].address+router.AdminStatusPath, testAdminKey, "", nil)
+func (c *cluster) status(t *testing.T, i int) operators.Status {
+	code, body := send(http.MethodGet, "http://"+c.routers[i].address+operators.StatusPath, testAdminKey, "", nil)
 	require.Equal(t, http.StatusOK, code, string(body))
-	status, err := router.DecodeStatus(body)
+	status, err := operators.DecodeStatus(body)
 	require.NoError(t, err)
 	return status
 }
@@ -206,15 +206,15 @@
 func (c *cluster) topUp(t *testing.T, i int, id string, tokens int64) {
 	url := "http://" + c.routers[i].address + "/Admin/Budgets/" + testBudget + "/TopUps"
 	require.Eventually(t, func() bool {
-		code, _ := send(http.MethodPost, url, testAdminKey, "", router.TopUp{ID: id, Tokens: tokens})
+		code, _ := send(http.MethodPost, url, testAdminKey, "", operators.TopUp{ID: id, Tokens: tokens})
 		return code == http.StatusOK
 	}, patience, 50*time.Millisecond)
 }
 
-func (c *cluster) budget(t *testing.T) router.BudgetState {
+func (c *cluster) budget(t *testing.T) operators.BudgetState {
 	code, body := send(http.MethodGet, "http://"+c.routers[0].address+"/Admin/Budgets/"+testBudget, testAdminKey, "", nil)
 	require.Equal(t, http.StatusOK, code, string(body))
-	var state router.BudgetState
+	var state operators.BudgetState
 	require.NoError(t, json.Unmarshal(body, &state))
 	return state
 }
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
@@ -89,8 +89,8 @@
 	}
 	answer = response{
 		body:         append([]byte(nil), resp.Body()...),
-		revision:     string(resp.Header.Peek(router.HeaderRevision)),
-		pathRevision: string(resp.Header.Peek(router.HeaderPathRevision)),
+		revision:     string(resp.Header.Peek(operators.HeaderRevision)),
+		pathRevision: string(resp.Header.Peek(operators.HeaderPathRevision)),
 	}
 	return answer, true, nil
 }
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -220,7 +220,7 @@
 	text, err := settings.Format(team)
 	require.NoError(t, err)
 	put := func(i int, base int, change string) (int, []byte) {
-		url := fmt.Sprintf("http://%s%s?Path=Teams/team&Base=%d&Change=%s", c.routers[i].address, router.AdminSettingsPath, base, change)
+		url := fmt.Sprintf("http://%s%s?Path=Teams/team&Base=%d&Change=%s", c.routers[i].address, operators.SettingsPath, base, change)
 		req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(text))
 		require.NoError(t, err)
 		req.Header.Set("Authorization", "Bearer "+testAdminKey)
--- a/internal/command/report.go
+++ b/internal/command/report.go
@@ -10,7 +10,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/pkg/burn"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
 )
@@ -53,7 +53,7 @@
 
 // collectBurn asks every router that the settings name; one that does not answer is listed as missing.
 func collectBurn(o *operator) (burn.Report, error) {
-	answer, err := o.call(fasthttp.MethodGet, router.AdminSettingsPath+"?Path="+settings.FleetPath, nil)
+	answer, err := o.call(fasthttp.MethodGet, operators.SettingsPath+"?Path="+settings.FleetPath, nil)
 	if err != nil {
 		return burn.Report{}, err
 	}
@@ -67,7 +67,7 @@
 		one := *o
 		one.routers = []string{vm.Address}
 		var rows []burn.Row
-		if err := one.get(router.AdminBurnPath, &rows); err != nil {
+		if err := one.get(operators.BurnPath, &rows); err != nil {
 			missing = append(missing, vm.Name)
 			continue
 		}
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -13,7 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 )
 
 func settingsCommand() *cli.Command {
@@ -39,7 +39,7 @@
 }
 
 func subtreePath(c *cli.Command) string {
-	return router.AdminSettingsPath + "?Path=" + url.QueryEscape(c.String("path"))
+	return operators.SettingsPath + "?Path=" + url.QueryEscape(c.String("path"))
 }
 
 func getSettings(_ context.Context, c *cli.Command) error {
@@ -96,8 +96,8 @@
 }
 
 func settingsStatus(_ context.Context, c *cli.Command) error {
-	var status router.Status
-	if err := newOperator(c).get(router.AdminStatusPath, &status); err != nil {
+	var status operators.Status
+	if err := newOperator(c).get(operators.StatusPath, &status); err != nil {
 		return err
 	}
 	var highest uint64
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/router"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 )
 
 func statusCommand() *cli.Command {
@@ -17,11 +17,11 @@
 		Usage: "show what one router sees: VMs, endpoints, budgets, suspects",
 		Flags: operatorFlags(&cli.BoolFlag{Name: "json", Usage: "print JSON"}),
 		Action: func(_ context.Context, c *cli.Command) error {
-			answer, err := newOperator(c).call(fasthttp.MethodGet, router.AdminStatusPath, nil)
+			answer, err := newOperator(c).call(fasthttp.MethodGet, operators.StatusPath, nil)
 			if err != nil {
 				return err
 			}
-			status, err := router.DecodeStatus(answer.body)
+			status, err := operators.DecodeStatus(answer.body)
 			if err != nil {
 				return err
 			}
@@ -34,7 +34,7 @@
 	}
 }
 
-func statusText(s router.Status) string {
+func statusText(s operators.Status) string {
 	var text strings.Builder
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(&text, format+"\n", args...) }
 	line("router %s: settings revision %d, %d in flight, %d waiting, %d orders open, draining %t",
--- a/internal/router/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,4 +1,4 @@
-package router
+package configuration
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/membership"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -23,38 +24,60 @@
 // watchersEach is the number of routers in a data centre that watch the store; the others ask these.
 const watchersEach = 2
 
-// configuration carries out what the settings follower decides.
-type configuration struct {
-	r *Router
+// Periods.
+const (
+	settingsPeriod = time.Second      // Reads of the settings head when watches fail.
+	watchPeriod    = 20 * time.Second // Longest wait of one watch of the settings head.
+	storeTimeout   = 2 * time.Second
+)
+
+// Peers tell what they have in force.
+type Peers interface {
+	// Head returns the head in force at an address when its revision is above after.
+	Head(address string, after uint64) ([]byte, error)
+	// Subtree returns a path's content if it is in force at an address with the given version.
+	Subtree(address, path string, v settings.Version) ([]byte, error)
+}
+
+// Configuration carries out what the settings follower decides; its fields are set before the first event.
+type Configuration struct {
+	VM         settings.VM // On which the router runs.
+	Initial    settings.Tree
+	Store      keyvalue.Store
+	Members    *membership.Members
+	Peers      Peers
+	Log        *zap.Logger
+	Background func(func())                                             // Runs a store or peer call.
+	Apply      func(now time.Time, revision uint64, tree settings.Tree) // Puts settings in force.
 
 	mu       sync.Mutex
 	follower settings.Follower // Guarded by mu.
 }
 
-func (c *configuration) handle(now time.Time, ev settings.Event) {
+func (c *Configuration) handle(now time.Time, ev settings.Event) {
 	for _, action := range decision.Locked(&c.mu, c.follower.Handle, now, ev) {
 		switch action := action.(type) {
 		case settings.ReadSubtree:
-			c.r.background(func() { c.read(action) })
+			c.Background(func() { c.read(action) })
 		case settings.Apply:
-			c.r.apply(now, newSnapshot(action.Revision, action.Tree))
+			c.Apply(now, action.Revision, action.Tree)
 		case settings.Reject:
-			c.r.log.Error("settings rejected", zap.Uint64("Revision", action.Revision), zap.Error(action.Err))
+			c.Log.Error("settings rejected", zap.Uint64("Revision", action.Revision), zap.Error(action.Err))
 		}
 	}
 }
 
 // read fetches a subtree from the store or, when the store fails, from a peer that has it in force.
-func (c *configuration) read(action settings.ReadSubtree) {
+func (c *Configuration) read(action settings.ReadSubtree) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	entry, err := c.r.cfg.Store.Get(ctx, subtreeKey(action.Path, action.Version.Change))
+	entry, err := c.Store.Get(ctx, subtreeKey(action.Path, action.Version.Change))
 	if err == nil && entry.Version != 0 {
 		c.handle(time.Now(), settings.SubtreeRead{Path: action.Path, Version: action.Version, Content: entry.Value})
 		return
 	}
-	for _, p := range c.r.members.Peers() {
-		content, err := c.r.peers.subtree(p.Address, action.Path, action.Version)
+	for _, p := range c.Members.Peers() {
+		content, err := c.Peers.Subtree(p.Address, action.Path, action.Version)
 		if err == nil {
 			c.handle(time.Now(), settings.SubtreeRead{Path: action.Path, Version: action.Version, Content: content})
 			return
@@ -63,26 +86,28 @@
 	c.handle(time.Now(), settings.SubtreeFailed{Path: action.Path, Version: action.Version})
 }
 
-func (c *configuration) revision() uint64 {
+// Revision returns the revision in force.
+func (c *Configuration) Revision() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Revision()
 }
 
-func (c *configuration) head() settings.Head {
+// Head returns the revision in force and the versions of its paths.
+func (c *Configuration) Head() settings.Head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Head()
 }
 
-func (c *configuration) content(path string) []byte {
+func (c *Configuration) content(path string) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Content(path)
 }
 
-// subtree returns a path's content if it is in force with the given version.
-func (c *configuration) subtree(path string, version settings.Version) ([]byte, bool) {
+// Subtree returns a path's content if it is in force with the given version.
+func (c *Configuration) Subtree(path string, version settings.Version) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.follower.Head().Paths[path] != version {
@@ -91,8 +116,8 @@
 	return c.follower.Content(path), true
 }
 
-// run keeps up with the settings until stop is closed.
-func (c *configuration) run(stop <-chan struct{}) {
+// Run keeps up with the settings until stop is closed.
+func (c *Configuration) Run(stop <-chan struct{}) {
 	var version uint64
 	for {
 		select {
@@ -102,7 +127,7 @@
 		}
 		c.handle(time.Now(), settings.Tick{})
 		if c.watches() {
-			version = c.watch(version)
+			version = c.watch(version, stop)
 			continue
 		}
 		c.askPeers()
@@ -111,10 +136,10 @@
 }
 
 // watches reports whether this router is one of its data centre's watchers.
-func (c *configuration) watches() bool {
+func (c *Configuration) watches() bool {
 	before := 0
-	self := c.r.self
-	for _, m := range c.r.members.All() {
+	self := c.VM
+	for _, m := range c.Members.All() {
 		if m.DataCentre == self.DataCentre && m.State == fleet.Alive && m.VM < self.Name {
 			before++
 		}
@@ -123,19 +148,19 @@
 }
 
 // watch waits for a head above version in the store and returns the version that was seen.
-func (c *configuration) watch(version uint64) uint64 {
+func (c *Configuration) watch(version uint64, stop <-chan struct{}) uint64 {
 	ctx, cancel := context.WithTimeout(context.Background(), watchPeriod+storeTimeout)
 	defer cancel()
-	entry, err := c.r.cfg.Store.Watch(ctx, headKey, version, watchPeriod)
+	entry, err := c.Store.Watch(ctx, headKey, version, watchPeriod)
 	if err != nil {
 		c.askPeers()
-		decision.Pause(settingsPeriod, c.r.stop)
+		decision.Pause(settingsPeriod, stop)
 		return version
 	}
 	if entry.Version == 0 {
 		// The store was away when this router started, or is empty.
-		if err := c.seed(ctx); err != nil {
-			c.r.log.Warn("initial settings not stored", zap.Error(err))
+		if err := c.Seed(ctx); err != nil {
+			c.Log.Warn("initial settings not stored", zap.Error(err))
 		}
 		return version
 	}
@@ -143,45 +168,45 @@
 	return max(version, entry.Version)
 }
 
-func (c *configuration) takeHead(value []byte) {
+func (c *Configuration) takeHead(value []byte) {
 	if len(value) == 0 {
 		return
 	}
 	head, err := decodeHead(keyvalue.Entry{Value: value, Version: 1})
 	if err != nil {
-		c.r.log.Error("settings head not readable", zap.Error(err))
+		c.Log.Error("settings head not readable", zap.Error(err))
 		return
 	}
 	c.handle(time.Now(), settings.HeadSeen{Head: head})
 }
 
 // askPeers asks the routers whose revision is higher for their head.
-func (c *configuration) askPeers() {
-	mine := c.revision()
-	for _, p := range c.r.members.Peers() {
-		asks := p.Revision > mine || p.DataCentre == c.r.self.DataCentre
+func (c *Configuration) askPeers() {
+	mine := c.Revision()
+	for _, p := range c.Members.Peers() {
+		asks := p.Revision > mine || p.DataCentre == c.VM.DataCentre
 		if !asks {
 			continue
 		}
-		if value, err := c.r.peers.head(p.Address, mine); err == nil {
+		if value, err := c.Peers.Head(p.Address, mine); err == nil {
 			c.takeHead(value)
 		}
 	}
 }
 
-// change offers a change for acceptance and returns the head that holds it.
+// Change offers a change for acceptance and returns the head that holds it.
 //
 // The tree is checked as it would be with the change, on the same head that
 // the conditional write is based on. A write of the head whose answer was lost
 // is settled by reading the head again.
-func (c *configuration) change(ctx context.Context, change settings.Change) (settings.Head, error) {
+func (c *Configuration) Change(ctx context.Context, change settings.Change) (settings.Head, error) {
 	const catchUp = 20 * time.Millisecond
 	put := keyvalue.Put{Key: subtreeKey(change.Path, change.ID), Value: change.Content}
-	if _, err := c.r.cfg.Store.Put(ctx, put); err != nil {
+	if _, err := c.Store.Put(ctx, put); err != nil {
 		return settings.Head{}, err
 	}
 	for ctx.Err() == nil {
-		entry, err := c.r.cfg.Store.Get(ctx, headKey)
+		entry, err := c.Store.Get(ctx, headKey)
 		if err != nil {
 			return settings.Head{}, err
 		}
@@ -190,7 +215,7 @@
 			return head, err
 		}
 		c.handle(time.Now(), settings.HeadSeen{Head: head})
-		if c.revision() != head.Revision {
+		if c.Revision() != head.Revision {
 			decision.Pause(catchUp, ctx.Done())
 			continue
 		}
@@ -215,7 +240,7 @@
 }
 
 // propose writes the head that accepts the change; done is false when the write lost a race or its outcome is unknown.
-func (c *configuration) propose(ctx context.Context, version uint64, head settings.Head, change settings.Change) (settings.Head, bool, error) {
+func (c *Configuration) propose(ctx context.Context, version uint64, head settings.Head, change settings.Change) (settings.Head, bool, error) {
 	if head.Accepted(change.ID) {
 		return head, true, nil
 	}
@@ -230,7 +255,7 @@
 	if err != nil {
 		return head, false, err
 	}
-	written, err := c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value, IfVersion: version})
+	written, err := c.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value, IfVersion: version})
 	if written.Outcome == budget.TookEffect {
 		return next, true, nil
 	}
@@ -241,9 +266,9 @@
 }
 
 // validate checks the tree in force as it would be with the change.
-func (c *configuration) validate(change settings.Change) error {
+func (c *Configuration) validate(change settings.Change) error {
 	texts := map[string][]byte{}
-	for path := range c.head().Paths {
+	for path := range c.Head().Paths {
 		texts[path] = c.content(path)
 	}
 	texts[change.Path] = change.Content
@@ -251,20 +276,20 @@
 	return err
 }
 
-// seed puts the initial settings into a store that holds none; several routers may do so at once.
-func (c *configuration) seed(ctx context.Context) error {
-	entry, err := c.r.cfg.Store.Get(ctx, headKey)
+// Seed puts the initial settings into a store that holds none; several routers may do so at once.
+func (c *Configuration) Seed(ctx context.Context) error {
+	entry, err := c.Store.Get(ctx, headKey)
 	if err != nil || entry.Version != 0 {
 		return err
 	}
-	texts, err := settings.Split(c.r.cfg.Initial)
+	texts, err := settings.Split(c.Initial)
 	if err != nil {
 		return err
 	}
 	head := settings.Head{Revision: 1, Paths: map[string]settings.Version{}}
 	for path, text := range texts {
 		change := "initial-" + settings.HashKey(string(text))
-		if _, err := c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: subtreeKey(path, change), Value: text}); err != nil {
+		if _, err := c.Store.Put(ctx, keyvalue.Put{Key: subtreeKey(path, change), Value: text}); err != nil {
 			return err
 		}
 		head.Paths[path] = settings.Version{Revision: 1, Change: change}
@@ -273,6 +298,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.r.cfg.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value})
+	_, err = c.Store.Put(ctx, keyvalue.Put{Key: headKey, Value: value})
 	return err
 }
--- a/internal/router/admin.go
+++ b/internal/operators/service.go
@@ -1,9 +1,8 @@
-package router
+package operators
 
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"time"
 
@@ -11,8 +10,11 @@
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/credential"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/response"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
@@ -23,14 +25,17 @@
 
 // Paths for operators.
 const (
-	AdminStatusPath   = "/Admin/Status"
-	AdminBurnPath     = "/Admin/Burn"
-	AdminSettingsPath = "/Admin/Settings"
-	AdminBudgetPath   = "/Admin/Budgets/{budget}"
-	AdminTopUpPath    = "/Admin/Budgets/{budget}/TopUps"
-	AdminClosePath    = "/Admin/Budgets/{budget}/Close"
+	StatusPath   = "/Admin/Status"
+	BurnPath     = "/Admin/Burn"
+	SettingsPath = "/Admin/Settings"
+	BudgetPath   = "/Admin/Budgets/{budget}"
+	TopUpPath    = "/Admin/Budgets/{budget}/TopUps"
+	ClosePath    = "/Admin/Budgets/{budget}/Close"
 )
 
+// storeTimeout bounds one call to the store.
+const storeTimeout = 2 * time.Second
+
 // Headers of settings answers.
 const (
 	HeaderRevision     = "X-Revision"      // Of the whole tree.
@@ -81,50 +86,54 @@
 	Lost    []string         // Holders that no live router answers for.
 }
 
-func (r *Router) adminRoutes(routes *frouter.Router) {
-	routes.GET(AdminStatusPath, r.adminOnly(func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, r.Status()) }))
-	routes.GET(AdminBurnPath, r.adminOnly(func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, r.levels.Rows(time.Now())) }))
-	routes.GET(AdminSettingsPath, r.adminOnly(r.serveSettings))
-	routes.PUT(AdminSettingsPath, r.adminOnly(r.serveChange))
-	routes.GET(AdminBudgetPath, r.adminOnly(r.serveBudget))
-	routes.POST(AdminTopUpPath, r.adminOnly(r.serveTopUp))
-	routes.POST(AdminClosePath, r.adminOnly(r.serveClose))
+// Settings are the settings in force, and the way to change them; configuration.Configuration is one.
+type Settings interface {
+	// Head returns the revision in force and the versions of its paths.
+	Head() settings.Head
+	// Subtree returns a path's content if it is in force with the given version.
+	Subtree(path string, version settings.Version) ([]byte, bool)
+	// Change offers a change for acceptance and returns the head that holds it.
+	Change(ctx context.Context, change settings.Change) (settings.Head, error)
+}
+
+// Service answers operators; its fields are set before the first call.
+type Service struct {
+	Store    keyvalue.Store
+	Members  *membership.Members
+	Settings Settings
+	Status   func() Status
+	Levels   func(now time.Time) any // Rows of the service levels.
+	KeyHash  func() string           // Of the operators' key.
+}
+
+// Routes adds the operators' calls.
+func (s *Service) Routes(routes *frouter.Router) {
+	routes.GET(StatusPath, s.keyed(func(ctx *fasthttp.RequestCtx) { response.JSON(ctx, s.Status()) }))
+	routes.GET(BurnPath, s.keyed(func(ctx *fasthttp.RequestCtx) { response.JSON(ctx, s.Levels(time.Now())) }))
+	routes.GET(SettingsPath, s.keyed(s.serveSettings))
+	routes.PUT(SettingsPath, s.keyed(s.serveChange))
+	routes.GET(BudgetPath, s.keyed(s.serveBudget))
+	routes.POST(TopUpPath, s.keyed(s.serveTopUp))
+	routes.POST(ClosePath, s.keyed(s.serveClose))
 }
 
-func (r *Router) adminOnly(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+func (s *Service) keyed(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if !sameSecret(settings.HashKey(bearer(ctx)), r.snapshot().tree.Fleet.AdminSHA256) {
-			writeRefusal(ctx, refusal.New(refusal.Forbidden, "the operators' key is needed"))
+		if !credential.Same(settings.HashKey(credential.Bearer(ctx)), s.KeyHash()) {
+			response.Refuse(ctx, refusal.New(refusal.Forbidden, "the operators' key is needed"))
 			return
 		}
 		handler(ctx)
 	}
 }
 
-// Status returns the router's state.
-func (r *Router) Status() Status {
-	seen := r.endpoints.State(time.Now())
-	return Status{
-		VM:         r.cfg.VM,
-		Revision:   r.configuration.revision(),
-		Draining:   r.draining.Load(),
-		InFlight:   r.inFlight.Load(),
-		Waiting:    seen.Waiting,
-		Members:    r.members.states(),
-		Endpoints:  seen.Endpoints,
-		Suspects:   seen.Suspects,
-		Budgets:    r.budgets.Views(),
-		OrdersOpen: r.orders.pending(),
-	}
-}
-
-func (r *Router) serveSettings(ctx *fasthttp.RequestCtx) {
+func (s *Service) serveSettings(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.QueryArgs().Peek("Path"))
-	head := r.configuration.head()
+	head := s.Settings.Head()
 	version, ok := head.Paths[path]
-	content, inForce := r.configuration.subtree(path, version)
+	content, inForce := s.Settings.Subtree(path, version)
 	if !ok || !inForce {
-		writeRefusal(ctx, refusal.New(refusal.NotFound, "settings path "+path))
+		response.Refuse(ctx, refusal.New(refusal.NotFound, "settings path "+path))
 		return
 	}
 	ctx.Response.Header.Set(HeaderRevision, strconv.FormatUint(head.Revision, 10))
@@ -134,11 +143,11 @@
 }
 
 // serveChange accepts a change of one subtree: Path, Base (the path's revision) and Change (its ID) in the query, TOML in the body.
-func (r *Router) serveChange(ctx *fasthttp.RequestCtx) {
+func (s *Service) serveChange(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	base, err := strconv.ParseUint(string(args.Peek("Base")), 10, 64)
 	if err != nil {
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, "Base is not a revision"))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, "Base is not a revision"))
 		return
 	}
 	change := settings.Change{
@@ -149,13 +158,13 @@
 	}
 	limited, cancel := context.WithTimeout(context.Background(), 3*storeTimeout)
 	defer cancel()
-	head, err := r.configuration.change(limited, change)
+	head, err := s.Settings.Change(limited, change)
 	if err != nil {
-		writeRefusal(ctx, changeRefusal(err))
+		response.Refuse(ctx, changeRefusal(err))
 		return
 	}
 	ctx.Response.Header.Set(HeaderRevision, strconv.FormatUint(head.Revision, 10))
-	writeJSON(ctx, head)
+	response.JSON(ctx, head)
 }
 
 func changeRefusal(err error) *refusal.Error {
@@ -172,23 +181,23 @@
 	}
 }
 
-func (r *Router) serveBudget(ctx *fasthttp.RequestCtx) {
+func (s *Service) serveBudget(ctx *fasthttp.RequestCtx) {
 	limited, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	name, _ := ctx.UserValue("budget").(string)
-	record, version, err := ledger.ReadRecord(limited, r.cfg.Store, name)
+	record, version, err := ledger.ReadRecord(limited, s.Store, name)
 	if err != nil {
-		writeRefusal(ctx, refusal.New(refusal.StoreUnavailable, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.StoreUnavailable, err.Error()))
 		return
 	}
 	if version == 0 {
-		writeRefusal(ctx, refusal.New(refusal.NotFound, "budget "+name))
+		response.Refuse(ctx, refusal.New(refusal.NotFound, "budget "+name))
 		return
 	}
-	writeJSON(ctx, r.budgetState(record))
+	response.JSON(ctx, s.budgetState(record))
 }
 
-func (r *Router) budgetState(record budget.Record) BudgetState {
+func (s *Service) budgetState(record budget.Record) BudgetState {
 	state := BudgetState{
 		Record:  record,
 		Prepaid: record.Prepaid(),
@@ -197,7 +206,7 @@
 		Held:    map[string]int64{},
 	}
 	live := map[string]bool{}
-	for _, m := range r.members.All() {
+	for _, m := range s.Members.All() {
 		live[m.Name()] = m.State <= fleet.Draining
 	}
 	for name, a := range record.Holders {
@@ -209,30 +218,30 @@
 	return state
 }
 
-func (r *Router) serveTopUp(ctx *fasthttp.RequestCtx) {
+func (s *Service) serveTopUp(ctx *fasthttp.RequestCtx) {
 	var topUp TopUp
 	if err := strict.Decode(ctx.PostBody(), &topUp); err != nil {
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
-	r.changeBudget(ctx, func(record budget.Record) (budget.Record, error) {
+	s.changeBudget(ctx, func(record budget.Record) (budget.Record, error) {
 		return record.TopUp(topUp.ID, topUp.Tokens)
 	})
 }
 
-func (r *Router) serveClose(ctx *fasthttp.RequestCtx) {
+func (s *Service) serveClose(ctx *fasthttp.RequestCtx) {
 	var message Close
 	if err := strict.Decode(ctx.PostBody(), &message); err != nil {
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
-	for _, m := range r.members.All() {
+	for _, m := range s.Members.All() {
 		if m.Name() == message.Holder && m.State <= fleet.Draining {
-			writeRefusal(ctx, refusal.New(refusal.BadRequest, message.Holder+" is alive; drain it instead"))
+			response.Refuse(ctx, refusal.New(refusal.BadRequest, message.Holder+" is alive; drain it instead"))
 			return
 		}
 	}
-	r.changeBudget(ctx, func(record budget.Record) (budget.Record, error) {
+	s.changeBudget(ctx, func(record budget.Record) (budget.Record, error) {
 		return record.Close(message.Holder)
 	})
 }
@@ -241,24 +250,24 @@
 //
 // Each change is idempotent by itself, so that it is safe to apply it again
 // after a write of unknown outcome.
-func (r *Router) changeBudget(ctx *fasthttp.RequestCtx, change func(budget.Record) (budget.Record, error)) {
+func (s *Service) changeBudget(ctx *fasthttp.RequestCtx, change func(budget.Record) (budget.Record, error)) {
 	limited, cancel := context.WithTimeout(context.Background(), 3*storeTimeout)
 	defer cancel()
 	name, _ := ctx.UserValue("budget").(string)
-	state, err := r.tryChange(limited, name, change)
+	state, err := s.tryChange(limited, name, change)
 	switch {
 	case err == nil:
-		writeJSON(ctx, state)
+		response.JSON(ctx, state)
 	case errors.IsAny(err, budget.ErrTopUpChanged, budget.ErrTopUpAmount, budget.ErrUnknownHolder):
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, err.Error()))
 	default:
-		writeRefusal(ctx, refusal.New(refusal.ChangeUnknown, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.ChangeUnknown, err.Error()))
 	}
 }
 
-func (r *Router) tryChange(ctx context.Context, name string, change func(budget.Record) (budget.Record, error)) (BudgetState, error) {
+func (s *Service) tryChange(ctx context.Context, name string, change func(budget.Record) (budget.Record, error)) (BudgetState, error) {
 	for ctx.Err() == nil {
-		record, version, err := ledger.ReadRecord(ctx, r.cfg.Store, name)
+		record, version, err := ledger.ReadRecord(ctx, s.Store, name)
 		if err != nil {
 			return BudgetState{}, err
 		}
@@ -266,9 +275,9 @@
 		if err != nil {
 			return BudgetState{}, err
 		}
-		written, err := ledger.WriteRecord(ctx, r.cfg.Store, next, version)
+		written, err := ledger.WriteRecord(ctx, s.Store, next, version)
 		if written.Outcome == budget.TookEffect {
-			return r.budgetState(next), nil
+			return s.budgetState(next), nil
 		}
 		if written.Outcome == budget.NoEffect && err != nil {
 			return BudgetState{}, err
@@ -279,9 +288,6 @@
 
 // DecodeStatus reads the JSON of a Status.
 func DecodeStatus(body []byte) (Status, error) {
-	var s Status
-	if err := json.Unmarshal(body, &s); err != nil {
-		return s, fmt.Errorf("decoding a router's status: %w", err)
-	}
-	return s, nil
+	var status Status
+	return status, errors.Wrap(json.Unmarshal(body, &status), "decoding a router's status")
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -26,11 +26,9 @@
 
 // Periods of the router's timers.
 const (
-	decidePeriod   = 50 * time.Millisecond // Ticks of the deciders that serve requests.
-	reportPeriod   = time.Second           // Load queries to each endpoint.
-	settingsPeriod = time.Second           // Reads of the settings head when watches fail.
-	watchPeriod    = 20 * time.Second      // Longest wait of one watch of the settings head.
-	vmListPeriod   = 2 * time.Second
-	peerTimeout    = 2 * time.Second
-	storeTimeout   = 2 * time.Second
+	decidePeriod = 50 * time.Millisecond // Ticks of the deciders that serve requests.
+	reportPeriod = time.Second           // Load queries to each endpoint.
+	vmListPeriod = 2 * time.Second
+	peerTimeout  = 2 * time.Second
+	storeTimeout = 2 * time.Second
 )
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -1,11 +1,11 @@
-// Package router is the daemon that runs on every entry VM.
+// Package router is the daemon for the product's own interface: model requests, service calls and orders.
 //
-// It only translates: HTTP calls, timers and store answers become events of the
-// deciders under pkg, and the deciders' actions become store calls, peer calls
-// and answers. Each slice (budgets, orders, endpoints, bills, settings,
-// members) holds its decider behind one mutex, applies an event under it, and
-// carries the actions out after releasing it. No slice calls another one while
-// it holds its mutex.
+// It translates what callers say into requests of the request path and their
+// answers back. Settings and operators' calls are packages of their own;
+// budgets, endpoints and members are those that the gateway uses too. What only
+// this interface has stays here: keyed requests that are answered once
+// (bill.Ledger) and orders that are claimed in the store (order.Keeper), each
+// behind one mutex that is never held during a call.
 //
 // A request is run by one worker of an ants pool, which owns the request's
 // state; store and peer calls run on a second pool. The time is read here and
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
@@ -18,7 +19,7 @@
 	limit := m.r.snapshot().limits.ConcurrentRequests
 	m.Tick(now, fleet.SelfChanged{
 		Load:     float64(m.r.inFlight.Load()) / float64(limit),
-		Revision: m.r.configuration.revision(),
+		Revision: m.r.configuration.Revision(),
 		Draining: m.r.draining.Load(),
 	})
 }
@@ -32,10 +33,10 @@
 }
 
 // states returns all VMs as operators are shown them.
-func (m *members) states() []MemberState {
-	var states []MemberState
+func (m *members) states() []operators.MemberState {
+	var states []operators.MemberState
 	for _, p := range m.All() {
-		states = append(states, MemberState{
+		states = append(states, operators.MemberState{
 			VM:         p.VM,
 			Name:       p.Name(),
 			DataCentre: p.DataCentre,
--- a/internal/router/peer_routes.go
+++ b/internal/router/peer_routes.go
@@ -8,7 +8,9 @@
 	frouter "github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/credential"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
+	"github.com/foxtaillanding/foxtaillanding/internal/response"
 	"github.com/foxtaillanding/foxtaillanding/pkg/bill"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
@@ -29,13 +31,13 @@
 // fromPeer reports whether a request carries the key that the routers share.
 func (r *Router) fromPeer(ctx *fasthttp.RequestCtx) bool {
 	key := string(ctx.Request.Header.Peek(peer.KeyHeader))
-	return key != "" && sameSecret(key, r.snapshot().tree.Fleet.PeerKey)
+	return key != "" && credential.Same(key, r.snapshot().tree.Fleet.PeerKey)
 }
 
 func (r *Router) peerOnly(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		if !r.fromPeer(ctx) {
-			writeRefusal(ctx, refusal.New(refusal.Forbidden, string(ctx.Path())))
+			response.Refuse(ctx, refusal.New(refusal.Forbidden, string(ctx.Path())))
 			return
 		}
 		handler(ctx)
@@ -46,7 +48,7 @@
 func (r *Router) servePeer(ctx *fasthttp.RequestCtx) {
 	answer, _, err := r.service.Answer(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return
 	}
 	ctx.SetBody(answer)
@@ -55,7 +57,7 @@
 // readMessage decodes a peer message and reports whether it could.
 func readMessage(ctx *fasthttp.RequestCtx, v any) bool {
 	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		writeRefusal(ctx, refusal.New(refusal.BadRequest, err.Error()))
+		response.Refuse(ctx, refusal.New(refusal.BadRequest, err.Error()))
 		return false
 	}
 	return true
@@ -70,10 +72,10 @@
 
 // serveHead answers with the head in force, or with no content when the asker has it.
 func (r *Router) serveHead(ctx *fasthttp.RequestCtx) {
-	head := r.configuration.head()
+	head := r.configuration.Head()
 	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("After")), 10, 64)
 	if head.Revision > after {
-		writeJSON(ctx, head)
+		response.JSON(ctx, head)
 	}
 }
 
@@ -81,9 +83,9 @@
 	args := ctx.QueryArgs()
 	revision, _ := strconv.ParseUint(string(args.Peek("Revision")), 10, 64)
 	version := settings.Version{Revision: revision, Change: string(args.Peek("Change"))}
-	content, ok := r.configuration.subtree(string(args.Peek("Path")), version)
+	content, ok := r.configuration.Subtree(string(args.Peek("Path")), version)
 	if !ok {
-		writeRefusal(ctx, refusal.New(refusal.NotFound, "not in force here"))
+		response.Refuse(ctx, refusal.New(refusal.NotFound, "not in force here"))
 		return
 	}
 	ctx.SetBody(content)
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -37,11 +37,13 @@
 	}
 }
 
-func (p *peers) head(address string, after uint64) ([]byte, error) {
+// Head returns the head in force at an address when its revision is above after.
+func (p *peers) Head(address string, after uint64) ([]byte, error) {
 	return p.Get(address, fmt.Sprintf("%s?After=%d", headPath, after))
 }
 
-func (p *peers) subtree(address, path string, v settings.Version) ([]byte, error) {
+// Subtree returns a path's content if it is in force at an address with the given version.
+func (p *peers) Subtree(address, path string, v settings.Version) ([]byte, error) {
 	query := url.Values{"Path": {path}, "Revision": {fmt.Sprint(v.Revision)}, "Change": {v.Change}}
 	return p.Get(address, subtreePath+"?"+query.Encode())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,9 +12,11 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/configuration"
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
@@ -56,7 +58,8 @@
 	bills         bills
 	orders        orders
 	members       members
-	configuration configuration
+	configuration configuration.Configuration
+	operators     operators.Service
 }
 
 // New returns a router that is not yet started.
@@ -131,7 +134,44 @@
 	r.vmLists = keyvalue.NewHTTPClient(vmListPeriod, 1)
 	r.bills = bills{r: r}
 	r.orders = orders{r: r}
-	r.configuration = configuration{r: r}
+	r.joinSettings()
+}
+
+// joinSettings connects what operators see and change.
+func (r *Router) joinSettings() {
+	r.configuration.VM = r.self
+	r.configuration.Initial = r.cfg.Initial
+	r.configuration.Store = r.cfg.Store
+	r.configuration.Members = &r.members.Members
+	r.configuration.Peers = &r.peers
+	r.configuration.Log = r.log
+	r.configuration.Background = r.background
+	r.configuration.Apply = func(now time.Time, revision uint64, tree settings.Tree) { r.apply(now, newSnapshot(revision, tree)) }
+	r.operators = operators.Service{
+		Store:    r.cfg.Store,
+		Members:  &r.members.Members,
+		Settings: &r.configuration,
+		Status:   r.Status,
+		Levels:   func(now time.Time) any { return r.levels.Rows(now) },
+		KeyHash:  func() string { return r.snapshot().tree.Fleet.AdminSHA256 },
+	}
+}
+
+// Status returns the router's state.
+func (r *Router) Status() operators.Status {
+	seen := r.endpoints.State(time.Now())
+	return operators.Status{
+		VM:         r.cfg.VM,
+		Revision:   r.configuration.Revision(),
+		Draining:   r.draining.Load(),
+		InFlight:   r.inFlight.Load(),
+		Waiting:    seen.Waiting,
+		Members:    r.members.states(),
+		Endpoints:  seen.Endpoints,
+		Suspects:   seen.Suspects,
+		Budgets:    r.budgets.Views(),
+		OrdersOpen: r.orders.pending(),
+	}
 }
 
 // budgetPolicy returns the policy that the router was started with, or the one of its settings.
@@ -148,7 +188,7 @@
 // Start listens, takes the settings over and serves until Shutdown.
 func (r *Router) Start(ctx context.Context) error {
 	r.apply(time.Now(), r.snapshot())
-	if err := r.configuration.seed(ctx); err != nil {
+	if err := r.configuration.Seed(ctx); err != nil {
 		r.log.Warn("initial settings not stored", zap.Error(err))
 	}
 	ln, err := r.listen()
@@ -176,7 +216,7 @@
 }
 
 func (r *Router) startTimers() {
-	go r.configuration.run(r.stop)
+	go r.configuration.Run(r.stop)
 	go decision.Every(fleet.ProbePeriod, r.stop, r.members.tick)
 	go decision.Every(reportPeriod, r.stop, r.reports.poll)
 	go decision.Every(vmListPeriod, r.stop, r.pollVMList)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/internal/operators"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
@@ -92,7 +93,7 @@
 		{"order without key", "POST", "/v1/services/orders/place", key, `{}`, refusal.KeyRequired},
 		{"unknown call", "POST", "/v1/services/orders/burn", key, `{}`, refusal.UnknownService},
 		{"unknown path", "GET", "/nothing", nil, "", refusal.NotFound},
-		{"admin without key", "GET", AdminStatusPath, key, "", refusal.Forbidden},
+		{"admin without key", "GET", operators.StatusPath, key, "", refusal.Forbidden},
 		{"peer without key", "POST", peer.ProbePath, nil, "[]", refusal.Forbidden},
 		{"peer with a malformed message", "POST", peer.ProbePath, map[string]string{peer.KeyHeader: testPeerKey}, "{", refusal.BadRequest},
 		{"unknown account", "POST", chat.Path, map[string]string{peer.KeyHeader: testPeerKey, headerAccount: "t/y"}, good, refusal.Unauthenticated},
@@ -194,7 +195,7 @@
 		_ = strict.Decode(data, &keptClaim{})
 		var billed bill.Billed
 		_ = json.Unmarshal(data, &billed)
-		_, _ = DecodeStatus(data)
+		_, _ = operators.DecodeStatus(data)
 		_ = json.Unmarshal(data, &chat.LoadReport{})
 		_ = json.Unmarshal(data, &keyvalue.VMList{})
 	})
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +14,8 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/credential"
+	"github.com/foxtaillanding/foxtaillanding/internal/response"
 	"github.com/foxtaillanding/foxtaillanding/pkg/answer"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -41,11 +42,13 @@
 	routes.GET(EntriesPath, r.serveEntries)
 	routes.GET(MetricsPath, r.metrics.Handler())
 	r.peerRoutes(routes)
-	r.adminRoutes(routes)
-	routes.NotFound = func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, refusal.New(refusal.NotFound, string(ctx.Path()))) }
+	r.operators.Routes(routes)
+	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
+		response.Refuse(ctx, refusal.New(refusal.NotFound, string(ctx.Path())))
+	}
 	routes.PanicHandler = func(ctx *fasthttp.RequestCtx, problem any) {
 		r.logPanic("", problem)
-		writeRefusal(ctx, refusal.New(refusal.Internal, ""))
+		response.Refuse(ctx, refusal.New(refusal.Internal, ""))
 	}
 	return &fasthttp.Server{
 		Name:                  "foxtaillanding",
@@ -69,7 +72,7 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &header) {
 		kind = refusal.TooLarge
 	}
-	writeRefusal(ctx, refusal.New(kind, err.Error()))
+	response.Refuse(ctx, refusal.New(kind, err.Error()))
 }
 
 // counted keeps count of the requests in flight until their answers are written.
@@ -79,7 +82,7 @@
 		done := func() { r.inFlight.Add(-1) }
 		if r.closing.Load() {
 			done()
-			writeRefusal(ctx, refusal.New(refusal.Draining, ""))
+			response.Refuse(ctx, refusal.New(refusal.Draining, ""))
 			return
 		}
 		handler(ctx, done)
@@ -91,7 +94,7 @@
 	w, refused := r.admit(ctx)
 	if refused != nil {
 		done()
-		writeRefusal(ctx, refused)
+		response.Refuse(ctx, refused)
 		return
 	}
 	watch := connection.WatchCaller(ctx.Conn())
@@ -102,14 +105,14 @@
 	}
 	if r.workers.Submit(func() { r.run(w) }) != nil {
 		end()
-		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
+		response.Refuse(ctx, refusal.New(refusal.Overloaded, ""))
 		return
 	}
 	first := <-w.pieces
 	switch {
 	case first.refused != nil:
 		end()
-		writeRefusal(ctx, first.refused)
+		response.Refuse(ctx, first.refused)
 	case w.request.Stream:
 		ctx.SetContentType("text/event-stream")
 		ctx.SetBodyStreamWriter(func(out *bufio.Writer) {
@@ -119,10 +122,10 @@
 		})
 	case first.usage == nil:
 		end()
-		writeRefusal(ctx, refusal.New(refusal.AnswerBroken, ""))
+		response.Refuse(ctx, refusal.New(refusal.AnswerBroken, ""))
 	default:
 		end()
-		writeJSON(ctx, chat.NewCompletion(w.id, w.request.Model, w.content.String(), w.finish, *first.usage))
+		response.JSON(ctx, chat.NewCompletion(w.id, w.request.Model, w.content.String(), w.finish, *first.usage))
 	}
 }
 
@@ -181,7 +184,7 @@
 		w.startBy = w.arrived.Add(min(wait, time.Duration(milliseconds)*time.Millisecond))
 		return nil
 	}
-	c, ok := s.caller(bearer(ctx))
+	c, ok := s.caller(credential.Bearer(ctx))
 	if !ok {
 		return refusal.New(refusal.Unauthenticated, "")
 	}
@@ -193,14 +196,6 @@
 	return nil
 }
 
-func bearer(ctx *fasthttp.RequestCtx) string {
-	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	if !ok {
-		return ""
-	}
-	return key
-}
-
 // writeStream writes an answer as server-sent events; an answer that cannot be completed ends with an error event.
 func (w *work) writeStream(out *bufio.Writer, first piece) {
 	for p, ok := first, true; ok; p, ok = <-w.pieces {
@@ -239,25 +234,5 @@
 
 func (r *Router) serveEntries(ctx *fasthttp.RequestCtx) {
 	keep := time.Duration(r.snapshot().limits.EntryKeepSeconds) * time.Second
-	writeJSON(ctx, r.members.EntryList(keep))
-}
-
-func writeRefusal(ctx *fasthttp.RequestCtx, refused *refusal.Error) {
-	ctx.Response.Reset()
-	ctx.SetStatusCode(refused.Kind.Answer().Status)
-	if after := refusal.Seconds(refused.RetryAfter()); after > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(after, 10))
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(refused.JSON())
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		writeRefusal(ctx, refusal.New(refusal.Internal, err.Error()))
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	response.JSON(ctx, r.members.EntryList(keep))
 }
--- a/internal/router/service_call.go
+++ b/internal/router/service_call.go
@@ -12,7 +12,9 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/chat"
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/credential"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
+	"github.com/foxtaillanding/foxtaillanding/internal/response"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/order"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -54,7 +56,7 @@
 	defer done()
 	c, refused := r.admitCall(ctx)
 	if refused != nil {
-		writeRefusal(ctx, refused)
+		response.Refuse(ctx, refused)
 		return
 	}
 	watch := connection.WatchCaller(ctx.Conn())
@@ -62,13 +64,13 @@
 	c.left = watch.Gone
 	answers := make(chan callResult, 1)
 	if r.workers.Submit(func() { answers <- r.runCall(c) }) != nil {
-		writeRefusal(ctx, refusal.New(refusal.Overloaded, ""))
+		response.Refuse(ctx, refusal.New(refusal.Overloaded, ""))
 		return
 	}
 	result := <-answers
 	r.observeCall(c, result)
 	if result.refused != nil {
-		writeRefusal(ctx, result.refused)
+		response.Refuse(ctx, result.refused)
 		return
 	}
 	ctx.SetStatusCode(result.answer.Status)
@@ -102,7 +104,7 @@
 
 func (r *Router) admitCall(ctx *fasthttp.RequestCtx) (*serviceCall, *refusal.Error) {
 	s := r.snapshot()
-	who, ok := s.caller(bearer(ctx))
+	who, ok := s.caller(credential.Bearer(ctx))
 	if !ok {
 		return nil, refusal.New(refusal.Unauthenticated, "")
 	}
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -1,8 +1,7 @@
 package router
 
 import (
-	"crypto/subtle"
-
+	"github.com/foxtaillanding/foxtaillanding/internal/credential"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/settings"
 )
@@ -56,11 +55,7 @@
 func (s *snapshot) caller(key string) (caller, bool) {
 	hash := settings.HashKey(key)
 	c, ok := s.byKey[hash]
-	return c, ok && sameSecret(hash, c.account.KeySHA256)
-}
-
-func sameSecret(a, b string) bool {
-	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+	return c, ok && credential.Same(hash, c.account.KeySHA256)
 }
 
 func (s *snapshot) serves(name string) bool {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -72,13 +72,12 @@
 
 // router is one gateway through its incarnations.
 type router struct {
-	name   string
-	front  string
-	ready  string
-	file   string // Its settings.
-	store  *standin.Link
-	gen    atomic.Int64 // Raised whenever the process ends or starts.
-	paused atomic.Bool
+	name  string
+	front string
+	ready string
+	file  string // Its settings.
+	store *standin.Link
+	gen   atomic.Int64 // Raised whenever the process ends or starts.
 
 	mu   sync.Mutex
 	proc *process // Guarded by mu.
--- a/pkg/endpoint/pool_test.go
+++ b/pkg/endpoint/pool_test.go
@@ -23,7 +23,7 @@
 	sends    map[string]int
 	ended    map[string]int
 	leaving  map[string]bool
-	blamed   map[uint64]int // Endpoint deaths by fingerprint.
+	blamed   map[uint64]int  // Endpoint deaths by fingerprint.
 	sound    map[uint64]bool // Fingerprints that finished once.
 	suspect  map[string]bool
 	ran      map[string]bool
