Two homes for each budget in every fleet, grants of 7 s; acquit suspects that finished elsewhere

Change: homesEach 2 whatever the fleet's size. A router that hears a suspicion of a request that finished there says so, and the suspicion is dropped.

Test: TestASuspectThatFinishedElsewhere IsAcquitted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,7 @@
 	g.members.open(g, self)
 	g.peers = peer.NewClient(peerTimeout)
 	g.peers.Members = &g.members.Members
+	g.peers.Endpoints = &g.endpoints
 	g.peers.Log = g.log
 	g.peers.Background = g.background
 	g.service = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
@@ -147,7 +148,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     8 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
+		Horizon:     7 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
 		Step:        2 * time.Second,
 		ShareParts:  3,
 		SealAfter:   6 * time.Second,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
@@ -25,7 +26,8 @@
 // Client calls the other routers.
 type Client struct {
 	Members    *membership.Members
-	Key        func() string // The key that the routers share; nil sends none.
+	Endpoints  *placement.Endpoints // Hear of suspects that are acquitted.
+	Key        func() string        // The key that the routers share; nil sends none.
 	Log        *zap.Logger
 	Background func(func()) // Runs a call that nobody waits for.
 
@@ -122,20 +124,11 @@
 // Self returns this router's incarnation.
 func (c *Client) Self() string { return c.Members.Self().Name() }
 
-// Homes of a budget, which hold grants ready.
-const (
-	homesEach  = 2 // Each writes the budget's record; a second one goes on when the first fails.
-	smallFleet = 6 // Routers up to which each is a home of every budget.
-)
+// homesEach is the number of routers that hold grants of a budget ready; each writes its record, and a second one goes on when the first fails.
+const homesEach = 2
 
 // Homes returns the incarnations that hold grants of a budget ready.
-func (c *Client) Homes(name string) []string {
-	n := homesEach
-	if c.Members.Expected() <= smallFleet {
-		n = smallFleet
-	}
-	return c.Members.Homes(name, n)
-}
+func (c *Client) Homes(name string) []string { return c.Members.Homes(name, homesEach) }
 
 // IsHome reports whether this router is a home of a budget.
 func (c *Client) IsHome(name string) bool { return slices.Contains(c.Homes(name), c.Self()) }
@@ -219,9 +212,13 @@
 	c.mu.Unlock()
 	for _, m := range c.Members.Peers() {
 		c.Background(func() {
-			if err := c.Post(m.Address, SuspectPath, message, nil); err != nil {
+			var answer acquittal
+			if err := c.Post(m.Address, SuspectPath, message, &answer); err != nil {
 				c.Log.Warn("suspicions not told", zap.String("Peer", m.Name()), logfile.Problem(err))
 			}
+			for _, f := range answer.Sound {
+				c.Endpoints.Handle(time.Now(), endpoint.Acquitted{Fingerprint: f})
+			}
 		})
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -34,5 +34,8 @@
 	KeepMilliseconds int64
 }
 
+// acquittal names suspects that finished at the router that answers.
+type acquittal struct{ Sound []uint64 }
+
 // verdict is a yes or a no.
 type verdict struct{ Granted bool }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -49,22 +49,22 @@
 			return verdict{true}
 		})
 	case SuspectPath:
-		answer, err = answerTo(body, func(messages []suspectMessage) any {
-			s.hearSuspects(time.Now(), messages)
-			return verdict{true}
-		})
+		answer, err = answerTo(body, func(messages []suspectMessage) any { return s.hearSuspects(time.Now(), messages) })
 	default:
 		return nil, false, nil
 	}
 	return answer, true, err
 }
 
-// hearSuspects takes a peer's suspicions over.
-func (s *Service) hearSuspects(now time.Time, messages []suspectMessage) {
+// hearSuspects takes a peer's suspicions over and returns those of requests that are known to be sound here.
+func (s *Service) hearSuspects(now time.Time, messages []suspectMessage) acquittal {
+	var asked []uint64
 	for _, m := range messages {
+		asked = append(asked, m.Fingerprint)
 		until := now.Add(time.Duration(m.KeepMilliseconds) * time.Millisecond)
 		s.Endpoints.Handle(now, endpoint.SuspectHeard{Suspect: endpoint.Suspicion{Fingerprint: m.Fingerprint, Deaths: m.Deaths, Until: until}})
 	}
+	return acquittal{s.Endpoints.Sound(asked)}
 }
 
 // answerTo decodes a message, hands it to f and encodes what f returns.
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -13,6 +13,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
@@ -102,6 +103,25 @@
 
 func (f budgetsFunc) Handle(_ time.Time, ev budget.Event) { f(ev) }
 
+// TestASuspectThatFinishedElsewhereIsAcquitted keeps a finding of the soak (seed 210): a router that had just started condemned what all others served.
+func TestASuspectThatFinishedElsewhereIsAcquitted(t *testing.T) {
+	s := newService(t, 10)
+	now := time.Now()
+	s.Endpoints.Configure(now, []placement.Located{{Endpoint: endpoint.Endpoint{Name: "e", Serves: []string{"m"}, Slots: 1}, Address: "a:1"}}, nil)
+	s.Endpoints.Decisions.Open("run")
+	s.Endpoints.Handle(now, endpoint.Submitted{Request: endpoint.Request{ID: "run", Serves: "m", Fingerprint: 7, Deadline: now.Add(time.Minute)}})
+	s.Endpoints.Handle(now, endpoint.Ended{ID: "run", Outcome: endpoint.Finished})
+	body, err := json.Marshal([]suspectMessage{{7, 2, 1000}, {8, 2, 1000}})
+	require.NoError(t, err)
+	answer, _, err := s.Answer(SuspectPath, body)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"Sound":[7]}`, string(answer))
+	var other placement.Endpoints
+	other.Handle(now, endpoint.SuspectHeard{Suspect: endpoint.Suspicion{Fingerprint: 7, Deaths: 2, Until: now.Add(time.Hour)}})
+	other.Handle(now, endpoint.Acquitted{Fingerprint: 7})
+	require.Empty(t, other.State(now).Suspects)
+}
+
 // FuzzAnswer sends arbitrary bytes to every path.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(`[{"VM":"a","Incarnation":1,"State":9}]`))
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// Sound returns those of the fingerprints whose requests are known to have finished once.
+func (e *Endpoints) Sound(fingerprints []uint64) []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sound := []uint64{}
+	for _, f := range fingerprints {
+		if e.pool.IsSound(f) {
+			sound = append(sound, f)
+		}
+	}
+	return sound
+}
+
 // State is what one router sees of its endpoints.
 type State struct {
 	Endpoints []endpoint.View
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,6 +110,7 @@
 	r.members.Background = r.background
 	r.peers = peers{peer.NewClient(peerTimeout), r}
 	r.peers.Members = &r.members.Members
+	r.peers.Endpoints = &r.endpoints
 	r.peers.Key = func() string { return r.snapshot().tree.Fleet.PeerKey }
 	r.peers.Log = r.log
 	r.peers.Background = r.background
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,7 +11,8 @@
 
 // seeds are run on each machine; one that ever failed stays, with its cause.
 var seeds = map[uint64]string{
-	1: "a request that many callers sent was refused as suspect once two endpoints had broken off",
+	1:   "a request that many callers sent was refused as suspect once two endpoints had broken off",
+	210: "a router that had just started condemned a request that all others served",
 }
 
 // TestSeeds makes a short run of each seed with the programs of this module.
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -139,6 +139,9 @@
 // SuspectHeard carries a peer's knowledge about a suspect.
 type SuspectHeard struct{ Suspect Suspicion }
 
+// Acquitted carries a peer's knowledge that a suspect finished there.
+type Acquitted struct{ Fingerprint uint64 }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -153,6 +156,7 @@
 func (LeavingSeen) isEvent()    {}
 func (CacheSeen) isEvent()      {}
 func (SuspectHeard) isEvent()   {}
+func (Acquitted) isEvent()      {}
 func (Tick) isEvent()           {}
 
 // Action is something that a Pool wants done.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -73,6 +73,9 @@
 	case SuspectHeard:
 		p.suspects.hear(now, ev.Suspect)
 		return p.dispatch(now)
+	case Acquitted:
+		p.suspects.clear(ev.Fingerprint)
+		return p.dispatch(now)
 	case Tick:
 		p.suspects.expire(now)
 		p.earnRetries(now)
@@ -102,6 +105,9 @@
 // Waiting returns the number of requests that wait for an endpoint.
 func (p *Pool) Waiting() int { return len(p.queue.waiting) }
 
+// IsSound reports whether a request is known to have finished once, so that it makes no endpoint die.
+func (p *Pool) IsSound(fingerprint uint64) bool { return p.suspects.isSound(fingerprint) }
+
 // Suspicions returns the suspects that are remembered.
 func (p *Pool) Suspicions() []Suspicion { return p.suspects.list() }
 
