Let the homes of budgets draw first after an outage; read an exhausted budget every 2 s

Change: for 1 s after the store's return a router that is no home draws nothing. A record that was read 2 s ago serves as ground for a refusal; a higher total comes with the configuration and needs no read.

--- a/internal/gateway/counted_store.go
+++ b/internal/gateway/counted_store.go
@@ -16,8 +16,8 @@
 	Store
 
 	count    func(call string, err error)
-	heard    func()       // Called at each answer.
-	answered atomic.Int64 // Nanoseconds of the Unix time; zero before the first answer.
+	heard    func(time.Time) // Called at each answer.
+	answered atomic.Int64    // Nanoseconds of the Unix time; zero before the first answer.
 
 	mu     sync.Mutex
 	recent map[string]int // Calls by name since they were last taken; guarded by mu.
@@ -44,8 +44,9 @@
 	}
 	s.mu.Unlock()
 	if err == nil || errors.Is(err, keyvalue.ErrHistoryGone) || errors.Is(err, keyvalue.ErrLeaseEnded) {
-		s.answered.Store(time.Now().UnixNano())
-		s.heard()
+		now := time.Now()
+		s.answered.Store(now.UnixNano())
+		s.heard(now)
 	}
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -46,6 +46,7 @@
 	ctx    context.Context // Of the watches that wait now; guarded by mu.
 	cancel context.CancelFunc
 	back   chan struct{} // Closed at the next answer; nil while the store is reachable; guarded by mu.
+	backAt time.Time     // Of the last answer after a loss; guarded by mu.
 }
 
 // context returns the context of the next watch.
@@ -73,17 +74,25 @@
 }
 
 // regain notes an answer of the store.
-func (r *reach) regain() {
+func (r *reach) regain(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.back != nil {
 		close(r.back)
 		r.back = nil
+		r.backAt = now
 	}
 }
 
-// lost reports whether the store has not answered since it was lost.
-func (r *reach) lost() bool { return r.returned() != nil }
+// othersReturn is the time after the store's return in which the other routers find out, so that the homes of budgets draw before all others do.
+const othersReturn = time.Second
+
+// lost reports whether the store has not answered since it was lost, or has answered only a moment ago.
+func (r *reach) lost(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.back != nil || now.Sub(r.backAt) < othersReturn
+}
 
 // returned is closed at the store's next answer; it is nil while the store is reachable.
 func (r *reach) returned() <-chan struct{} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,7 @@
 		RetireAfter: 10 * time.Minute,
 		Backoff:     300 * time.Millisecond,
 		RecallEvery: 2 * time.Second,
-		FreshFor:    600 * time.Millisecond,
+		FreshFor:    2 * time.Second, // Totals come with the configuration; others return tokens rarely.
 	}
 }
 
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -19,7 +19,8 @@
 	Log        *zap.Logger
 	Observer   Observer     // Nil counts nothing.
 	Background func(func()) // Runs a call that nobody waits for.
-	StoreLost  func() bool  // Whether the store is known to be out of this router's reach; nil when nobody knows.
+	// StoreLost tells whether the store is known to be out of this router's reach; nil when nobody knows.
+	StoreLost func(now time.Time) bool
 
 	Lines connection.Pool
 }
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -49,7 +49,7 @@
 	case answer.Kind == refusal.BudgetExhausted.String():
 		return r.notReserved(refusal.BudgetExhausted)
 	}
-	if answer.Kind != "" && r.f.StoreLost != nil && r.f.StoreLost() {
+	if answer.Kind != "" && r.f.StoreLost != nil && r.f.StoreLost(time.Now()) {
 		return r.notReserved(refusal.BudgetUnavailable) // Neither the homes nor this router can draw tokens.
 	}
 	return r.reserveHere(true)
