--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -61,6 +61,18 @@
 		p.most = max(p.most, p.peers)
 		p.retries = min(p.retries, p.retryLimit())
 		return nil
+	case Tick:
+		p.suspects.expire(now)
+		p.earnRetries(now)
+		return append(p.dispatch(now), p.shed(now)...)
+	default:
+		return p.handleHeard(now, ev)
+	}
+}
+
+// handleHeard applies an event that tells what endpoints and other routers say.
+func (p *Pool) handleHeard(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
 	case Reported:
 		p.reported(now, ev)
 		return p.dispatch(now)
@@ -76,10 +88,6 @@
 	case Acquitted:
 		p.suspects.clear(ev.Fingerprint)
 		return p.dispatch(now)
-	case Tick:
-		p.suspects.expire(now)
-		p.earnRetries(now)
-		return append(p.dispatch(now), p.shed(now)...)
 	default:
 		return nil
 	}
