Write the soak's configuration and entries by the adapter; one way to find a free address

Cause: the soak spelt the platform's fields, which belong into platform/; three test harnesses looked for free ports on their own, one of them at the kernel's.

--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -95,25 +94,6 @@
 	tree           settings.Tree
 }
 
-// nextPort is the port that freeAddress tries next; it stays below the range from which the kernel takes the ports of outgoing connections.
-var nextPort = 12000 + os.Getpid()%4000
-
-// freeAddress returns an address that a process can listen on later.
-func freeAddress(t *testing.T) string {
-	for range 1000 {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		ln, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
-		}
-		require.NoError(t, ln.Close())
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func startCluster(t *testing.T, prepaid int64, engineArgs ...string) *cluster {
 	c := &cluster{
 		store:   startProcess(t, "standin", "store"),
@@ -135,7 +115,7 @@
 			Name: fmt.Sprint("engine-", i), DataCentre: "b", Address: e.address, Serves: []string{"m"}, Slots: 8})
 	}
 	for _, dc := range f.DataCentres {
-		f.VMs = append(f.VMs, settings.VM{Name: "vm-" + dc, DataCentre: dc, Address: freeAddress(t), Size: 1})
+		f.VMs = append(f.VMs, settings.VM{Name: "vm-" + dc, DataCentre: dc, Address: standin.FreeAddress(), Size: 1})
 	}
 	c.tree = settings.Tree{Fleet: f, Teams: []settings.Team{{
 		Name: "team", Budget: testBudget, Accounts: []settings.Account{{Name: "desk", KeySHA256: settings.HashKey(testAPIKey)}}}}}
--- a/internal/command/partition_test.go
+++ b/internal/command/partition_test.go
@@ -43,7 +43,7 @@
 	var cuttable []links
 	var listen []string
 	for _, dc := range f.DataCentres {
-		address := freeAddress(t)
+		address := standin.FreeAddress()
 		one := links{toStore: newLink(t, c.store.address), inward: newLink(t, address)}
 		cuttable = append(cuttable, one)
 		listen = append(listen, address)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,7 +19,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/gateway"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
+	"github.com/foxtaillanding/foxtaillanding/platform"
 	platformstandin "github.com/foxtaillanding/foxtaillanding/platform/standin"
 	"github.com/foxtaillanding/foxtaillanding/platform/wire"
 )
@@ -97,12 +99,10 @@
 	routers []*router
 	servers []*server
 	version atomic.Int64 // Of the configuration.
-	port    int
 }
 
 func newFleet(cfg Config) (*fleet, error) {
-	const firstPort, ports = 20000, 12000
-	f := &fleet{cfg: cfg, port: firstPort + os.Getpid()*37%ports}
+	f := &fleet{cfg: cfg}
 	var err error
 	if f.store, err = start(f.log("store"), true, f.binary("standin"), "store"); err != nil {
 		return f, err
@@ -124,18 +124,6 @@
 func (f *fleet) log(name string) string    { return filepath.Join(f.cfg.Dir, name+".log") }
 func (f *fleet) binary(name string) string { return filepath.Join(f.cfg.Binaries, name) }
 
-// address returns one that a process can listen on later.
-func (f *fleet) address() string {
-	for {
-		f.port++
-		address := "127.0.0.1:" + strconv.Itoa(f.port)
-		if ln, err := net.Listen("tcp4", address); err == nil {
-			_ = ln.Close()
-			return address
-		}
-	}
-}
-
 func (f *fleet) addServer(id string) error {
 	p, err := start(f.log(id), true, f.binary("standin"), "server", "--id", id, "--events", strconv.Itoa(eventsEach))
 	if err != nil {
@@ -147,14 +135,18 @@
 	}
 	s := &server{id: id, proc: p, link: link}
 	f.servers = append(f.servers, s)
-	f.enter(s, "ready")
+	f.enter(s, false)
 	return nil
 }
 
 // enter writes what a server says of itself.
-func (f *fleet) enter(s *server, state string) {
-	entry := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":64,"state":%q,"born":1,"seq":1}`, s.link.Address, state)
-	f.write(wire.ServersPrefix+s.id, entry)
+func (f *fleet) enter(s *server, leaving bool) {
+	const slots = 64
+	value, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: s.link.Address, DataCentre: "dc", Slots: slots, Leaving: leaving, Born: 1})
+	if err != nil {
+		panic(err) // A type of this module that cannot be encoded.
+	}
+	f.write(wire.ServersPrefix+s.id, value)
 }
 
 func (f *fleet) addRouter(i int) error {
@@ -162,10 +154,10 @@
 	if err != nil {
 		return err
 	}
-	r := &router{name: fmt.Sprintf("vm-%d", i), front: f.address(), ready: f.address(), store: link}
+	r := &router{name: fmt.Sprintf("vm-%d", i), front: standin.FreeAddress(), ready: standin.FreeAddress(), store: link}
 	r.file = filepath.Join(f.cfg.Dir, r.name+".toml")
 	text := fmt.Sprintf("VM = %q\nDataCentre = \"dc-%d\"\n[Listen]\nFront = %q\nReady = %q\nDirectory = %q\nPeer = %q\n[Store]\nAddress = %q\nWritesPerSecond = 400.0\nReadsPerSecond = 2000.0\n[Memory]\nLimitMegabytes = 256\n[Drain]\nGraceMilliseconds = 4000\n[Retry]\nRatio = 0.2\nSlack = 50.0\n",
-		r.name, i%3, r.front, r.ready, f.address(), f.address(), link.Address)
+		r.name, i%3, r.front, r.ready, standin.FreeAddress(), standin.FreeAddress(), link.Address)
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "writing settings")
 	}
@@ -257,27 +249,45 @@
 	}
 }
 
-func (f *fleet) write(key, value string) {
-	tell(f.store.address, platformstandin.WritePath, platformstandin.Written{Key: key, Value: []byte(value)})
+func (f *fleet) write(key string, value []byte) {
+	tell(f.store.address, platformstandin.WritePath, platformstandin.Written{Key: key, Value: value})
 }
 
-// configure writes the next version of the configuration, which adds a route of its own and raises what one account paid.
+// service is the only service of a run.
+const service = "app"
+
+// configure writes the next version of the configuration, which adds a route of its own and raises what the accounts paid.
 func (f *fleet) configure() {
 	version := f.version.Add(1)
-	routes := []string{
-		`{"name":"order","host":"h","pathPrefix":"/order/","kind":"non_idempotent","service":"app","timeoutMs":2000,"goalMs":300,"maxAttempts":1}`,
-		`{"name":"lookup","host":"h","pathPrefix":"/lookup/","kind":"idempotent","service":"app","timeoutMs":2000,"goalMs":300,"maxAttempts":2}`,
-		`{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","service":"app","timeoutMs":3000,"goalMs":500,"maxAttempts":2,"resumable":true,"sticky":true,"gapTargetMs":300}`,
+	cfg := route.Configuration{
+		Version: uint64(version),
+		Routes: []route.Route{
+			newRoute(string(order), route.NonIdempotent, 1),
+			newRoute(string(lookup), route.Idempotent, 2),
+			newRoute(string(stream), route.Stream, 2),
+		},
+		Services: []route.Service{{Name: service, TokensPerEvent: 1}},
 	}
 	for n := int64(1); n <= version; n++ {
-		routes = append(routes, fmt.Sprintf(`{"name":"v%d","host":"h","pathPrefix":"/v%d/","kind":"idempotent","service":"app","timeoutMs":2000,"goalMs":300,"maxAttempts":2}`, n, n))
+		cfg.Routes = append(cfg.Routes, newRoute(fmt.Sprint(probe, n), route.Idempotent, 2))
 	}
-	var tenants []string
 	for name := range accounts {
-		tenants = append(tenants, fmt.Sprintf(`{"name":%q,"apiKeys":["key-%s"],"prepaid":%d}`, name, name, paid(name, version)))
+		cfg.Accounts = append(cfg.Accounts, route.Account{Name: name, Keys: []string{"key-" + name}, Prepaid: paid(name, version)})
+	}
+	value, err := platform.EncodeConfiguration(cfg)
+	if err != nil {
+		panic(err) // A type of this module that cannot be encoded.
+	}
+	f.write(wire.ConfigurationKey, value)
+}
+
+// newRoute returns the route of the requests whose path begins with a name.
+func newRoute(name string, kind route.Kind, attempts int) route.Route {
+	return route.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Targets: []route.Target{{Service: service, Weight: 1}},
+		Timeout: 2500 * time.Millisecond, Objective: 400 * time.Millisecond, Gap: 300 * time.Millisecond,
+		Attempts: attempts, Model: kind == route.Stream, Resumable: kind == route.Stream,
 	}
-	f.write(wire.ConfigurationKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"app","engine":{"stride":1}}],"limits":{},"tenants":[%s]}`,
-		version, strings.Join(routes, ","), strings.Join(tenants, ",")))
 }
 
 // accounts are the client accounts with what they paid at first, in tokens.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -84,7 +84,7 @@
 	wait(ctx, settles)
 	leaving := pick(random, f.servers)
 	f.say("%s drains", leaving.id)
-	f.enter(leaving, "draining")
+	f.enter(leaving, true)
 	from := time.Now()
 	wait(ctx, drainTime)
 	idleFrom := time.Now()
@@ -99,7 +99,7 @@
 			problems = append(problems, fmt.Sprintf("%s ran at %s %v after it drained", id, leaving.id, time.UnixMilli(run.Last).Sub(from)))
 		}
 	}
-	f.enter(leaving, "ready")
+	f.enter(leaving, false)
 	return problems
 }
 
