--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,7 +23,7 @@
 // ErrNotAPeer tells that no live router has the name that was asked for.
 var ErrNotAPeer = errors.New("no live router has this name")
 
-// Client calls the other routers.
+// Client calls the other routers; its exported fields are set before the first call.
 type Client struct {
 	Members    *membership.Members
 	Endpoints  *placement.Endpoints // Hear of suspects that are acquitted.
--- a/pkg/budget/doc.go
+++ b/pkg/budget/doc.go
@@ -4,8 +4,8 @@
 // grants, each a conditional write, and spends only what it was granted.
 // Holder is the decider of one router incarnation: it reserves the worst case
 // of a request before dispatch, settles the true figure afterwards, draws and
-// returns grants, and says when a request is to be forwarded to a router that
-// holds the tokens or refused.
+// returns grants, and says when the tokens of a request are to be reserved at
+// another router that holds them, or the request refused.
 //
 // Invariants:
 //
@@ -27,6 +27,10 @@
 // holder that has been absent for long acknowledges nothing more and seals the
 // account: what lies above the ceiling becomes free.
 //
+// In a fleet not every router keeps a grant: a request that passes at a router
+// that is no home of its budget (Reserve.Passing) draws only what it needs, and
+// what is left of that goes back soon.
+//
 // No clock is trusted: a holder that was paused for any time still owns what lies
 // below its ceiling, and that part stays held after a death until an operator
 // closes the account.
