Take changed settings over without a signal and without a restart where that is possible

Cause: the settings file may change without a signal; a reload checked it and changed nothing. Change: the file is looked at each second; memory, the grace of a shutdown and the bounds of repeats come into force at once, the log says when a restart is needed for the rest. A file with a fault changes nothing.

--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -76,6 +76,23 @@
 	return p
 }
 
+// startGateway runs a gateway and returns the file that holds its log.
+func startGateway(t *testing.T, settings string) string {
+	log := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(log)
+	require.NoError(t, err)
+	p := &process{cmd: exec.Command(filepath.Join(binaries, "foxtaillanding"), "gateway", "--settings", settings)}
+	p.cmd.Stdout = out
+	p.cmd.Stderr = &p.log
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(func() {
+		p.kill()
+		_ = out.Close()
+		require.NotContains(t, p.log.String(), "DATA RACE")
+	})
+	return log
+}
+
 func (p *process) kill() {
 	p.killed.Do(func() {
 		_ = p.cmd.Process.Kill()
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -69,24 +69,45 @@
 	return nil
 }
 
+// lookEvery is the pause between two looks at the settings file, which may change without a signal.
+const lookEvery = time.Second
+
 // reload takes changed settings over until ctx ends; unreadable ones change nothing.
 func reload(ctx context.Context, file string, g *gateway.Gateway, log *zap.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	seen := modified(file)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+		case <-ticker.C:
+			if now := modified(file); now.Equal(seen) {
+				continue
+			}
 		}
+		seen = modified(file)
 		settings, err := readGatewaySettings(file)
 		if err != nil {
 			log.Error("settings not reloaded", zap.String("File", file), logfile.Problem(err))
 			continue
 		}
-		g.Reload(settings)
+		boundMemory(settings.Memory)
+		g.Reload(time.Now(), settings)
+	}
+}
+
+// modified returns when a file was last changed; zero when that cannot be told.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
 	}
+	return info.ModTime()
 }
 
 // boundMemory keeps the heap small: a process above its VM's limit is killed.
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -89,3 +89,14 @@
 	require.False(t, e.takes(now, "c"))
 	require.NotContains(t, e.known, "d")
 }
+
+// TestAnEndpointThatStartsAgainUnderItsNameIsANewOne gives an entry another time of its start.
+func TestAnEndpointThatStartsAgainUnderItsNameIsANewOne(t *testing.T) {
+	e := newEntries("a")
+	require.NotContains(t, e.restarted, "a")
+	e.changed(began, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	require.NotContains(t, e.restarted, "a", "an entry that is written again")
+	e.known["a"].Born = 1
+	e.changed(began, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	require.Contains(t, e.restarted, "a")
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -141,7 +141,7 @@
 	switch {
 	case g.closing.Load():
 		return c, refusal.New(refusal.Draining, "")
-	case g.inFlight.Load() > g.most:
+	case g.inFlight.Load() > g.most.Load():
 		return c, refusal.New(refusal.Overloaded, "")
 	}
 	if problem := ambiguous(ctx.Request.Header.RawHeaders()); problem != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,9 +53,10 @@
 	drawn    bool                        // First grants were drawn; used by the timer of the members only.
 	sequence atomic.Uint64               // Of requests.
 	inFlight atomic.Int64
-	most     int64       // Of inFlight.
-	draining atomic.Bool // Out of the directory; whoever still comes is served.
-	closing  atomic.Bool // Requests are refused.
+	most     atomic.Int64 // Of inFlight.
+	grace    atomic.Int64 // Nanoseconds between the order to stop and the kill.
+	draining atomic.Bool  // Out of the directory; whoever still comes is served.
+	closing  atomic.Bool  // Requests are refused.
 
 	calls     *ants.Pool // Store and peer calls.
 	forwarder request.Forwarder
@@ -95,7 +96,8 @@
 	if g.calls, err = ants.NewPool(unlimited); err != nil {
 		return nil, errors.Wrap(err, "making the pool of call workers")
 	}
-	g.most = mostInFlight(cfg.Settings.Memory)
+	g.most.Store(mostInFlight(cfg.Settings.Memory))
+	g.grace.Store(int64(cfg.Settings.grace()))
 	g.store = &countedStore{Store: cfg.Store}
 	if g.metrics, err = newMetrics(g); err != nil {
 		return nil, err
@@ -163,19 +165,24 @@
 
 // endpointPolicy bounds the repeats that this router makes, so that all together keep to the fleet's bound.
 func (g *Gateway) endpointPolicy() endpoint.Policy {
-	const margin = 0.8 // Of the bound, since routers count a moment later than endpoints.
-	retry := g.cfg.Settings.Retry
+	retries := retriesOf(g.cfg.Settings.Retry)
 	return endpoint.Policy{
 		Seed:         uint64(g.started.UnixNano()),
 		ReportLag:    time.Millisecond,
-		RetryRatio:   margin * retry.Ratio,
-		FleetReserve: margin * retry.Slack,
+		RetryRatio:   retries.RetryRatio,
+		FleetReserve: retries.FleetReserve,
 		DownFor:      500 * time.Millisecond,
 		MaxDownFor:   4 * time.Second,
 		MaxQueue:     1024,
 	}
 }
 
+// retriesOf returns the bounds of the repeats that settings give, with a margin, since routers count a moment later than endpoints.
+func retriesOf(r RetrySettings) endpoint.RetriesChanged {
+	const margin = 0.8
+	return endpoint.RetriesChanged{RetryRatio: margin * r.Ratio, FleetReserve: margin * r.Slack}
+}
+
 // perRouter returns this router's part of a rate that the store gives to all.
 func perRouter(rate float64) int {
 	const fewestRouters = 4
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -27,10 +27,11 @@
 	g.log.Info("stopping", zap.Int64("InFlight", g.inFlight.Load()))
 	g.members.tick(now)
 	g.tellPeers()
-	end := now.Add(g.cfg.Settings.grace() - reserveAtEnd)
+	grace := time.Duration(g.grace.Load())
+	end := now.Add(grace - reserveAtEnd)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	decision.Pause(min(serveAtLeast, g.cfg.Settings.grace()/2), ctx.Done())
+	decision.Pause(min(serveAtLeast, grace/2), ctx.Done())
 	g.waitIdle(ctx)
 	g.closing.Store(true)
 	g.budgets.Handle(time.Now(), budget.Drain{})
@@ -67,8 +68,12 @@
 	}
 }
 
-// Reload takes changed settings over; what needs a restart is named in the log and stays as it was.
-func (g *Gateway) Reload(s Settings) {
+// Reload takes changed settings over; what the process was started with stays as it was until a restart.
+func (g *Gateway) Reload(now time.Time, s Settings) {
 	was := g.cfg.Settings
-	g.log.Info("settings reloaded", zap.Bool("NeedsRestart", was.Listen != s.Listen || was.Store != s.Store || was.VM != s.VM))
+	g.most.Store(mostInFlight(s.Memory))
+	g.grace.Store(int64(s.grace()))
+	g.endpoints.Handle(now, retriesOf(s.Retry))
+	g.log.Info("settings reloaded",
+		zap.Bool("NeedsRestart", was.Listen != s.Listen || was.Store != s.Store || was.VM != s.VM || was.DataCentre != s.DataCentre))
 }
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -139,6 +139,12 @@
 // SuspectHeard carries a peer's knowledge about a suspect.
 type SuspectHeard struct{ Suspect Suspicion }
 
+// RetriesChanged replaces the bounds of the repeats, as Policy gives them.
+type RetriesChanged struct {
+	RetryRatio   float64
+	FleetReserve float64
+}
+
 // Acquitted carries a peer's knowledge that a suspect finished there.
 type Acquitted struct{ Fingerprint uint64 }
 
@@ -157,6 +163,7 @@
 func (CacheSeen) isEvent()      {}
 func (SuspectHeard) isEvent()   {}
 func (Acquitted) isEvent()      {}
+func (RetriesChanged) isEvent() {}
 func (Tick) isEvent()           {}
 
 // Action is something that a Pool wants done.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -85,6 +85,11 @@
 	case SuspectHeard:
 		p.suspects.hear(now, ev.Suspect)
 		return p.dispatch(now)
+	case RetriesChanged:
+		p.Policy.RetryRatio = ev.RetryRatio
+		p.Policy.FleetReserve = ev.FleetReserve
+		p.retries = min(p.retries, p.retryLimit())
+		return nil
 	case Acquitted:
 		p.suspects.clear(ev.Fingerprint)
 		return p.dispatch(now)
