--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -44,6 +44,7 @@
 
 func runGateway(ctx context.Context, c *cli.Command) error {
 	file := c.String("settings")
+	seen := modified(file)
 	settings, err := readGatewaySettings(file)
 	if err != nil || c.Bool("check") {
 		return err
@@ -64,7 +65,7 @@
 	if err := g.Start(); err != nil {
 		return err
 	}
-	reload(ctx, file, g, log)
+	reload(ctx, file, seen, g, log)
 	g.Shutdown(time.Now())
 	return nil
 }
@@ -72,14 +73,13 @@
 // lookEvery is the pause between two looks at the settings file, which may change without a signal.
 const lookEvery = time.Second
 
-// reload takes changed settings over until ctx ends; unreadable ones change nothing.
-func reload(ctx context.Context, file string, g *gateway.Gateway, log *zap.Logger) {
+// reload takes settings over that changed after seen until ctx ends; unreadable ones change nothing.
+func reload(ctx context.Context, file string, seen time.Time, g *gateway.Gateway, log *zap.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
-	seen := modified(file)
 	for {
 		select {
 		case <-ctx.Done():
