--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 // budgetPolicy sizes grants so that a router serves on while the store is away, and a death strands little.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:     7 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
+		Horizon:     6 * time.Second, // Between what a cut from the store needs and what a loss of all routers strands.
 		Step:        2 * time.Second,
 		ShareParts:  3,
 		SealAfter:   6 * time.Second,
