internal/gateway: admit while draining only what can end; no initial grants in Shutdown

Ruled out: refusing from the first moment all that may outlast the stop.

Change: a router keeps the longest recent duration of each route, halved every 30 s. In the first 0.4 of the drain everything is admitted; after that a request is refused at once with Draining if that duration does not fit, and may be sent elsewhere 50 ms later. Admitted requests end with an answer at the end of the drain instead of a closed connection. Shutdown publishes only the router's own state.

TestShutdownBesideTimers and TestDrainingRouterAdmitsOnlyWhatCanEnd failed first (the first with the race detector on the old code).

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -36,4 +36,4 @@
 	}
 }
 
-func (g *Gateway) ready() bool { return !g.draining.Load() && g.table.Load() != nil }
+func (g *Gateway) ready() bool { return !g.draining() && g.table.Load() != nil }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -85,7 +85,7 @@
 func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
 	g.inFlight.Add(1)
-	if g.draining.Load() {
+	if g.draining() {
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx)
@@ -98,11 +98,15 @@
 	}
 	watch := connection.WatchCaller(ctx.Conn())
 	c.req.CallerGone = watch.Gone
+	reply := g.forwarder.Forward(&c.req)
 	done := func() {
 		watch.Stop()
 		g.inFlight.Add(-1)
+		if reply.Attempts > 0 {
+			end := time.Now()
+			g.durations.record(end, c.route.Name, end.Sub(now))
+		}
 	}
-	reply := g.forwarder.Forward(&c.req)
 	c.recordReply(reply)
 	if reply.Stream != nil {
 		reply.Stream.OnClose = done
@@ -168,7 +172,7 @@
 	c.req.Body = ctx.Request.Body()
 	c.req.Fingerprint = fingerprint(head.Key, &c.req.Message)
 	c.req.Deadline = now.Add(minTimeout(head.Timeout, c.route.Timeout))
-	return c, nil
+	return c, c.admitDraining(now)
 }
 
 // fingerprint returns a hash of a request and its API key, which identifies repetitions of the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,13 +50,14 @@
 
 	table              atomic.Pointer[route.Table] // Nil until the first configuration is in force.
 	tableMu            sync.Mutex                  // Held while a configuration is put in force.
-	initialGrantsDrawn bool                        // Accessed only in members.tick, without a lock.
+	initialGrantsDrawn bool                        // Accessed only in members.tick, which one goroutine calls.
 	sequence           atomic.Uint64               // Number of run IDs issued.
 	inFlight           atomic.Int64
-	maxInFlight        atomic.Int64 // Limit of inFlight.
-	grace              atomic.Int64 // Nanoseconds from the stop request until the process is killed.
-	draining           atomic.Bool  // The router is leaving the directory but still serves requests.
-	closing            atomic.Bool  // New requests are refused.
+	maxInFlight        atomic.Int64          // Limit of inFlight.
+	grace              atomic.Int64          // Nanoseconds from the stop request until the process is killed.
+	drain              atomic.Pointer[drain] // Nil until a stop is requested.
+	closing            atomic.Bool           // New requests are refused.
+	durations          durations
 
 	workers      *ants.Pool // For background calls to the store and to peers.
 	forwarder    request.Forwarder
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -190,12 +190,17 @@
 }
 
 func (m *members) tick(now time.Time) {
-	m.Tick(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining.Load()})
+	m.publishSelf(now)
 	m.fetchConfiguration(now)
 	m.g.forwarder.Connections.Expire(now)
 	m.g.drawInitialGrants(now)
 }
 
+// publishSelf passes this router's own state to the roster.
+func (m *members) publishSelf(now time.Time) {
+	m.Tick(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining()})
+}
+
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
 // in case this router cannot read it from the store.
 func (m *members) fetchConfiguration(now time.Time) {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -9,6 +9,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
 // Timing of a shutdown.
@@ -22,15 +23,15 @@
 // Shutdown removes the router from the directory, keeps serving callers that still use its address, finishes the
 // requests in flight, returns the grants and stops.
 func (g *Gateway) Shutdown(now time.Time) {
-	if g.draining.Swap(true) {
+	grace := time.Duration(g.grace.Load())
+	d := &drain{since: now, until: now.Add(grace - stopReserve)}
+	if !g.drain.CompareAndSwap(nil, d) {
 		return
 	}
 	g.log.Info("stopping", zap.Int64("InFlight", g.inFlight.Load()))
-	g.members.tick(now)
+	g.members.publishSelf(now)
 	g.announceDraining()
-	grace := time.Duration(g.grace.Load())
-	end := now.Add(grace - stopReserve)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), d.until)
 	defer cancel()
 	decision.Pause(min(minServeTime, grace/2), ctx.Done())
 	g.waitIdle(ctx)
@@ -47,6 +48,45 @@
 	g.log.Info("stopped", zap.Bool("GrantsReturned", returned), zap.Int64("InFlight", g.inFlight.Load()))
 }
 
+// draining reports whether the router is leaving the directory.
+func (g *Gateway) draining() bool { return g.drain.Load() != nil }
+
+// drain is the period from a stop request until the router stops serving.
+type drain struct {
+	since time.Time
+	until time.Time
+}
+
+// lenientShare is the fraction of a drain in which every request is admitted, because nearly all end well before the
+// router stops and callers may not know of another router yet.
+const lenientShare = 0.4
+
+// admits reports whether a draining router accepts a request that may take up to the given time.
+func (d drain) admits(now time.Time, takes time.Duration) bool {
+	lenientUntil := d.since.Add(time.Duration(lenientShare * float64(d.until.Sub(d.since))))
+	return now.Before(lenientUntil) || !now.Add(takes).After(d.until)
+}
+
+// drainRetryAfter is short, because another router can serve the request at once.
+const drainRetryAfter = 50 * time.Millisecond
+
+// admitDraining refuses a request that may not end before the router stops, and bounds its deadline otherwise.
+//
+// A refused caller retries at another router, whereas most requests that are cut off cannot be retried.
+func (c *callerRequest) admitDraining(now time.Time) *refusal.Error {
+	d := c.g.drain.Load()
+	if d == nil {
+		return nil
+	}
+	if !d.admits(now, c.g.durations.estimate(now, c.route, c.req.Deadline.Sub(now))) {
+		return &refusal.Error{Kind: refusal.Draining, Detail: c.route.Name, After: drainRetryAfter}
+	}
+	if c.req.Deadline.After(d.until) {
+		c.req.Deadline = d.until // The caller gets an answer from the router rather than a closed connection.
+	}
+	return nil
+}
+
 // announceDraining informs all live routers, without waiting for their next probe, that this one is draining.
 func (g *Gateway) announceDraining() {
 	for _, p := range g.members.Peers() {
