internal/peer: settle a loan at the lender's VM, whichever incarnation runs there

Cause: after a loss of power of all, routers read the registrations from before the loss and reserve tokens under the old incarnation name; the address is the same, so the new incarnation grants the loan.

Change: Settle goes to the address of the VM. An incarnation without the loan ignores it.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -177,3 +177,15 @@
 	}
 	return "", false
 }
+
+// VMAddress returns the address of the VM of the given incarnation, whichever incarnation runs there now and whatever
+// its state, and whether the VM is known.
+func (m *Members) VMAddress(name string) (string, bool) {
+	vm := fleet.VMOf(name)
+	for _, p := range m.All() {
+		if p.VM == vm {
+			return p.Address, p.Address != ""
+		}
+	}
+	return "", false
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -184,13 +184,18 @@
 
 // Settle reports to a lender how many tokens a request used.
 //
-// It retries, because a request whose settlement is lost is billed in full.
+// It retries, because a request whose settlement is lost is billed in full. The
+// name may be that of an earlier incarnation, since this router may learn of a
+// restart only after it has made the reservation; an incarnation without this
+// loan ignores the settlement.
 func (c *Client) Settle(peer string, s ledger.Settlement) {
 	const maxAttempts = 3
-	var err error
-	for range maxAttempts {
-		if _, err = c.call(peer, SettlePath, s); err == nil {
-			return
+	err := error(ErrUnknownPeer)
+	if address, known := c.Members.VMAddress(peer); known {
+		for range maxAttempts {
+			if err = c.Post(address, SettlePath, s, nil); err == nil {
+				return
+			}
 		}
 	}
 	c.Log.Warn("loan not settled at its lender", zap.String("Run", s.Request), zap.String("Peer", peer), logfile.Error(err))
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -42,6 +43,14 @@
 	return m.VM + "." + strconv.FormatUint(m.Incarnation, 36)
 }
 
+// VMOf returns the VM of the incarnation with the given name.
+func VMOf(name string) string {
+	if i := strings.LastIndexByte(name, '.'); i >= 0 {
+		return name[:i]
+	}
+	return name
+}
+
 // supersedes reports whether update a takes precedence over update b about the same VM.
 func supersedes(a, b Member) bool {
 	if a.Incarnation != b.Incarnation {
