Read the store once for each data centre: readers pass feeds on to the other routers

Cause: three watches a router (configuration, endpoints, members), each woken by each change, so that store calls grow as routers x changes.

Change: internal/feed. A follower whose reader does not answer within 1 s, or whose data is older than 1.2 s, reads the store at once. Readers with followers renew their lease every 0.5 s, which shows how recent their data is. Data centres of two routers have readers only, so the small sites work as before. At the start a router writes its registration without reading it first and watches less often; the first grants wait until the members are known (5 s after the start). The time of the store's last answer keeps its monotonic clock, so a jump of the time of day no longer looks like an outage or like a recent answer.

Ruled out: asking the second reader after the first failed.

--- /dev/null
+++ b/internal/feed/follower.go
@@ -0,0 +1,69 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Timing of followers. A change reaches a follower at most about MaxAge late, even if its reader fails.
+const (
+	MaxAge          = 1200 * time.Millisecond // Oldest answer of the store on which an update may rest.
+	PollWait        = 700 * time.Millisecond  // Longest wait of a reader for changes.
+	PollTimeout     = time.Second             // For one call to a reader.
+	VouchPeriod     = 500 * time.Millisecond  // Period at which a reader calls the store.
+	ReaderPause     = 2 * time.Second         // Time for which a reader is not asked after a failure.
+	ReadersPerGroup = 2                       // Readers in one data centre; the second continues when the first fails.
+)
+
+// Follower decides where one router reads a feed; the zero value asks the readers.
+//
+// A Follower is not safe for concurrent use.
+type Follower struct {
+	failedAt      map[string]time.Time // By reader.
+	readStoreNext bool
+}
+
+// Source returns the reader to ask next, or an empty string if the store is to be read.
+//
+// The load is spread over the readers by the name of the follower.
+func (f *Follower) Source(now time.Time, self string, readers []string) string {
+	for _, r := range readers {
+		if r == self {
+			return ""
+		}
+	}
+	if f.readStoreNext || len(readers) == 0 {
+		f.readStoreNext = false
+		return ""
+	}
+	first := xxhash.Sum64String(self) % uint64(len(readers))
+	for i := range readers {
+		r := readers[(first+uint64(i))%uint64(len(readers))]
+		if failed, ok := f.failedAt[r]; !ok || now.Sub(failed) >= ReaderPause {
+			return r
+		}
+	}
+	return ""
+}
+
+// Failed records that a reader did not answer or had no recent state.
+//
+// The store is read next, because trying another reader that fails as well would take too long.
+func (f *Follower) Failed(now time.Time, reader string) {
+	if f.failedAt == nil {
+		f.failedAt = map[string]time.Time{}
+	}
+	for r, at := range f.failedAt {
+		if now.Sub(at) >= ReaderPause {
+			delete(f.failedAt, r)
+		}
+	}
+	f.failedAt[reader] = now
+	f.readStoreNext = true
+}
+
+// Poll returns how long a reader whose state has an age may wait for changes, and whether the state is recent enough.
+func Poll(age time.Duration) (wait time.Duration, ok bool) {
+	return min(PollWait, MaxAge-age), age <= MaxAge
+}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -18,7 +18,7 @@
 		return
 	}
 	addresses := g.members.frontAddresses(query.DataCentre)
-	g.log.Info("directory answer", zap.String("DataCentre", query.DataCentre), zap.Strings("Addresses", addresses))
+	g.log.Info("directory answer", zap.Stringer("Caller", ctx.RemoteIP()), zap.String("DataCentre", query.DataCentre), zap.Strings("Addresses", addresses))
 	if len(addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -15,6 +15,10 @@
 // entryDialect parses entries whose value is "ready" or "leaving"; any other value is an error.
 type entryDialect struct{ Dialect }
 
+func (entryDialect) ConfigurationKey() string { return "configuration" }
+
+func (entryDialect) EntryPrefix() string { return "e/" }
+
 func (entryDialect) EntryName(key string) string { return strings.TrimPrefix(key, "e/") }
 
 func (d entryDialect) Entry(key string, value []byte) (Entry, error) {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,27 +3,57 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
-// feed is a set of keys in the store that the gateway watches.
-type feed struct {
+// feedState is a set of keys in the store that the gateway follows, with what it has seen of them.
+type feedState struct {
 	name       string
 	prefix     string
 	onSnapshot func(now time.Time, entries []keyvalue.Entry) // Called with all keys that exist.
 	onChange   func(now time.Time, c keyvalue.Change)        // Called for each change after that.
 
-	probes     bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
-	batchDelay time.Duration       // Pause after each answer, so that the next one covers several changes.
-	onRecovery func(now time.Time) // Called before the first data after an outage of the store; may be nil.
+	probes       bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
+	batchDelay   time.Duration       // Pause after each answer of the store, so that the next one covers several changes.
+	startupDelay time.Duration       // The same within settlePeriod, when the routers of the whole fleet may start.
+	onRecovery   func(now time.Time) // Called before the first data after an outage of the store; may be nil.
+
+	relay    relay
+	follower feed.Follower // Accessed only by the goroutine that follows the feed.
+	unsynced bool          // All keys must be read again; accessed only by that goroutine.
+	failed   bool          // The last call to the store failed; accessed only by that goroutine.
+}
+
+// deliver passes an update to the owner of the feed.
+func (f *feedState) deliver(now time.Time, u feed.Update) {
+	if !u.Snapshot {
+		for _, c := range u.Changes {
+			f.onChange(now, c)
+		}
+		return
+	}
+	entries := make([]keyvalue.Entry, 0, len(u.Changes))
+	for _, c := range u.Changes {
+		entries = append(entries, c.Entry)
+	}
+	f.onSnapshot(now, entries)
+}
+
+// notifyRecovery tells the owner of the feed when the store was back after an outage, once for each outage.
+func (f *feedState) notifyRecovery(at time.Time) {
+	if f.relay.recovered(at) && f.onRecovery != nil {
+		f.onRecovery(at)
+	}
 }
 
 // Delays between attempts to reach the store.
@@ -38,46 +68,69 @@
 //
 // While the store is unreachable, the last known state remains in use. If the
 // store no longer has the changes after the last revision, all keys are read again.
-func (g *Gateway) follow(f feed) {
-	var revision uint64
-	synced := false
+func (g *Gateway) follow(f *feedState) {
 	delay := minRetryDelay
-	failed := false
 	for !g.stopped() {
-		ctx := g.reachability.watchContext()
-		next, err := g.step(ctx, f, revision, synced, failed)
-		switch {
-		case err == nil:
-			if failed {
-				g.budgetStore.ResetBreaker()
-				g.log.Info("store regained", zap.String("Feed", f.name), zap.Uint64("Revision", next))
+		if g.readRelayed(f) {
+			if f.failed {
+				g.log.Info("feed regained", zap.String("Feed", f.name))
 			}
-			failed = false
-			revision = next
-			synced = true
+			f.failed = false
+			f.unsynced = false
 			delay = minRetryDelay
-			decision.Pause(f.batchDelay, g.stop)
 			continue
-		case errors.Is(err, keyvalue.ErrHistoryGone):
-			synced = false
+		}
+		if g.readStore(f) {
+			delay = minRetryDelay
+			decision.Pause(g.pauseAfterRead(f), g.stop)
 			continue
-		case !failed:
-			g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), logfile.Error(err))
-			failed = true
-			if ctx.Err() == nil {
-				g.reachability.markUnreachable()
-			}
 		}
-		g.waitForRetry(f, delay)
-		delay = min(2*delay, maxRetryDelay)
+		if f.failed {
+			g.waitForRetry(f, delay)
+			delay = min(2*delay, maxRetryDelay)
+		}
 	}
 }
 
+// pauseAfterRead returns the pause after an answer of the store.
+func (g *Gateway) pauseAfterRead(f *feedState) time.Duration {
+	if time.Since(g.started) < settlePeriod {
+		return f.startupDelay
+	}
+	return f.batchDelay
+}
+
+// readStore reads a feed from the store and reports whether it answered.
+func (g *Gateway) readStore(f *feedState) bool {
+	ctx := g.reachability.watchContext()
+	err := g.step(ctx, f)
+	switch {
+	case err == nil:
+		if f.failed {
+			g.log.Info("store regained", zap.String("Feed", f.name))
+		}
+		f.failed = false
+		return true
+	case errors.Is(err, keyvalue.ErrHistoryGone):
+		f.unsynced = true
+		return false
+	case !f.failed:
+		revision, _ := f.relay.revision()
+		g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), logfile.Error(err))
+		f.failed = true
+		f.relay.lose()
+		if ctx.Err() == nil {
+			g.reachability.markUnreachable()
+		}
+	}
+	return false
+}
+
 // waitForRetry blocks a feed whose last step failed until its next attempt.
 //
 // A feed that does not probe waits for the store's next answer to any call,
 // unless the store has answered since the failure.
-func (g *Gateway) waitForRetry(f feed, delay time.Duration) {
+func (g *Gateway) waitForRetry(f *feedState, delay time.Duration) {
 	answered := g.reachability.nextAnswer()
 	if f.probes {
 		answered = nil // An answer to another call may predate the failure of this feed.
@@ -93,43 +146,52 @@
 	}
 }
 
-// step reads all keys of a feed that is not synced, or waits for the next changes, and returns the new revision.
-//
-// failed reports whether the previous step failed.
-func (g *Gateway) step(ctx context.Context, f feed, revision uint64, synced, failed bool) (uint64, error) {
-	if !synced {
-		entries, at, err := g.store.Range(ctx, f.prefix)
-		if err != nil {
-			return revision, err
-		}
-		if at < revision {
-			return revision, errors.Newf("store answered at revision %d, which is older than the known revision %d", at, revision)
-		}
-		now := time.Now()
-		f.notifyRecovery(now, failed)
-		f.onSnapshot(now, entries)
-		return at, nil
-	}
-	wait := watchWait
-	if failed {
-		wait = probeWait // A quick answer shows early that the store is reachable again.
-	}
-	changes, err := g.store.Changes(ctx, f.prefix, revision, wait)
+// step reads all keys of a feed that is not synced, or waits for the next changes.
+func (g *Gateway) step(ctx context.Context, f *feedState) error {
+	u, err := g.readUpdate(ctx, f)
 	if err != nil {
-		return revision, err
+		return err
 	}
 	now := time.Now()
-	f.notifyRecovery(now, failed)
-	for _, c := range changes.Changes {
-		f.onChange(now, c)
+	if !f.relay.apply(u, now, true) {
+		revision, _ := f.relay.revision()
+		return errors.Newf("store answered at revision %d, which is older than the known revision %d", u.Revision, revision)
+	}
+	f.unsynced = false
+	if f.failed {
+		f.notifyRecovery(now)
 	}
-	return changes.Revision, nil
+	f.deliver(now, u)
+	return nil
 }
 
-func (f feed) notifyRecovery(now time.Time, failed bool) {
-	if failed && f.onRecovery != nil {
-		f.onRecovery(now)
+// readUpdate asks the store for what this router is missing.
+func (g *Gateway) readUpdate(ctx context.Context, f *feedState) (feed.Update, error) {
+	revision, synced := f.relay.revision()
+	if f.unsynced || !synced {
+		entries, at, err := g.store.Range(ctx, f.prefix)
+		u := feed.Update{Snapshot: true, Revision: at}
+		for _, e := range entries {
+			u.Changes = append(u.Changes, keyvalue.Change{Entry: e})
+		}
+		return u, err
+	}
+	changes, err := g.store.Changes(ctx, f.prefix, revision, g.watchWait(f))
+	return feed.Update{Changes: changes.Changes, Revision: changes.Revision}, err
+}
+
+// watchWait returns the longest wait of a feed's next watch.
+func (g *Gateway) watchWait(f *feedState) time.Duration {
+	switch {
+	case f.failed:
+		return probeWait // A quick answer shows early that the store is reachable again.
+	case time.Since(g.started) < settlePeriod:
+		return settlePeriod // Afterwards the readers are known.
+	}
+	if readers, _ := g.readers(); !slices.Contains(readers, g.members.Self().Name()) {
+		return followerWait
 	}
+	return watchWait
 }
 
 func (g *Gateway) applyConfigurationSnapshot(now time.Time, entries []keyvalue.Entry) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	budgets      ledger.Ledger
 	endpoints    placement.Endpoints
 	entries      entries
+	feeds        map[string]*feedState // By name; not changed after New.
 	members      members
 	peers        *peer.Client
 	peerService  peer.Service
@@ -78,12 +79,17 @@
 	tickPeriod   = 25 * time.Millisecond // Between two ticks of the budgets and the endpoint pool.
 	storeTimeout = time.Second
 	watchWait    = 15 * time.Second      // Longest wait of one watch; long, because every watch counts as a call to the store.
+	followerWait = 3 * time.Second       // Longest wait of a watch while the readers cannot be used.
 	probeWait    = 20 * time.Millisecond // Wait of a watch after a failed step.
 
 	summaryPeriod = 10 * time.Second // Between two log lines that summarize the store calls.
 
 	endpointsBatchDelay = 500 * time.Millisecond // Below the 2 s for which an endpoint that leaves keeps serving.
 	membersBatchDelay   = time.Second            // Probes discover new routers in the meantime.
+
+	settlePeriod          = 3 * time.Second // After the start, in which the routers discover each other.
+	endpointsStartupDelay = 1500 * time.Millisecond
+	membersStartupDelay   = settlePeriod // Probes discover the other routers in the meantime.
 )
 
 // New returns a gateway that has not been started.
@@ -104,11 +110,18 @@
 		return nil, err
 	}
 	g.store.countCall = g.metrics.countStoreCall
-	g.store.onAnswer = g.reachability.markReachable
+	g.store.onAnswer = g.handleStoreAnswer
 	g.wireComponents()
 	return g, nil
 }
 
+// handleStoreAnswer records an answer of the store, which after an outage lets the budgets call it again.
+func (g *Gateway) handleStoreAnswer(now time.Time) {
+	if g.reachability.markReachable(now) {
+		g.budgetStore.ResetBreaker()
+	}
+}
+
 // wireComponents connects the components of the gateway with each other.
 func (g *Gateway) wireComponents() {
 	settings := g.cfg.Settings
@@ -127,6 +140,7 @@
 	g.peers.Background = g.background
 	g.peerService = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
+	g.feeds = g.newFeeds()
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
@@ -230,29 +244,42 @@
 	return nil
 }
 
+// newFeeds returns the feeds that the gateway follows.
+func (g *Gateway) newFeeds() map[string]*feedState {
+	feeds := map[string]*feedState{}
+	for _, f := range []*feedState{
+		{
+			name:       "configuration",
+			prefix:     g.dialect.ConfigurationKey(),
+			onSnapshot: g.applyConfigurationSnapshot,
+			onChange:   g.applyConfigurationChange,
+			probes:     true,
+		},
+		{
+			name:       "endpoints",
+			prefix:     g.dialect.EntryPrefix(),
+			onSnapshot: g.entries.applySnapshot,
+			onChange:   g.entries.applyChange,
+			onRecovery: g.entries.storeRecovered,
+			batchDelay: endpointsBatchDelay, startupDelay: endpointsStartupDelay,
+		},
+		{
+			name:       "members",
+			prefix:     memberPrefix,
+			onSnapshot: g.members.applySnapshot,
+			onChange:   g.members.applyChange,
+			batchDelay: membersBatchDelay, startupDelay: membersStartupDelay,
+		},
+	} {
+		feeds[f.name] = f
+	}
+	return feeds
+}
+
 func (g *Gateway) startLoops() {
-	go g.follow(feed{
-		name:       "configuration",
-		prefix:     g.dialect.ConfigurationKey(),
-		onSnapshot: g.applyConfigurationSnapshot,
-		onChange:   g.applyConfigurationChange,
-		probes:     true,
-	})
-	go g.follow(feed{
-		name:       "endpoints",
-		prefix:     g.dialect.EntryPrefix(),
-		onSnapshot: g.entries.applySnapshot,
-		onChange:   g.entries.applyChange,
-		onRecovery: g.entries.storeRecovered,
-		batchDelay: endpointsBatchDelay,
-	})
-	go g.follow(feed{
-		name:       "members",
-		prefix:     memberPrefix,
-		onSnapshot: g.members.applySnapshot,
-		onChange:   g.members.applyChange,
-		batchDelay: membersBatchDelay,
-	})
+	for _, f := range g.feeds {
+		go g.follow(f)
+	}
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go decision.Every(tickPeriod, g.stop, g.tick)
--- a/internal/gateway/instrumented_store.go
+++ b/internal/gateway/instrumented_store.go
@@ -17,7 +17,7 @@
 
 	countCall  func(call string, err error) // Called after each call.
 	onAnswer   func(time.Time)              // Called after each answer.
-	lastAnswer atomic.Int64                 // Unix time in nanoseconds; zero before the first answer.
+	lastAnswer atomic.Pointer[time.Time]    // Nil before the first answer; with the monotonic clock, as the time of day may jump.
 
 	mu     sync.Mutex
 	counts map[string]int // Calls by name since the last resetCounts; guarded by mu.
@@ -48,18 +48,26 @@
 	s.mu.Unlock()
 	if err == nil || errors.Is(err, keyvalue.ErrHistoryGone) || errors.Is(err, keyvalue.ErrLeaseEnded) {
 		now := time.Now()
-		s.lastAnswer.Store(now.UnixNano())
+		s.lastAnswer.Store(&now)
 		s.onAnswer(now)
 	}
 }
 
 // silence returns the time since the last answer, or zero before the first one.
 func (s *instrumentedStore) silence(now time.Time) time.Duration {
-	at := s.lastAnswer.Load()
-	if at == 0 {
+	at := s.answeredAt()
+	if at.IsZero() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(at)
+}
+
+// answeredAt returns the time of the last answer, or zero before the first one.
+func (s *instrumentedStore) answeredAt() time.Time {
+	if at := s.lastAnswer.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // Get reads one key.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
+	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
@@ -28,7 +29,7 @@
 // Timing of a router's registration.
 const (
 	memberLeaseTTL  = 10 * time.Second // The key of a dead router disappears after it.
-	renewInterval   = 2 * time.Second  // A renewal also detects that the store is unreachable.
+	renewInterval   = 2 * time.Second  // A renewal also detects that the store is unreachable; readers renew every feed.VouchPeriod.
 	renewRetryDelay = time.Second      // After a failed renewal.
 )
 
@@ -84,6 +85,9 @@
 		next, err := m.renew(ctx, lease, value)
 		cancel()
 		wait := renewInterval
+		if m.g.isFollowed() {
+			wait = feed.VouchPeriod
+		}
 		if err != nil {
 			m.g.log.Warn("registration not renewed", zap.Uint64("Lease", lease), logfile.Error(err))
 			wait = renewRetryDelay
@@ -116,19 +120,24 @@
 	if err != nil {
 		return 0, err
 	}
-	key := memberPrefix + m.g.cfg.Settings.VM
-	current, err := m.g.store.Get(ctx, key)
-	if err != nil {
+	put := keyvalue.Put{Key: memberPrefix + m.g.cfg.Settings.VM, Value: value, Lease: lease}
+	if err := m.writeRegistration(ctx, put); err != nil {
 		return 0, err
 	}
-	written, err := m.g.store.Put(ctx, keyvalue.Put{Key: key, Value: value, IfVersion: current.Version, Lease: lease})
-	if err != nil {
-		return 0, err
+	return lease, nil
+}
+
+// writeRegistration writes this router's key, which may still exist from an earlier incarnation.
+func (m *members) writeRegistration(ctx context.Context, put keyvalue.Put) error {
+	written, err := m.g.store.Put(ctx, put)
+	if err == nil && written.Outcome == budget.NoEffect && written.Current != nil {
+		put.IfVersion = written.Current.Version
+		written, err = m.g.store.Put(ctx, put)
 	}
-	if written.Outcome != budget.TookEffect {
-		return 0, errors.Newf("key %s was changed by another writer", key)
+	if err == nil && written.Outcome != budget.TookEffect {
+		err = errors.Newf("key %s was changed by another writer", put.Key)
 	}
-	return lease, nil
+	return err
 }
 
 // applySnapshot updates the roster from the registrations of all routers.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 )
 
 // configurationPath is the path at which peers fetch this router's configuration.
@@ -26,6 +27,9 @@
 	if path == configurationPath {
 		return g.members.configuration()
 	}
+	if path == peer.FeedPath {
+		return peer.HandleMessage(body, func(q peer.FeedQuery) any { return g.answerFollower(q) })
+	}
 	answer, known, err := g.peerService.Answer(path, body)
 	if !known {
 		return nil, errors.Newf("unknown path %q", path)
--- a/internal/gateway/prepaid.go
+++ b/internal/gateway/prepaid.go
@@ -17,7 +17,7 @@
 }
 
 // initialGrantDelay is the minimum time after the start that routers need to discover each other.
-const initialGrantDelay = 2 * time.Second
+const initialGrantDelay = settlePeriod + 2*time.Second
 
 // drawInitialGrants draws a grant from each budget whose home is this router, before there is demand.
 //
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -45,15 +45,17 @@
 	}
 }
 
-// markReachable records an answer of the store.
-func (r *storeReachability) markReachable(now time.Time) {
+// markReachable records an answer of the store and reports whether it is the first one after an outage.
+func (r *storeReachability) markReachable(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.answered != nil {
-		close(r.answered)
-		r.answered = nil
-		r.recoveredAt = now
+	if r.answered == nil {
+		return false
 	}
+	close(r.answered)
+	r.answered = nil
+	r.recoveredAt = now
+	return true
 }
 
 // peerRecoveryDelay is the time that the other routers need to detect that the store is reachable again.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -161,6 +161,13 @@
 	return m.roster.Homes(key, n)
 }
 
+// PreferredIn returns the names of the n preferred routers of a data centre for a key, as Homes does for the whole fleet.
+func (m *Members) PreferredIn(dataCentre, key string, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.PreferredIn(dataCentre, key, n)
+}
+
 // EntryList returns the entry addresses for one caller, which may cache them for the time keep.
 func (m *Members) EntryList(keep time.Duration) fleet.EntryList {
 	m.mu.Lock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
@@ -33,6 +34,7 @@
 
 	timeout time.Duration
 	http    *fasthttp.Client
+	feeds   *fasthttp.Client // For queries that wait for changes.
 
 	mu         sync.Mutex
 	suspicions []suspectMessage     // Waiting to be sent; guarded by mu.
@@ -42,7 +44,11 @@
 // NewClient returns a client whose HTTP requests time out after timeout, those of loans after reserveTimeout.
 func NewClient(timeout time.Duration) *Client {
 	const maxConns = 64
-	return &Client{timeout: timeout, http: keyvalue.NewHTTPClient(timeout, maxConns)}
+	return &Client{
+		timeout: timeout,
+		http:    keyvalue.NewHTTPClient(timeout, maxConns),
+		feeds:   keyvalue.NewHTTPClient(feed.PollTimeout, maxConns),
+	}
 }
 
 // Post sends v to a path of the router at address and decodes the answer into out, unless out is nil.
@@ -51,7 +57,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding a peer message")
 	}
-	answer, err := c.do(fasthttp.MethodPost, address, path, body, c.timeout)
+	answer, err := c.do(c.http, fasthttp.MethodPost, address, path, body, c.timeout)
 	if err != nil || out == nil {
 		return err
 	}
@@ -60,10 +66,10 @@
 
 // Get reads a path of the router at address.
 func (c *Client) Get(address, path string) ([]byte, error) {
-	return c.do(fasthttp.MethodGet, address, path, nil, c.timeout)
+	return c.do(c.http, fasthttp.MethodGet, address, path, nil, c.timeout)
 }
 
-func (c *Client) do(method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
+func (c *Client) do(client *fasthttp.Client, method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -73,10 +79,10 @@
 		req.Header.Set(KeyHeader, c.Key())
 	}
 	req.SetBody(body)
-	err := c.http.DoTimeout(req, resp, timeout)
+	err := client.DoTimeout(req, resp, timeout)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) {
 		// The router restarted and its kept-alive connection was closed. A retry is safe because messages are idempotent.
-		err = c.http.DoTimeout(req, resp, timeout)
+		err = client.DoTimeout(req, resp, timeout)
 	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "calling the router at %s", address)
@@ -104,6 +110,24 @@
 	return answer, c.Post(address, ProbePath, updates, &answer)
 }
 
+// ReadFeed asks a router for the changes of a feed; the call may wait for them.
+func (c *Client) ReadFeed(reader string, q FeedQuery) (FeedReply, error) {
+	var answer FeedReply
+	address, ok := c.Members.Address(reader)
+	if !ok {
+		return answer, ErrUnknownPeer
+	}
+	body, err := json.Marshal(q)
+	if err != nil {
+		return answer, errors.Wrap(err, "encoding a feed query")
+	}
+	data, err := c.do(c.feeds, fasthttp.MethodPost, address, FeedPath, body, feed.PollTimeout)
+	if err != nil {
+		return answer, err
+	}
+	return answer, errors.Wrap(json.Unmarshal(data, &answer), "decoding a feed reply")
+}
+
 // Recall asks a peer to return its unused tokens of a budget.
 func (c *Client) Recall(peer, name string) error {
 	_, err := c.call(peer, RecallPath, recallMessage{name})
@@ -156,7 +180,7 @@
 	if err != nil {
 		return answer, errors.Wrap(err, "encoding a loan")
 	}
-	data, err := c.do(fasthttp.MethodPost, address, ReservePath, body, reserveTimeout)
+	data, err := c.do(c.http, fasthttp.MethodPost, address, ReservePath, body, reserveTimeout)
 	if err != nil {
 		c.recordFailure(now, address)
 		return answer, err
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 )
 
@@ -13,6 +14,7 @@
 	ReservePath = "/Peer/Reserve"
 	SettlePath  = "/Peer/Settle"
 	SuspectPath = "/Peer/Suspect"
+	FeedPath    = "/Peer/Feed" // Answered by the daemons that follow feeds of the store.
 )
 
 // KeyHeader is the header that carries the shared key of the fleet's routers, if they have one.
@@ -41,3 +43,17 @@
 
 // reply answers recall, raise, entrust and settle messages.
 type reply struct{ Granted bool }
+
+// FeedQuery asks a router for the changes of a feed after a revision of the store.
+type FeedQuery struct {
+	Feed  string
+	After uint64
+}
+
+// FeedReply answers a FeedQuery.
+type FeedReply struct {
+	Usable                bool // The router has recent data; otherwise the other fields are not set.
+	Update                feed.Update
+	AgeMilliseconds       int64 // Time since the store is known to have had no further changes.
+	RecoveredMilliseconds int64 // Time since the end of the last outage of the store that the router noticed; zero if there was none.
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -25,31 +25,31 @@
 func (s *Service) Answer(path string, body []byte) (answer []byte, known bool, err error) {
 	switch path {
 	case ProbePath:
-		answer, err = handleMessage(body, func(updates []fleet.Member) any { return s.Members.AnswerProbe(time.Now(), updates) })
+		answer, err = HandleMessage(body, func(updates []fleet.Member) any { return s.Members.AnswerProbe(time.Now(), updates) })
 	case RecallPath:
-		answer, err = handleMessage(body, func(m recallMessage) any {
+		answer, err = HandleMessage(body, func(m recallMessage) any {
 			s.Budgets.AnswerRecall(m.Budget)
 			return reply{true}
 		})
 	case RaisePath:
-		answer, err = handleMessage(body, func(m raiseMessage) any {
+		answer, err = HandleMessage(body, func(m raiseMessage) any {
 			// A later incarnation on the same VM must not answer for the witness.
 			return reply{m.Raise.Witness == s.Members.Self().Name() && s.Budgets.AnswerRaise(m.Holder, m.Raise)}
 		})
 	case EntrustPath:
-		answer, err = handleMessage(body, func(account budget.OrphanedAccount) any {
+		answer, err = HandleMessage(body, func(account budget.OrphanedAccount) any {
 			s.Budgets.Handle(time.Now(), account)
 			return reply{true}
 		})
 	case ReservePath:
-		answer, err = handleMessage(body, func(loan ledger.Loan) any { return s.Budgets.Lend(loan, !s.IsHome(loan.Budget)) })
+		answer, err = HandleMessage(body, func(loan ledger.Loan) any { return s.Budgets.Lend(loan, !s.IsHome(loan.Budget)) })
 	case SettlePath:
-		answer, err = handleMessage(body, func(m ledger.Settlement) any {
+		answer, err = HandleMessage(body, func(m ledger.Settlement) any {
 			s.Budgets.SettleLoan(m)
 			return reply{true}
 		})
 	case SuspectPath:
-		answer, err = handleMessage(body, func(messages []suspectMessage) any { return s.handleSuspects(time.Now(), messages) })
+		answer, err = HandleMessage(body, func(messages []suspectMessage) any { return s.handleSuspects(time.Now(), messages) })
 	default:
 		return nil, false, nil
 	}
@@ -67,8 +67,8 @@
 	return suspectReply{s.Endpoints.KnownSafe(fingerprints)}
 }
 
-// handleMessage decodes a message, passes it to f and encodes the result of f.
-func handleMessage[M any](body []byte, f func(M) any) ([]byte, error) {
+// HandleMessage decodes a message, passes it to f and encodes the result of f.
+func HandleMessage[M any](body []byte, f func(M) any) ([]byte, error) {
 	var m M
 	if err := strict.Decode(body, &m); err != nil {
 		return nil, err
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -283,16 +283,29 @@
 // that has just started does not take over their keys; they are left out of the
 // result, which may then have fewer than n names.
 func (r *Roster) Homes(key string, n int) []string {
+	return r.preferred(key, n, func(Member) bool { return true })
+}
+
+// PreferredIn returns the n preferred routers of a data centre for a key, as Homes does for the whole fleet.
+func (r *Roster) PreferredIn(dataCentre, key string, n int) []string {
+	return r.preferred(key, n, func(m Member) bool { return m.DataCentre == dataCentre })
+}
+
+// preferred returns the names of the n preferred routers for a key among those that keep reports true for.
+func (r *Roster) preferred(key string, n int, keep func(Member) bool) []string {
 	type ranked struct {
 		name  string // Empty for a VM about which no update was received yet.
 		score uint64
 	}
 	score := func(vm string) uint64 { return xxhash.Sum64String(vm + "\x00" + key) }
 	var list []ranked
-	if r.Self.State == Alive {
+	if r.Self.State == Alive && keep(r.Self) {
 		list = append(list, ranked{r.Self.Name(), score(r.Self.VM)})
 	}
 	for _, p := range r.peersWhere((*peer).candidate) {
+		if !keep(p.Member) {
+			continue
+		}
 		c := ranked{score: score(p.VM)}
 		if p.known {
 			c.name = p.Name()
