Callers, homes and readers follow the sizes of the VMs

Change: settings Capacity (share and speed of the core, link), from which the size of a VM follows; it stands in the registration. The directory lists eight routers by weighted rendezvous on the caller's address: stable for a caller, in proportion to size over all callers, with a quarter of the weight for other data centres. Homes of budgets and readers are chosen by size too. members.go loses its directory part to addresses.go.

Ruled out: a random sample for each answer. Callers abandon connections to addresses that are no longer listed, so each answer would cost new connections.

--- /dev/null
+++ b/internal/gateway/addresses.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+)
+
+// Parameters of the lists of addresses for callers.
+const (
+	maxAddresses    = 8    // Enough for a caller to find a live router; more would spread callers evenly, whatever the sizes.
+	minLocalRouters = 2    // Live routers in the caller's data centre below which those of all data centres are listed.
+	remoteWeight    = 0.25 // Weight of a router of another data centre, which takes part of the load if many callers are in one.
+)
+
+// frontAddresses returns the addresses for a caller in a data centre, or this router's own if no router is live.
+//
+// A caller is given the same addresses by all routers as long as the fleet does
+// not change, because it abandons its connections to addresses that are no
+// longer listed. Over all callers a router is listed about in proportion to its size.
+func (m *members) frontAddresses(caller, dataCentre string) []string {
+	var local, all []fleet.Member
+	fronts := map[string]string{}
+	for _, p := range m.All() {
+		address := m.frontAddress(p.VM)
+		if p.State != fleet.Alive || address == "" {
+			continue
+		}
+		fronts[p.VM] = address
+		all = append(all, p)
+		if p.DataCentre == dataCentre {
+			local = append(local, p)
+		}
+	}
+	var addresses []string
+	for _, p := range listedRouters(local, all, caller, dataCentre) {
+		addresses = append(addresses, fronts[p.VM])
+	}
+	if len(addresses) == 0 {
+		return []string{m.g.cfg.Settings.Listen.Front}
+	}
+	return addresses
+}
+
+// listedRouters selects the routers that a caller should use.
+func listedRouters(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
+	if len(local) >= minLocalRouters && len(local) < maxAddresses {
+		return local
+	}
+	return fleet.Preferred(all, caller, maxAddresses, func(m fleet.Member) float64 {
+		if m.DataCentre == dataCentre || len(local) < minLocalRouters {
+			return m.Size
+		}
+		return remoteWeight * m.Size
+	})
+}
+
+// frontAddress returns the address at which a router accepts requests, or an empty string if it is unknown.
+func (m *members) frontAddress(vm string) string {
+	m.registrationsMu.Lock()
+	defer m.registrationsMu.Unlock()
+	if vm == m.g.cfg.Settings.VM {
+		return m.g.cfg.Settings.Listen.Front
+	}
+	return m.registrations[vm].Front
+}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -17,8 +17,9 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	addresses := g.members.frontAddresses(query.DataCentre)
-	g.log.Info("directory answer", zap.Stringer("Caller", ctx.RemoteIP()), zap.String("DataCentre", query.DataCentre), zap.Strings("Addresses", addresses))
+	caller := ctx.RemoteIP().String()
+	addresses := g.members.frontAddresses(caller, query.DataCentre)
+	g.log.Info("directory answer", zap.String("Caller", caller), zap.String("DataCentre", query.DataCentre), zap.Strings("Addresses", addresses))
 	if len(addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 		Incarnation: uint64(g.started.UnixNano()),
 		Address:     settings.Listen.Peer,
 		DataCentre:  settings.DataCentre,
-		Size:        1,
+		Size:        settings.Capacity.size(),
 	}
 	g.members.setup(g, self)
 	g.peers = peer.NewClient(peerTimeout)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -38,8 +38,9 @@
 	VM          string
 	Incarnation uint64
 	DataCentre  string
-	Peer        string // Address for the other routers.
-	Front       string // Address for callers.
+	Peer        string  // Address for the other routers.
+	Front       string  // Address for callers.
+	Size        float64 `json:",omitempty"` // Relative capacity; zero if the router does not state it.
 }
 
 // members tracks the registrations of the routers in the store and updates the roster from them.
@@ -73,7 +74,7 @@
 // register keeps this router's key in the store until the gateway stops, then ends its lease.
 func (m *members) register() {
 	s := m.g.cfg.Settings
-	value, err := json.Marshal(registration{s.VM, m.Self().Incarnation, s.DataCentre, s.Listen.Peer, s.Listen.Front})
+	value, err := json.Marshal(registration{s.VM, m.Self().Incarnation, s.DataCentre, s.Listen.Peer, s.Listen.Front, m.Self().Size})
 	if err != nil {
 		m.g.log.Error("registration not encoded", logfile.Error(err))
 		return
@@ -178,7 +179,7 @@
 	registered := make([]fleet.Member, 0, len(m.registrations))
 	for _, vm := range slices.Sorted(maps.Keys(m.registrations)) {
 		r := m.registrations[vm]
-		vms = append(vms, fleet.ConfiguredVM{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: 1})
+		vms = append(vms, fleet.ConfiguredVM{VM: r.VM, Address: r.Peer, DataCentre: r.DataCentre, Size: cmp.Or(r.Size, defaultSize)})
 		registered = append(registered, fleet.Member{VM: r.VM, Incarnation: r.Incarnation})
 	}
 	m.registrationsMu.Unlock()
@@ -253,54 +254,6 @@
 // stableAfter is the time without a change after which all routers are assumed to have discovered each other.
 const stableAfter = 1500 * time.Millisecond
 
-// minLocalRouters is the number of live routers in a caller's data centre below which the routers of all data centres are returned.
-const minLocalRouters = 2
-
-// frontAddresses returns the addresses for a caller in a data centre: those of the live routers there if there are
-// minLocalRouters or more, otherwise those of all live routers, or this router's own if no router is live.
-func (m *members) frontAddresses(dataCentre string) []string {
-	var local, all []string
-	for _, p := range m.All() {
-		address := m.frontAddress(p.VM)
-		if p.State != fleet.Alive || address == "" {
-			continue
-		}
-		all = append(all, address)
-		if p.DataCentre == dataCentre {
-			local = append(local, address)
-		}
-	}
-	if len(local) >= minLocalRouters {
-		return sample(local)
-	}
-	if len(all) == 0 {
-		return []string{m.g.cfg.Settings.Listen.Front}
-	}
-	return sample(all)
-}
-
-// maxAddresses is the number of addresses that callers accept in one answer.
-const maxAddresses = 64
-
-// sample returns a random selection of maxAddresses addresses if there are more; it may reorder the list.
-func sample(addresses []string) []string {
-	if len(addresses) <= maxAddresses {
-		return addresses
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:maxAddresses]
-}
-
-// frontAddress returns the address at which a router accepts requests, or an empty string if it is unknown.
-func (m *members) frontAddress(vm string) string {
-	m.registrationsMu.Lock()
-	defer m.registrationsMu.Unlock()
-	if vm == m.g.cfg.Settings.VM {
-		return m.g.cfg.Settings.Listen.Front
-	}
-	return m.registrations[vm].Front
-}
-
 // configuration returns the configuration in force as it is stored.
 func (m *members) configuration() ([]byte, error) {
 	m.configMu.Lock()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -19,6 +21,7 @@
 	Memory     MemorySettings
 	Drain      DrainSettings
 	Retry      RetrySettings
+	Capacity   CapacitySettings
 }
 
 // Listen holds the addresses that the process listens on; an empty one disables its listener.
@@ -53,6 +56,37 @@
 	Slack float64 // Retries allowed beyond the ratio.
 }
 
+// CapacitySettings describes the VM, so that the routers can share the load in proportion.
+type CapacitySettings struct {
+	CoreShare    float64 // Usable share of a processor core; zero if not known.
+	CoreSpeed    float64 // Speed of the core relative to others; zero means 1.
+	LinkMegabits float64 // Bandwidth of the VM's link in megabits per second; zero if not known.
+}
+
+// Requests per second that a VM can forward, per unit of its resources.
+const (
+	requestsPerCore    = 400
+	requestsPerMegabit = 5 // For about 25 KB a request, in both directions.
+)
+
+// defaultSize is the size of a VM whose capacity is not known.
+const defaultSize = 100
+
+// size returns the relative capacity of the VM, which its scarcest resource limits.
+func (c CapacitySettings) size() float64 {
+	size := math.Inf(1)
+	if c.CoreShare > 0 {
+		size = requestsPerCore * c.CoreShare * cmp.Or(c.CoreSpeed, 1)
+	}
+	if c.LinkMegabits > 0 {
+		size = min(size, requestsPerMegabit*c.LinkMegabits)
+	}
+	if math.IsInf(size, 1) {
+		return defaultSize
+	}
+	return size
+}
+
 // ReadSettings parses and validates settings; file is the source named in errors.
 func ReadSettings(file string, text []byte) (Settings, error) {
 	var s Settings
@@ -99,6 +133,9 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not HOST:PORT", field.name, field.address))
 		}
 	}
+	if s.Capacity.CoreShare < 0 || s.Capacity.CoreSpeed < 0 || s.Capacity.LinkMegabits < 0 {
+		problems = append(problems, "Capacity: CoreShare, CoreSpeed and LinkMegabits must not be negative")
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		problems = append(problems, "Retry: Ratio and Slack must not be negative")
 	}
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -17,9 +17,17 @@
 		strings.Replace(valid, "[Store]", "[Store", 1):  "f:5",
 		strings.Replace(valid, "\"v\"", "\"\"", 1):      "VM",
 		valid + "[Retry]\nRatio = -1.0\n":               "Retry",
+		valid + "[Capacity]\nCoreShare = -0.1\n":        "Capacity",
 		valid + "[Memory]\nLimitMegabytes = \"much\"\n": "LimitMegabytes",
 	} {
 		_, err := ReadSettings("f", []byte(text))
 		require.ErrorContains(t, err, place, text)
 	}
 }
+
+func TestSizeFollowsTheScarcestResource(t *testing.T) {
+	require.EqualValues(t, defaultSize, CapacitySettings{}.size())
+	require.EqualValues(t, requestsPerCore*0.5, CapacitySettings{CoreShare: 0.5, LinkMegabits: 1000}.size())
+	require.EqualValues(t, requestsPerCore, CapacitySettings{CoreShare: 0.5, CoreSpeed: 2}.size())
+	require.EqualValues(t, requestsPerMegabit*10, CapacitySettings{CoreShare: 0.8, LinkMegabits: 10}.size())
+}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Roster tracks the members of the fleet for one router and selects the VMs to probe.
@@ -275,7 +273,7 @@
 }
 
 // Homes returns the incarnation names of the n preferred routers for a key, by
-// rendezvous hashing, the best first.
+// weighted rendezvous hashing, the best first. A larger VM is a home of more keys.
 //
 // Routers with the same view of the fleet return the same names, and a router
 // that joins or leaves changes the homes of few keys. Configured VMs about
@@ -293,30 +291,21 @@
 
 // preferred returns the names of the n preferred routers for a key among those that keep reports true for.
 func (r *Roster) preferred(key string, n int, keep func(Member) bool) []string {
-	type ranked struct {
-		name  string // Empty for a VM about which no update was received yet.
-		score uint64
-	}
-	score := func(vm string) uint64 { return xxhash.Sum64String(vm + "\x00" + key) }
-	var list []ranked
+	var list []Member
+	known := map[string]bool{r.Self.VM: true}
 	if r.Self.State == Alive && keep(r.Self) {
-		list = append(list, ranked{r.Self.Name(), score(r.Self.VM)})
+		list = append(list, r.Self)
 	}
 	for _, p := range r.peersWhere((*peer).candidate) {
-		if !keep(p.Member) {
-			continue
-		}
-		c := ranked{score: score(p.VM)}
-		if p.known {
-			c.name = p.Name()
+		if keep(p.Member) {
+			list = append(list, p.Member)
+			known[p.VM] = p.known
 		}
-		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	var names []string
-	for _, c := range list[:min(n, len(list))] {
-		if c.name != "" {
-			names = append(names, c.name)
+	for _, m := range Preferred(list, key, n, func(m Member) float64 { return m.Size }) {
+		if known[m.VM] {
+			names = append(names, m.Name())
 		}
 	}
 	return names
