pkg/budget: a stale read before a conditional write

Such a record permits a conditional write but counts as no recent one, so no refusal rests on it; an older version than the known one is ignored.

The model (TestFleet, rapid) answers stale loads with records of up to three versions ago: no overspend. TestNoRefusalRestsOnAStaleRecord.

--- a/internal/gateway/instrumented_store.go
+++ b/internal/gateway/instrumented_store.go
@@ -77,6 +77,13 @@
 	return entry, err
 }
 
+// GetStale reads one key, possibly in an earlier version.
+func (s *instrumentedStore) GetStale(ctx context.Context, key string) (keyvalue.Entry, error) {
+	entry, err := s.Store.GetStale(ctx, key)
+	s.record("GetStale", err)
+	return entry, err
+}
+
 // Put writes one key if its version is the expected one.
 func (s *instrumentedStore) Put(ctx context.Context, put keyvalue.Put) (keyvalue.WriteResult, error) {
 	written, err := s.Store.Put(ctx, put)
--- a/internal/keyvalue/guarded.go
+++ b/internal/keyvalue/guarded.go
@@ -67,6 +67,16 @@
 	return entry, err
 }
 
+// GetStale reads one key, possibly in an earlier version.
+func (g *GuardedStore) GetStale(ctx context.Context, key string) (Entry, error) {
+	if err := g.allow(g.reads); err != nil {
+		return Entry{Key: key}, err
+	}
+	entry, err := g.Store.GetStale(ctx, key)
+	g.record(err)
+	return entry, err
+}
+
 // Put writes one key if its version matches; a call that the limits or the breaker reject has no effect.
 func (g *GuardedStore) Put(ctx context.Context, put Put) (WriteResult, error) {
 	if err := g.allow(g.writes); err != nil {
--- a/internal/keyvalue/memory.go
+++ b/internal/keyvalue/memory.go
@@ -28,6 +28,9 @@
 	return m.get(key), nil
 }
 
+// GetStale reads one key, like Get.
+func (m *Memory) GetStale(ctx context.Context, key string) (Entry, error) { return m.Get(ctx, key) }
+
 func (m *Memory) get(key string) Entry {
 	entry, ok := m.entries[key]
 	if !ok {
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -44,6 +44,8 @@
 type Store interface {
 	// Get reads one key.
 	Get(ctx context.Context, key string) (Entry, error)
+	// GetStale reads one key as it is or was up to some seconds ago, at a lower cost for the store.
+	GetStale(ctx context.Context, key string) (Entry, error)
 	// Put writes one key if its version is put.IfVersion. A non-nil error gives the reason if the outcome is not
 	// TookEffect; a version conflict is NoEffect without an error.
 	Put(ctx context.Context, put Put) (WriteResult, error)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -115,13 +115,17 @@
 func (l *Ledger) load(action budget.Load) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	record, version, err := ReadRecord(ctx, l.Store, action.Budget)
+	read := l.Store.Get
+	if action.Stale {
+		read = l.Store.GetStale
+	}
+	record, version, err := readRecord(ctx, read, action.Budget)
 	if err != nil {
 		l.Log.Warn("budget not read", zap.String("Budget", action.Budget), logfile.Error(err))
 		l.Handle(time.Now(), budget.LoadFailed{Budget: action.Budget})
 		return
 	}
-	l.Handle(time.Now(), budget.Loaded{Budget: action.Budget, Version: version, Record: record})
+	l.Handle(time.Now(), budget.Loaded{Budget: action.Budget, Version: version, Record: record, Stale: action.Stale})
 }
 
 func (l *Ledger) commit(action budget.Commit) {
@@ -256,7 +260,11 @@
 
 // ReadRecord reads a budget's record and its version. If the budget does not exist, the record is empty and the version 0.
 func ReadRecord(ctx context.Context, store keyvalue.Store, name string) (budget.Record, uint64, error) {
-	entry, err := store.Get(ctx, budgetKey(name))
+	return readRecord(ctx, store.Get, name)
+}
+
+func readRecord(ctx context.Context, read func(context.Context, string) (keyvalue.Entry, error), name string) (budget.Record, uint64, error) {
+	entry, err := read(ctx, budgetKey(name))
 	if err != nil || entry.Version == 0 {
 		return budget.Record{Budget: name}, 0, err
 	}
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -22,6 +22,7 @@
 	initialGrantDue bool      // A first grant is still to be drawn.
 	recordValid     bool      // record and version may be used; otherwise they are read first.
 	loadedAt        time.Time // Time at which record was read or written; zero forces a read.
+	staleReadAt     time.Time // Time of the last stale read.
 
 	own      Account  // Granted, Witness and Seals as confirmed by the store, Ceiling and Returned likewise but including a return in flight, Spent as settled, Refunded as credited.
 	acked    int64    // Ceiling acknowledged by own.Witness for the seal count own.Seals.
--- a/pkg/budget/bench_test.go
+++ b/pkg/budget/bench_test.go
@@ -16,7 +16,7 @@
 		name := fmt.Sprint("budget-", i)
 		record, _ := Record{Budget: name}.TopUp("first", 1<<50)
 		h.Handle(start, Reserve{Request: "r", Budget: name, Tokens: 1 << 40})
-		h.Handle(start, Loaded{name, 1, record})
+		h.Handle(start, Loaded{Budget: name, Version: 1, Record: record})
 		h.Handle(start, Committed{Budget: name, Outcome: TookEffect, Version: 2})
 		h.Handle(start, Settle{"r", 1})
 	}
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -150,16 +150,19 @@
 func (h *Holder) load(now time.Time, a *account) Action {
 	a.loading = true
 	a.callStartedAt = now
-	return Load{a.budget}
+	return Load{Budget: a.budget}
 }
 
 // commit starts a write that grants and returns tokens and reports the tokens spent.
 //
 // If other holders share the record and it is older than RereadAfter, it is read
-// first, since a write based on an outdated version would fail its condition.
+// first, since a write based on an outdated version would fail its condition. A
+// stale read will do: if it is too old, the condition fails as it would without.
 func (h *Holder) commit(now time.Time, a *account, grant, returned int64) []Action {
-	if len(a.record.Holders) > 1 && now.Sub(a.loadedAt) > h.Policy.withDefaults().RereadAfter {
-		return []Action{h.load(now, a)}
+	if len(a.record.Holders) > 1 && now.Sub(later(a.loadedAt, a.staleReadAt)) > h.Policy.withDefaults().RereadAfter {
+		a.loading = true
+		a.callStartedAt = now
+		return []Action{Load{Budget: a.budget, Stale: true}}
 	}
 	if grant > 0 {
 		a.recallPause = 0
@@ -309,7 +312,7 @@
 	w.inFlight = false
 	switch {
 	case ev.Outcome == TookEffect:
-		return h.adopt(now, a, ev.Version, w.record)
+		return h.adopt(now, a, ev.Version, w.record, now)
 	case ev.Outcome == NoEffect && !w.resent:
 		a.own.Returned = w.before.Returned
 		a.own.Ceiling = w.before.Ceiling
@@ -330,6 +333,9 @@
 	if !a.loading {
 		return nil
 	}
+	if ev.Stale {
+		return h.staleLoaded(now, a, ev)
+	}
 	if ev.Version < a.version {
 		return h.loadFailed(now, LoadFailed{ev.Budget})
 	}
@@ -339,7 +345,24 @@
 		a.callStartedAt = now
 		return []Action{Commit{a.budget, w.base, w.record}}
 	}
-	return h.adopt(now, a, ev.Version, ev.Record)
+	return h.adopt(now, a, ev.Version, ev.Record, now)
+}
+
+// staleLoaded handles a record that may be outdated. It does not count as recent, so no refusal is based on it.
+func (h *Holder) staleLoaded(now time.Time, a *account, ev Loaded) []Action {
+	a.loading = false
+	a.staleReadAt = now
+	if ev.Version <= a.version || a.write != nil {
+		return h.advance(now, a)
+	}
+	return h.adopt(now, a, ev.Version, ev.Record, a.loadedAt)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (h *Holder) loadFailed(now time.Time, ev LoadFailed) []Action {
@@ -353,14 +376,16 @@
 }
 
 // adopt installs a record that is newer than the base of any outstanding write, so that the outcome of that write is known.
-func (h *Holder) adopt(now time.Time, a *account, version uint64, record Record) []Action {
+//
+// The record was the current one at loadedAt.
+func (h *Holder) adopt(now time.Time, a *account, version uint64, record Record, loadedAt time.Time) []Action {
 	w := a.write
 	stored, ok := record.Holders[h.Name]
 	a.write = nil
 	a.record = record.withPrepaidTotal(a.prepaidTotal)
 	a.version = version
 	a.recordValid = true
-	a.loadedAt = now
+	a.loadedAt = loadedAt
 	a.retryAt = time.Time{}
 	switch {
 	case ok:
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -52,6 +52,7 @@
 	Budget  string
 	Version uint64
 	Record  Record
+	Stale   bool // The answer to a Load with Stale: the store may have a later version.
 }
 
 // LoadFailed reports that the store did not answer a read.
@@ -182,7 +183,10 @@
 }
 
 // Load requests a read of a budget's record.
-type Load struct{ Budget string }
+type Load struct {
+	Budget string
+	Stale  bool // The read may return an earlier version, which is cheaper; it precedes a conditional write.
+}
 
 // Commit requests a write of a budget's record on condition that its version is still Version.
 type Commit struct {
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -160,8 +160,8 @@
 	m.store.put(m.store.version, closed)
 	h := m.holders[name]
 	require.Contains(t, h.Handle(m.now, Reserve{Request: "x", Budget: testBudget, Tokens: 900}), Commit{testBudget, m.store.version - 1, h.accounts[testBudget].write.record})
-	require.Contains(t, h.Handle(m.now, Committed{Budget: testBudget, Outcome: NoEffect, Version: 0}), Load{testBudget})
-	require.Contains(t, h.Handle(m.now, Loaded{testBudget, m.store.version, m.store.record}), Refuse{"x", refusal.BudgetUnavailable})
+	require.Contains(t, h.Handle(m.now, Committed{Budget: testBudget, Outcome: NoEffect, Version: 0}), Load{Budget: testBudget})
+	require.Contains(t, h.Handle(m.now, Loaded{Budget: testBudget, Version: m.store.version, Record: m.store.record}), Refuse{"x", refusal.BudgetUnavailable})
 }
 
 // TestOnDemandHolderDrawsNeedAndReturnsRest sends single requests to a router that is not a home of the budget.
@@ -190,3 +190,31 @@
 	require.Zero(t, m.store.record.Holders[name].Held())
 	require.EqualValues(t, 1_000_000-5*100, m.store.record.Free())
 }
+
+// TestNoRefusalRestsOnAStaleRecord checks that a stale read permits a conditional write but not a refusal: the tokens that
+// another holder has returned since may cover the request.
+func TestNoRefusalRestsOnAStaleRecord(t *testing.T) {
+	h := &Holder{Name: "a"}
+	record, err := Record{Budget: testBudget}.TopUp("first", 1000)
+	require.NoError(t, err)
+	record, err = record.Set("b", Account{Granted: 990, Ceiling: 990})
+	require.NoError(t, err)
+	h.Handle(start, Reserve{Request: "x", Budget: testBudget, Tokens: 5, Deadline: start.Add(time.Minute)})
+	actions := h.Handle(start, Loaded{Budget: testBudget, Version: 7, Record: record})
+	require.Len(t, actions, 1)
+	write := actions[0].(Commit)
+	h.Handle(start, Committed{Budget: testBudget, Outcome: TookEffect, Version: 8})
+	h.Handle(start, Settle{Request: "x", Tokens: 5})
+
+	now := start.Add(10 * time.Second)
+	require.Equal(t, []Action{Load{Budget: testBudget, Stale: true}}, h.Handle(now, Tick{}), "usage is reported after a stale read")
+	older := h.Handle(now, Loaded{Budget: testBudget, Version: 3, Record: record, Stale: true})
+	require.Len(t, older, 1, "an older record changes nothing")
+	require.EqualValues(t, 8, older[0].(Commit).Version)
+	require.EqualValues(t, write.Record.Holders["b"], older[0].(Commit).Record.Holders["b"])
+	h.Handle(now, Committed{Budget: testBudget, Outcome: NoEffect})
+	later := now.Add(time.Minute)
+	for _, action := range h.Handle(later, Reserve{Request: "y", Budget: testBudget, Tokens: 500, Deadline: later.Add(time.Minute)}) {
+		require.NotEqual(t, Refuse{"y", refusal.BudgetExhausted}, action)
+	}
+}
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -21,12 +21,23 @@
 type fakeStore struct {
 	version uint64
 	record  Record
+	history []Record // Earlier records, by version.
+}
+
+// stale returns the record of some versions ago, as a stale read may.
+func (s *fakeStore) stale(ago int) (uint64, Record) {
+	version := s.version - min(uint64(ago), s.version)
+	if version == s.version {
+		return version, s.record
+	}
+	return version, s.history[version]
 }
 
 func (s *fakeStore) put(base uint64, r Record) bool {
 	if base != s.version {
 		return false
 	}
+	s.history = append(s.history, s.record)
 	s.version++
 	s.record = r
 	return true
@@ -191,8 +202,12 @@
 	case Raise:
 		m.raise(e.holder, action, fate)
 	case Load:
-		var ev Event = Loaded{action.Budget, m.store.version, m.store.record}
-		if fate == 1 {
+		var ev Event = Loaded{Budget: action.Budget, Version: m.store.version, Record: m.store.record}
+		switch {
+		case action.Stale && fate != 1:
+			version, record := m.store.stale(fate)
+			ev = Loaded{Budget: action.Budget, Version: version, Record: record, Stale: true}
+		case fate == 1:
 			ev = LoadFailed{action.Budget}
 		}
 		m.inTransit = append(m.inTransit, envelope{holder: e.holder, event: ev})
@@ -226,7 +241,7 @@
 			done.Outcome = TookEffect
 			done.Version = m.store.version
 		} else if m.store.version%2 == 0 { // The store does not always return the conflicting record.
-			done.Current = &Loaded{c.Budget, m.store.version, m.store.record}
+			done.Current = &Loaded{Budget: c.Budget, Version: m.store.version, Record: m.store.record}
 		}
 	}
 	m.inTransit = append(m.inTransit, envelope{holder: holder, event: done})
--- a/pkg/budget/script_escrow_test.go
+++ b/pkg/budget/script_escrow_test.go
@@ -86,7 +86,7 @@
 				later(storeDelay, LoadFailed{action.Budget})
 				continue
 			}
-			later(storeDelay, Loaded{action.Budget, s.store.version, s.store.record})
+			later(storeDelay, Loaded{Budget: action.Budget, Version: s.store.version, Record: s.store.record, Stale: action.Stale})
 		case Commit:
 			later(storeDelay, e.commit(s, r, action))
 		case Forward:
