--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	drain              atomic.Pointer[drain] // Nil until a stop is requested.
 	closing            atomic.Bool           // New requests are refused.
 	durations          durations
+	overload           overload
 
 	workers      *ants.Pool // For background calls to the store and to peers.
 	forwarder    request.Forwarder
@@ -293,6 +294,7 @@
 
 // tick advances the clocks of the budgets, the endpoint entries and the endpoint pool.
 func (g *Gateway) tick(now time.Time) {
+	g.overload.ticked(now, tickPeriod)
 	g.budgets.Handle(now, budget.Tick{})
 	g.entries.tick(now)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 	r.Gauge("in_flight", "Requests whose answers are not yet written.", g.inFlight.Load)
 	r.Gauge("configuration_version", "Version of the configuration in force.", func() int64 { return int64(g.members.configVersion()) })
 	r.Gauge("live_routers", "Routers that serve, this one included.", func() int64 { return int64(len(g.members.Peers()) + 1) })
+	r.Gauge("usable_endpoints", "Endpoints that may get new requests.", func() int64 { return int64(g.endpoints.Usable(time.Now())) })
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
 	return m, r.Err()
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -65,26 +65,32 @@
 
 // Requests per second that a VM can forward, per unit of its resources.
 const (
-	requestsPerCore    = 400
+	requestsPerCore    = 350
 	requestsPerMegabit = 5 // For about 25 KB a request, in both directions.
 )
 
 // defaultSize is the size of a VM whose capacity is not known.
 const defaultSize = 100
 
-// size returns the relative capacity of the VM, which its scarcest resource limits.
-func (c CapacitySettings) size() float64 {
-	size := math.Inf(1)
+// requestRate returns the requests per second that the VM can serve, which its scarcest resource limits; it is infinite
+// if nothing is known.
+func (c CapacitySettings) requestRate() float64 {
+	rate := math.Inf(1)
 	if c.CoreShare > 0 {
-		size = requestsPerCore * c.CoreShare * cmp.Or(c.CoreSpeed, 1)
+		rate = requestsPerCore * c.CoreShare * cmp.Or(c.CoreSpeed, 1)
 	}
 	if c.LinkMegabits > 0 {
-		size = min(size, requestsPerMegabit*c.LinkMegabits)
+		rate = min(rate, requestsPerMegabit*c.LinkMegabits)
 	}
-	if math.IsInf(size, 1) {
-		return defaultSize
+	return rate
+}
+
+// size returns the relative capacity of the VM.
+func (c CapacitySettings) size() float64 {
+	if rate := c.requestRate(); !math.IsInf(rate, 1) {
+		return rate
 	}
-	return size
+	return defaultSize
 }
 
 // ReadSettings parses and validates settings; file is the source named in errors.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -67,8 +67,8 @@
 	return now.Before(lenientUntil) || !now.Add(takes).After(d.until)
 }
 
-// drainRetryAfter is short, because another router can serve the request at once.
-const drainRetryAfter = 50 * time.Millisecond
+// otherRouterRetryAfter is the Retry-After of a request that another router can serve at once.
+const otherRouterRetryAfter = 50 * time.Millisecond
 
 // admitDraining refuses a request that may not end before the router stops, and bounds its deadline otherwise.
 //
@@ -79,7 +79,7 @@
 		return nil
 	}
 	if !d.admits(now, c.g.durations.estimate(now, c.route, c.req.Deadline.Sub(now))) {
-		return &refusal.Error{Kind: refusal.Draining, Detail: c.route.Name, After: drainRetryAfter}
+		return &refusal.Error{Kind: refusal.Draining, Detail: c.route.Name, After: otherRouterRetryAfter}
 	}
 	if c.req.Deadline.After(d.until) {
 		c.req.Deadline = d.until // The caller gets an answer from the router rather than a closed connection.
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -123,3 +123,14 @@
 	defer e.mu.Unlock()
 	return State{Endpoints: e.pool.Views(now), Suspects: e.pool.Suspicions(), Waiting: e.pool.Waiting()}
 }
+
+// Usable returns the number of endpoints that may get new requests.
+func (e *Endpoints) Usable(now time.Time) int {
+	n := 0
+	for _, v := range e.State(now).Endpoints {
+		if !v.Leaving {
+			n++
+		}
+	}
+	return n
+}
