Bound what an endpoint may send that is no answer

Cause: the head of an answer, the body of a skipped answer and the blank lines before an event had no bound; an event of many short lines neither. Blank lines were also checked against the whole event so far, so a megabyte of them took minutes of the processor. A line that filled the read buffer exactly ended its event early.

Change: 64 KB for a head, 1 MB for a skipped body and for an event with the blank lines before it.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -48,10 +49,39 @@
 	Reused bool          // The connection has carried an earlier request.
 
 	address  string
+	limit    readLimit
 	lastUsed time.Time
 	expires  time.Time // Not reused after this time, since the endpoint may close it.
 }
 
+// ErrTooLong reports that a peer sent more bytes than LimitReads allows.
+var ErrTooLong = errors.New("the peer sent too many bytes")
+
+// LimitReads makes reads fail with ErrTooLong after n more bytes; a negative n removes the limit.
+//
+// Reader may read ahead, so n has to allow for its buffer.
+func (c *Conn) LimitReads(n int64) { c.limit.left, c.limit.on = n, n >= 0 }
+
+// readLimit is a reader that may be limited; the zero value of its other fields is unlimited.
+type readLimit struct {
+	in   io.Reader
+	left int64
+	on   bool
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if !l.on {
+		return l.in.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := l.in.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // Address returns the address that the connection was opened to.
 func (c *Conn) Address() string { return c.address }
 
@@ -139,7 +169,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dialling %s: %v", address, err)
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, 4<<10), address: address}, nil
+	c := &Conn{Conn: conn, address: address}
+	c.limit.in = conn
+	c.Reader = bufio.NewReaderSize(&c.limit, 4<<10)
+	return c, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer does not acknowledge data.
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -19,6 +19,8 @@
 const (
 	maxBodyBytes    = 8 << 20 // Upper bound of a body that is read into memory.
 	maxStaleAnswers = 2       // Answers to earlier requests that are skipped on a reused connection.
+	maxHeadBytes    = 64 << 10
+	maxStaleBytes   = 1 << 20 // Upper bound of the body of a skipped answer.
 )
 
 var (
@@ -90,7 +92,9 @@
 // skipped if their length is known. Otherwise an answer with a different ID is
 // an error, unless it has no ID and states that the request did not run.
 func (a *attempt) readHead(r *Request) error {
+	defer a.conn.LimitReads(-1)
 	for range 1 + maxStaleAnswers {
+		a.conn.LimitReads(maxHeadBytes)
 		resp, err := http.ReadResponse(a.conn.Reader, &http.Request{Method: r.Method}) //nolint:bodyclose // The attempt closes the connection or returns it to the pool.
 		if err != nil {
 			return errors.Wrap(err, "reading the head of the answer")
@@ -110,6 +114,7 @@
 			}
 			return errOtherRequest
 		}
+		a.conn.LimitReads(maxStaleBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return errors.Wrap(err, "skipping an answer to an earlier request")
 		}
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEvent is the maximum size of an event in bytes. It is checked only when a line exceeds the read buffer.
+// maxEvent is the maximum size of an event in bytes, the blank lines before it included.
 const maxEvent = 1 << 20
 
 // SSEReader splits a stream into server-sent events. It implements EventReader.
@@ -24,27 +24,35 @@
 // Next returns the next complete event, or io.EOF if the stream ended after a complete event.
 func (r *SSEReader) Next() (Event, error) {
 	var e Event
+	hasText := false // The event has a line that is not blank.
+	partial := false // The last slice ended within a line.
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
+		continued := partial
+		partial = errors.Is(err, bufio.ErrBufferFull)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.Raw) > maxEvent {
-				return e, errors.Newf("event exceeds %d bytes", maxEvent)
-			}
+		case len(e.Raw) > maxEvent:
+			return e, errors.Newf("event exceeds %d bytes", maxEvent)
+		case partial:
+			hasText = true
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) > 0:
+		case errors.Is(err, io.EOF) && (hasText || len(bytes.TrimSpace(line)) > 0):
 			return e, io.ErrUnexpectedEOF
 		case err != nil:
 			return e, err
 		}
+		if continued {
+			continue // The rest of a line longer than the buffer, which is no ID.
+		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(bytes.TrimSpace(e.Raw)) == 0 {
+			if !hasText {
 				continue // Extra blank lines between events become part of the next event.
 			}
 			return e, nil
 		}
+		hasText = true
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.ID = string(bytes.TrimSpace(value))
 		}
--- a/internal/request/events_test.go
+++ b/internal/request/events_test.go
@@ -58,3 +58,23 @@
 		require.LessOrEqual(t, n, len(text))
 	})
 }
+
+// TestLongLinesDoNotSplitEvents guards against an event that ended early because one of its lines filled the read buffer,
+// so that the line feed left over looked like the blank line at its end.
+func TestLongLinesDoNotSplitEvents(t *testing.T) {
+	for length := 2040; length < 2060; length++ {
+		text := "data: " + strings.Repeat("x", length) + "\nid: 7\n\n"
+		e, err := NewSSEReader(strings.NewReader(text)).Next()
+		require.NoError(t, err)
+		require.Equal(t, text, string(e.Raw))
+		require.Equal(t, "7", e.ID)
+	}
+}
+
+func TestEventsWithoutEndAreRejected(t *testing.T) {
+	for _, text := range []string{"x", "\n", "data: x\n"} {
+		in := strings.NewReader(strings.Repeat(text, 2*maxEvent/len(text)))
+		_, err := NewSSEReader(in).Next()
+		require.ErrorContains(t, err, "exceeds", text)
+	}
+}
