internal/gateway: tick rarely while no request waits

Change: decision.Ticker: 25 ms while requests wait or entries are missing, 200 ms otherwise; a request that begins to wait wakes it. Followers wait up to 1 s for changes, and ask for members every 3 s.

--- a/internal/decision/waiters.go
+++ b/internal/decision/waiters.go
@@ -71,6 +71,61 @@
 	}
 }
 
+// Ticker calls a function often while there is work that waits for time to pass, and rarely otherwise.
+//
+// Frequent wake-ups of an idle process cost more of its processor than the work itself.
+type Ticker struct {
+	Busy time.Duration // Period while there is such work.
+	Idle time.Duration // Period otherwise.
+
+	once sync.Once
+	work chan struct{}
+}
+
+func (t *Ticker) init() {
+	t.once.Do(func() { t.work = make(chan struct{}, 1) })
+}
+
+// Wake makes the next call come after Busy at most.
+func (t *Ticker) Wake() {
+	t.init()
+	select {
+	case t.work <- struct{}{}:
+	default:
+	}
+}
+
+// Run calls f until stop is closed. The function receives the planned time since its last call and reports whether
+// there is work that waits for time to pass.
+func (t *Ticker) Run(stop <-chan struct{}, f func(now time.Time, period time.Duration) (busy bool)) {
+	t.init()
+	period := t.Busy
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.work:
+			if period == t.Busy {
+				continue
+			}
+			// The time that has passed already is part of the period.
+			period = max(t.Busy, time.Since(last))
+			timer.Reset(period - time.Since(last))
+		case now := <-timer.C:
+			last = now
+			next := t.Idle
+			if f(now, period) {
+				next = t.Busy
+			}
+			period = next
+			timer.Reset(period)
+		}
+	}
+}
+
 // Pause waits for d or until done is closed.
 func Pause(d time.Duration, done <-chan struct{}) {
 	t := time.NewTimer(d)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -9,8 +9,8 @@
 // Timing of followers. A change reaches a follower at most about MaxAge late, even if its reader fails.
 const (
 	MaxAge          = 1200 * time.Millisecond // Oldest answer of the store on which an update may rest.
-	PollWait        = 700 * time.Millisecond  // Longest wait of a reader for changes.
-	PollTimeout     = time.Second             // For one call to a reader.
+	PollWait        = time.Second             // Longest wait of a reader for changes.
+	PollTimeout     = 1400 * time.Millisecond // For one call to a reader.
 	VouchPeriod     = 500 * time.Millisecond  // Period at which a reader calls the store.
 	ReaderPause     = 2 * time.Second         // Time for which a reader is not asked after a failure.
 	ReadersPerGroup = 2                       // Readers in one data centre; the second continues when the first fails.
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -163,10 +163,9 @@
 )
 
 // tick advances the clock of the pool. While entries are missing, it also updates the pool, so that their grace
-// periods and their retention end in time.
-func (e *entries) tick(now time.Time) {
+// periods and their retention end in time, and reports that there are such entries.
+func (e *entries) tick(now time.Time) (pending bool) {
 	e.mu.Lock()
-	pending := false
 	for _, ep := range e.tracked {
 		pending = pending || !ep.missingSince.IsZero()
 	}
@@ -175,4 +174,5 @@
 		e.updatePool(now)
 	}
 	e.g.endpoints.Handle(now, endpoint.Tick{})
+	return pending
 }
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -25,7 +25,8 @@
 
 	probes       bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
 	batchDelay   time.Duration       // Pause after each answer of the store, so that the next one covers several changes.
-	startupDelay time.Duration       // The same within settlePeriod, when the routers of the whole fleet may start.
+	relayDelay   time.Duration       // Pause after each answer of a reader.
+	startupDelay time.Duration       // As batchDelay, within settlePeriod, when the routers of the whole fleet may start.
 	onRecovery   func(now time.Time) // Called before the first data after an outage of the store; may be nil.
 
 	relay    relay
@@ -78,6 +79,7 @@
 			f.failed = false
 			f.unsynced = false
 			delay = minRetryDelay
+			decision.Pause(f.relayDelay, g.stop)
 			continue
 		}
 		if g.readStore(f) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	closing            atomic.Bool           // New requests are refused.
 	durations          durations
 	overload           overload
+	ticker             decision.Ticker
 
 	workers      *ants.Pool // For background calls to the store and to peers.
 	forwarder    request.Forwarder
@@ -77,7 +78,8 @@
 
 // Periods and timeouts of the gateway.
 const (
-	tickPeriod   = 25 * time.Millisecond // Between two ticks of the budgets and the endpoint pool.
+	tickPeriod   = 25 * time.Millisecond  // Between two ticks of the budgets and the endpoint pool while requests wait.
+	idlePeriod   = 200 * time.Millisecond // The same while none waits.
 	storeTimeout = time.Second
 	watchWait    = 15 * time.Second      // Longest wait of one watch; long, because every watch counts as a call to the store.
 	followerWait = 3 * time.Second       // Longest wait of a watch while the readers cannot be used.
@@ -87,6 +89,7 @@
 
 	endpointsBatchDelay = 500 * time.Millisecond // Below the 2 s for which an endpoint that leaves keeps serving.
 	membersBatchDelay   = time.Second            // Probes discover new routers in the meantime.
+	membersRelayDelay   = 3 * time.Second        // Likewise.
 
 	settlePeriod          = 3 * time.Second // After the start, in which the routers discover each other.
 	endpointsStartupDelay = 1500 * time.Millisecond
@@ -142,6 +145,9 @@
 	g.peerService = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
 	g.feeds = g.newFeeds()
+	g.ticker = decision.Ticker{Busy: tickPeriod, Idle: idlePeriod}
+	g.budgets.OnWaiting = g.ticker.Wake
+	g.endpoints.OnWaiting = g.ticker.Wake
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
@@ -269,7 +275,7 @@
 			prefix:     memberPrefix,
 			onSnapshot: g.members.applySnapshot,
 			onChange:   g.members.applyChange,
-			batchDelay: membersBatchDelay, startupDelay: membersStartupDelay,
+			batchDelay: membersBatchDelay, startupDelay: membersStartupDelay, relayDelay: membersRelayDelay,
 		},
 	} {
 		feeds[f.name] = f
@@ -283,7 +289,7 @@
 	}
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
-	go decision.Every(tickPeriod, g.stop, g.tick)
+	go g.ticker.Run(g.stop, g.tick)
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
 
@@ -292,11 +298,13 @@
 	g.log.Info("store calls", zap.Any("Calls", g.store.resetCounts()), zap.Duration("Silence", g.store.silence(now)))
 }
 
-// tick advances the clocks of the budgets, the endpoint entries and the endpoint pool.
-func (g *Gateway) tick(now time.Time) {
-	g.overload.ticked(now, tickPeriod)
+// tick advances the clocks of the budgets, the endpoint entries and the endpoint pool. It reports whether any of them
+// waits for time to pass.
+func (g *Gateway) tick(now time.Time, period time.Duration) (busy bool) {
+	g.overload.ticked(now, period)
 	g.budgets.Handle(now, budget.Tick{})
-	g.entries.tick(now)
+	missing := g.entries.tick(now)
+	return missing || g.budgets.Waiting() > 0 || g.endpoints.Waiting() > 0
 }
 
 // background runs f on a worker, or in a new goroutine if the pool rejects it.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -41,6 +41,7 @@
 	Peers      Peers
 	Log        *zap.Logger
 	Background func(func())      // Runs a store or peer call asynchronously.
+	OnWaiting  func()            // Called when a request begins to wait for tokens; may be nil.
 	OnBill     func(budget.Bill) // Called for each bill; may be nil.
 
 	// Decisions delivers the holder's decisions about each request.
@@ -71,6 +72,16 @@
 	for _, action := range decision.Apply(&l.mu, l.holder.Handle, now, ev) {
 		l.perform(now, action)
 	}
+	if _, isReserve := ev.(budget.Reserve); isReserve && l.OnWaiting != nil && l.Waiting() > 0 {
+		l.OnWaiting()
+	}
+}
+
+// Waiting returns the number of requests that wait for tokens.
+func (l *Ledger) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Waiting()
 }
 
 // perform executes one action. If the request of a Dispatch or Forward no longer waits for it, the request is ended at
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -16,6 +16,8 @@
 	// BroadcastSuspicion sends a suspicion to the other routers; may be nil.
 	BroadcastSuspicion func(endpoint.Suspicion)
 
+	OnWaiting func() // Called when a request begins to wait for an endpoint; may be nil.
+
 	mu        sync.Mutex
 	pool      endpoint.Pool     // Guarded by mu.
 	addresses map[string]string // By endpoint name; guarded by mu.
@@ -77,6 +79,19 @@
 	for _, action := range decision.Apply(&e.mu, e.pool.Handle, now, ev) {
 		e.perform(now, action)
 	}
+	switch ev.(type) {
+	case endpoint.Submitted, endpoint.Retried:
+		if e.OnWaiting != nil && e.Waiting() > 0 {
+			e.OnWaiting()
+		}
+	}
+}
+
+// Waiting returns the number of requests that wait for an endpoint.
+func (e *Endpoints) Waiting() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.Waiting()
 }
 
 // perform executes one action. If nobody waits for a Send, the attempt is ended as abandoned.
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -125,6 +125,15 @@
 	return h.draining
 }
 
+// Waiting returns the number of requests without a reservation.
+func (h *Holder) Waiting() int {
+	n := 0
+	for _, a := range h.accounts {
+		n += len(a.waiting)
+	}
+	return n
+}
+
 // Views returns the state of each budget for which the holder has an account, sorted by name.
 func (h *Holder) Views() []View {
 	views := make([]View, 0, len(h.accounts))
