Callers are sent away from routers with too much load

Change: a router above 0.9 of its capacity, or late, reports load 1 until it is below 0.5; a change of the load of 0.5 or more is passed on like a change of state. The directory gives such a router a hundredth of its weight.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -8,6 +8,7 @@
 const (
 	maxAddresses    = 8    // Enough for a caller to find a live router; more would spread callers evenly, whatever the sizes.
 	minLocalRouters = 2    // Live routers in the caller's data centre below which those of all data centres are listed.
+	minFreeShare    = 0.01 // Share of its weight that a router with too much load keeps.
 	remoteWeight    = 0.25 // Weight of a router of another data centre, which takes part of the load if many callers are in one.
 )
 
@@ -46,10 +47,11 @@
 		return local
 	}
 	return fleet.Preferred(all, caller, maxAddresses, func(m fleet.Member) float64 {
+		weight := m.Size * max(minFreeShare, 1-m.Load)
 		if m.DataCentre == dataCentre || len(local) < minLocalRouters {
-			return m.Size
+			return weight
 		}
-		return remoteWeight * m.Size
+		return remoteWeight * weight
 	})
 }
 
--- a/internal/gateway/addresses_test.go
+++ b/internal/gateway/addresses_test.go
@@ -84,6 +84,24 @@
 	require.Equal(t, before[1:], after[:maxAddresses-1], "the loss of one router replaces only its own address")
 }
 
+// TestOverloadedRouterIsListedForFewCallers replays callers that keep to one router: they abandon it when it is no longer
+// listed.
+func TestOverloadedRouterIsListedForFewCallers(t *testing.T) {
+	all := newFleet(50)
+	all[3].Load = 1
+	local := localRouters(all, "dc-1")
+	n := 0
+	const callers = 2000
+	for i := range callers {
+		for _, m := range listedRouters(local, all, fmt.Sprint("caller-", i), "dc-1") {
+			if m.VM == all[3].VM {
+				n++
+			}
+		}
+	}
+	require.Less(t, n, callers/100)
+}
+
 func TestShortListsHoldAllLocalRouters(t *testing.T) {
 	all := newFleet(2)
 	require.Equal(t, localRouters(all, "dc-1"), listedRouters(localRouters(all, "dc-1"), all, "caller", "dc-1"))
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -208,7 +208,8 @@
 
 // publishSelf passes this router's own state to the roster.
 func (m *members) publishSelf(now time.Time) {
-	m.Tick(now, fleet.SelfChanged{Revision: m.configVersion(), Draining: m.g.draining()})
+	load := m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate())
+	m.Tick(now, fleet.SelfChanged{Load: load, Revision: m.configVersion(), Draining: m.g.draining()})
 }
 
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -21,11 +21,14 @@
 	lags     [lagSamples]time.Duration
 	nextLag  int
 	tickedAt time.Time
+	shunned  bool // Callers are sent to other routers; guarded by mu.
 }
 
 const (
 	rateWindow  = time.Second
 	burstWindow = time.Second            // Requests beyond the capacity are served for about this time.
+	shunShare   = 0.9                    // Share of the capacity from which on callers are sent to other routers.
+	returnShare = 0.5                    // Share of the capacity below which callers are sent to this router again.
 	targetShare = 0.8                    // Share of the capacity above which connections are closed.
 	closeShare  = 0.1                    // Closed connections for each excess request; a busy caller repeats within rateWindow.
 	lagSamples  = 4                      // Ticks that must all be late, so that a single pause is no overload.
@@ -53,11 +56,7 @@
 func (o *overload) arrived(now time.Time, capacity float64) admission {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if elapsed := now.Sub(o.rateAt); elapsed > 0 {
-		o.spare = min(o.spare+capacity*elapsed.Seconds(), capacity*burstWindow.Seconds())
-		o.rate *= math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
-		o.rateAt = now
-	}
+	o.decay(now, capacity)
 	o.rate += 1 / rateWindow.Seconds()
 	if o.lag() > maxLag || o.spare < 1 {
 		return admission{Refused: true, CloseConnection: true}
@@ -81,3 +80,31 @@
 	}
 	return least
 }
+
+// load returns the load that the directory goes by: 1 if callers are to be sent to other routers, otherwise 0.
+//
+// It changes rarely, because callers abandon their connections to a router that is no longer listed.
+func (o *overload) load(now time.Time, capacity float64) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.decay(now, capacity)
+	limit := shunShare
+	if o.shunned {
+		limit = returnShare
+	}
+	if o.shunned = o.rate > limit*capacity || o.lag() > maxLag; o.shunned {
+		return 1
+	}
+	return 0
+}
+
+// decay brings the averages up to now; mu must be held.
+func (o *overload) decay(now time.Time, capacity float64) {
+	elapsed := now.Sub(o.rateAt)
+	if elapsed <= 0 {
+		return
+	}
+	o.spare = min(o.spare+capacity*elapsed.Seconds(), capacity*burstWindow.Seconds())
+	o.rate *= math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
+	o.rateAt = now
+}
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -78,3 +78,23 @@
 	}
 	require.InDelta(t, 10*capacity, served, 1.5*capacity)
 }
+
+func TestLoadChangesRarely(t *testing.T) {
+	const capacity = 58.0
+	var o overload
+	now := start
+	loads := func(rate float64, d time.Duration) map[float64]int {
+		seen := map[float64]int{}
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Duration(float64(time.Second) / rate)) {
+			o.arrived(now, capacity)
+			seen[o.load(now, capacity)]++
+		}
+		return seen
+	}
+	loads(capacity/2, 5*time.Second)
+	require.NotContains(t, loads(0.8*capacity, 5*time.Second), 1.0)
+	loads(2*capacity, 3*time.Second)
+	require.NotContains(t, loads(0.8*capacity, 5*time.Second), 0.0, "a router that was overloaded stays off the lists for a while")
+	loads(0.3*capacity, 5*time.Second)
+	require.NotContains(t, loads(0.3*capacity, 5*time.Second), 1.0)
+}
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -128,6 +128,7 @@
 	UpdatesPerMessage = 9               // Maximum number of updates in a message, the sender's own included.
 	SuspicionTimeout  = 3 * time.Second // Time in which a suspected VM can refute the suspicion.
 	DeadProbeInterval = 5 * time.Second // Shortest time between probes of a dead VM.
+	notableLoadChange = 0.5             // Change of a load that is passed on like a change of state.
 	retransmitFactor  = 3               // Transmissions of an update for each doubling of the fleet.
 	maxEntries        = 4               // Maximum number of entries in an EntryList.
 )
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -175,6 +176,9 @@
 		p.changedAt = now
 		p.transmits = 0
 	}
+	if math.Abs(p.Load-u.Load) >= notableLoadChange {
+		p.transmits = 0
+	}
 	u.Address = p.Address
 	u.DataCentre = p.DataCentre
 	u.Size = p.Size
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -195,3 +195,18 @@
 	r.Handle(now, UpdatesReceived{[]Member{{VM: "vm-1", Incarnation: 7}}})
 	require.Len(t, r.Homes("key", 2), 2)
 }
+
+func TestNotableChangeOfLoadIsPassedOn(t *testing.T) {
+	r := &Roster{Self: Member{VM: "vm-0", Incarnation: 1, Size: 1}}
+	r.Handle(start, Configured{VMs: []ConfiguredVM{{VM: "vm-1", Address: "a:1", Size: 1}}})
+	receive := func(heartbeat uint64, load float64) {
+		r.Handle(start, UpdatesReceived{Updates: []Member{{VM: "vm-1", Incarnation: 1, Heartbeat: heartbeat, Load: load}}})
+	}
+	receive(1, 0)
+	for len(r.Updates()) > 1 { // Until the update has been passed on often enough.
+	}
+	receive(2, 0.2)
+	require.Len(t, r.Updates(), 1)
+	receive(3, 1)
+	require.Len(t, r.Updates(), 2)
+}
