internal/gateway: refuse only when the processor is late

The callers of the busy router (155 requests a second from the first second on) kept to it although their connections were closed after answers and it was on nobody's list.

Reverted: closing connections above 0.8 of the capacity, and the refusal by rate. Kept: the refusal while four ticks in a row are over 150 ms late, and the load in the directory, which sends the other callers away.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -85,11 +85,11 @@
 func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
 	g.inFlight.Add(1)
-	load := g.overload.arrived(now, g.cfg.Settings.Capacity.requestRate())
-	if g.draining() || load.CloseConnection {
+	overloaded := g.overload.arrived(now)
+	if g.draining() || overloaded {
 		ctx.SetConnectionClose()
 	}
-	c, refusalErr := g.admit(now, ctx, load)
+	c, refusalErr := g.admit(now, ctx, overloaded)
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
@@ -141,14 +141,14 @@
 // admit validates a request and determines its route and terms.
 //
 // If it refuses the request, the callerRequest holds what is known so far, for the log.
-func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx, load admission) (*callerRequest, *refusal.Error) {
+func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx, overloaded bool) (*callerRequest, *refusal.Error) {
 	c := &callerRequest{g: g, req: request.Request{Arrived: now, Codec: g.dialect}}
 	switch {
 	case g.closing.Load():
 		return c, refusal.New(refusal.Draining, "")
 	case g.inFlight.Load() > g.maxInFlight.Load():
 		return c, refusal.New(refusal.Overloaded, "")
-	case load.Refused:
+	case overloaded:
 		// Another router can serve the request at once.
 		return c, &refusal.Error{Kind: refusal.Overloaded, Detail: "processor", After: otherRouterRetryAfter}
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -214,7 +214,7 @@
 // loan ignores the settlement.
 func (c *Client) Settle(peer string, s ledger.Settlement) {
 	const maxAttempts = 3
-	err := error(ErrUnknownPeer)
+	err := ErrUnknownPeer
 	if address, known := c.Members.VMAddress(peer); known {
 		for range maxAttempts {
 			if err = c.Post(address, SettlePath, s, nil); err == nil {
