--- a/internal/decision/waiters.go
+++ b/internal/decision/waiters.go
@@ -114,13 +114,14 @@
 			// The time that has passed already is part of the period.
 			period = max(t.Busy, time.Since(last))
 			timer.Reset(period - time.Since(last))
-		case now := <-timer.C:
-			last = now
-			next := t.Idle
-			if f(now, period) {
-				next = t.Busy
+		case <-timer.C:
+			// The present time: that of the timer does not include the wait for the processor.
+			last = time.Now()
+			busy := f(last, period)
+			period = t.Idle
+			if busy {
+				period = t.Busy
 			}
-			period = next
 			timer.Reset(period)
 		}
 	}
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -84,7 +84,7 @@
 		}
 		if g.readStore(f) {
 			delay = minRetryDelay
-			decision.Pause(g.pauseAfterRead(f), g.stop)
+			decision.Pause(g.pauseAfterRead(time.Now(), f), g.stop)
 			continue
 		}
 		if f.failed {
@@ -95,8 +95,8 @@
 }
 
 // pauseAfterRead returns the pause after an answer of the store.
-func (g *Gateway) pauseAfterRead(f *feedState) time.Duration {
-	if time.Since(g.started) < settlePeriod {
+func (g *Gateway) pauseAfterRead(now time.Time, f *feedState) time.Duration {
+	if now.Sub(g.started) < settlePeriod {
 		return f.startupDelay
 	}
 	return f.batchDelay
@@ -178,16 +178,16 @@
 		}
 		return u, err
 	}
-	changes, err := g.store.Changes(ctx, f.prefix, revision, g.watchWait(f))
+	changes, err := g.store.Changes(ctx, f.prefix, revision, g.watchWait(time.Now(), f))
 	return feed.Update{Changes: changes.Changes, Revision: changes.Revision}, err
 }
 
 // watchWait returns the longest wait of a feed's next watch.
-func (g *Gateway) watchWait(f *feedState) time.Duration {
+func (g *Gateway) watchWait(now time.Time, f *feedState) time.Duration {
 	switch {
 	case f.failed:
 		return probeWait // A quick answer shows early that the store is reachable again.
-	case time.Since(g.started) < settlePeriod:
+	case now.Sub(g.started) < settlePeriod:
 		return settlePeriod // Afterwards the readers are known.
 	}
 	if readers, _ := g.readers(); !slices.Contains(readers, g.members.Self().Name()) {
