--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Timing of followers. A change reaches a follower at most about MaxAge late, even if its reader fails.
+// Timing of followers. If its reader fails, a change reaches a follower at most about PollTimeout late.
 const (
 	MaxAge          = 1200 * time.Millisecond // Oldest answer of the store on which an update may rest.
 	PollWait        = time.Second             // Longest wait of a reader for changes.
