internal/peer: settlements for a lender share one message; none for a loan that was never asked for

Cause: a router whose processor is late reads answers after its timeouts, takes that for failures of its peers and answers with more work. Each request made up to three settlement calls of 800 ms to each of five lenders, each in a goroutine, even for lenders that it had not asked at all because a recent call had failed.

Ruled out: the peers themselves; their logs show few requests and no trouble.

Change: settlements are collected for 200 ms by lender; at most one message to a lender is in flight, with three attempts 300 and 600 ms apart. A loan that was not sent (unknown peer, recent failure) is not settled. Shutdown waits until all are sent. The message is a list now, so one test sends a list of one.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -39,7 +39,7 @@
 	g.budgets.Handle(time.Now(), budget.Drain{})
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancelStop()
-	waitUntil(stopCtx, g.budgets.Drained)
+	waitUntil(stopCtx, func() bool { return g.budgets.Drained() && g.peers.Settled() })
 	returned := g.budgets.Drained()
 	g.budgets.Leave(time.Now())
 	g.waitIdle(stopCtx)
--- a/internal/ledger/loans.go
+++ b/internal/ledger/loans.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -20,6 +21,9 @@
 	Search           bool  // Whether the lender draws and recalls tokens as for a request of its own.
 }
 
+// ErrLoanNotSent reports that a lender was not asked for a loan, so that there is none to settle.
+var ErrLoanNotSent = errors.New("the lender was not asked")
+
 // LoanReply is the lender's answer to a Loan.
 type LoanReply struct {
 	Granted bool
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -185,10 +185,8 @@
 	return "", false
 }
 
-// VMAddress returns the address of the VM of the given incarnation, whichever incarnation runs there now and whatever
-// its state, and whether the VM is known.
-func (m *Members) VMAddress(name string) (string, bool) {
-	vm := fleet.VMOf(name)
+// VMAddress returns the address of a VM, whichever incarnation runs there and whatever its state, and whether it is known.
+func (m *Members) VMAddress(vm string) (string, bool) {
 	for _, p := range m.All() {
 		if p.VM == vm {
 			return p.Address, p.Address != ""
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -39,6 +39,8 @@
 	mu         sync.Mutex
 	suspicions []suspectMessage     // Waiting to be sent; guarded by mu.
 	failedAt   map[string]time.Time // Start of the last loan call that failed, by address; guarded by mu.
+
+	settlements settlements
 }
 
 // NewClient returns a client whose HTTP requests time out after timeout, those of loans after reserveTimeout.
@@ -170,11 +172,11 @@
 	var answer ledger.LoanReply
 	address, ok := c.Members.Address(peer)
 	if !ok {
-		return answer, ErrUnknownPeer
+		return answer, errors.Wrap(ledger.ErrLoanNotSent, ErrUnknownPeer.Error())
 	}
 	now := time.Now()
 	if c.failedRecently(now, address) {
-		return answer, errFailedRecently
+		return answer, errors.Wrap(ledger.ErrLoanNotSent, "a recent call to the router failed")
 	}
 	body, err := json.Marshal(loan)
 	if err != nil {
@@ -188,9 +190,6 @@
 	return answer, errors.Wrap(json.Unmarshal(data, &answer), "decoding a loan's answer")
 }
 
-// errFailedRecently reports that a router was not called because of failureBackoff.
-var errFailedRecently = errors.New("router is not called because a recent call to it failed")
-
 func (c *Client) failedRecently(now time.Time, address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,25 +205,6 @@
 	c.failedAt[address] = now
 }
 
-// Settle reports to a lender how many tokens a request used.
-//
-// It retries, because a request whose settlement is lost is billed in full. The
-// name may be that of an earlier incarnation, since this router may learn of a
-// restart only after it has made the reservation; an incarnation without this
-// loan ignores the settlement.
-func (c *Client) Settle(peer string, s ledger.Settlement) {
-	const maxAttempts = 3
-	err := ErrUnknownPeer
-	if address, known := c.Members.VMAddress(peer); known {
-		for range maxAttempts {
-			if err = c.Post(address, SettlePath, s, nil); err == nil {
-				return
-			}
-		}
-	}
-	c.Log.Warn("loan not settled at its lender", zap.String("Run", s.Request), zap.String("Peer", peer), logfile.Error(err))
-}
-
 // suspicionDelay is the time for which suspicions are collected before they are sent.
 //
 // When many attempts break at once, their suspicions share one message.
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -35,6 +35,7 @@
 func newClient(lender string) *Client {
 	c := NewClient(time.Second)
 	c.Log = zap.NewNop()
+	c.Background = func(f func()) { f() }
 	c.Members = &membership.Members{Budgets: &ledger.Ledger{}, Endpoints: &placement.Endpoints{}, Background: func(func()) {}}
 	c.Members.Init(fleet.Member{VM: "vm-2", Incarnation: 1, Address: "b:1", DataCentre: "dc", Size: 1})
 	c.Members.Handle(time.Now(), fleet.Configured{VMs: []fleet.ConfiguredVM{{VM: "vm-1", Address: lender, DataCentre: "dc", Size: 1}}})
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -44,8 +44,10 @@
 	case ReservePath:
 		answer, err = HandleMessage(body, func(loan ledger.Loan) any { return s.Budgets.Lend(loan, !s.IsHome(loan.Budget)) })
 	case SettlePath:
-		answer, err = HandleMessage(body, func(m ledger.Settlement) any {
-			s.Budgets.SettleLoan(m)
+		answer, err = HandleMessage(body, func(batch []ledger.Settlement) any {
+			for _, m := range batch {
+				s.Budgets.SettleLoan(m)
+			}
 			return reply{true}
 		})
 	case SuspectPath:
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -59,7 +59,7 @@
 	view, _ := s.Budgets.View("team")
 	require.EqualValues(t, 600, view.Reserved)
 	for range 2 {
-		send(t, s, SettlePath, ledger.Settlement{Request: "run-1", Tokens: 250})
+		send(t, s, SettlePath, []ledger.Settlement{{Request: "run-1", Tokens: 250}})
 	}
 	view, _ = s.Budgets.View("team")
 	require.Zero(t, view.Reserved)
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
@@ -20,7 +21,7 @@
 	Homes(budget string) []string
 	// Reserve asks a peer to reserve tokens.
 	Reserve(peer string, loan ledger.Loan) (ledger.LoanReply, error)
-	// Settle reports to a peer how many of the tokens that it reserved a request used.
+	// Settle reports to a peer, in the background, how many of the tokens that it reserved a request used.
 	Settle(peer string, s ledger.Settlement)
 }
 
@@ -199,9 +200,11 @@
 	})
 	r.f.observer().Reserved(PlacePeer, answer.Granted)
 	switch {
+	case errors.Is(err, ledger.ErrLoanNotSent):
+		return ledger.LoanReply{}, err
 	case err != nil:
 		// The peer may have reserved the tokens although its answer was lost.
-		r.f.Background(func() { r.f.Peers.Settle(peer, ledger.Settlement{Request: r.req.RunID}) })
+		r.f.Peers.Settle(peer, ledger.Settlement{Request: r.req.RunID})
 		return ledger.LoanReply{}, err
 	case answer.Granted:
 		r.reservation = reservation{held: true, lender: peer}
@@ -221,5 +224,5 @@
 		r.f.Budgets.Handle(time.Now(), budget.Settle{Request: settlement.Request, Tokens: settlement.Tokens})
 		return
 	}
-	r.f.Background(func() { r.f.Peers.Settle(peer, settlement) })
+	r.f.Peers.Settle(peer, settlement)
 }
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -29,7 +29,7 @@
 	r.waitUntil(ctx, func() bool { return r.inFlight.Load() == 0 })
 	r.waitUntil(ctx, func() bool { return r.orders.pending() == 0 })
 	r.budgets.Handle(time.Now(), budget.Drain{})
-	r.waitUntil(ctx, r.budgets.Drained)
+	r.waitUntil(ctx, func() bool { return r.budgets.Drained() && r.peers.Settled() })
 	returned := r.budgets.Drained()
 	r.budgets.Leave(time.Now())
 	err := r.server.ShutdownWithContext(ctx)
