internal/request: look at the caller's connection right before a request is sent

Cause: the close of a connection is noticed by a goroutine that waits for the processor like all others. While the process is late, it runs after the goroutine that sends the request. Requests that waited unread in a socket were served as if they had just arrived, although their callers had left.

Change: CallerWatch.Left looks at the socket itself, before a request is served, before a connection to an endpoint is taken and again after a new one was opened. A request found abandoned there has not run and is not billed.

TestNothingIsSentWhileTheCloseOfItsCallerIsNotNoticed fails without the check (the request is sent) and passes with it.

--- a/internal/connection/watch.go
+++ b/internal/connection/watch.go
@@ -61,3 +61,19 @@
 		_ = w.conn.SetReadDeadline(time.Time{})
 	})
 }
+
+// Left reports whether the caller has disconnected. Unlike Gone it does not depend on a goroutine being scheduled, so it
+// is up to date also while the process waits for the processor.
+func (w *CallerWatch) Left() bool {
+	socket, ok := w.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) { left = peek(fd) == socketClosed })
+	return left || err != nil
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -99,7 +99,8 @@
 	}
 	watch := connection.WatchCaller(ctx.Conn())
 	c.req.CallerGone = watch.Gone
-	reply := g.forwarder.Forward(&c.req)
+	c.req.CallerLeft = watch.Left
+	reply := g.forward(&c.req)
 	done := func() {
 		watch.Stop()
 		g.inFlight.Add(-1)
@@ -117,6 +118,14 @@
 	g.writeReply(ctx, reply)
 }
 
+// forward serves a request unless its caller has left while the request waited to be read.
+func (g *Gateway) forward(r *request.Request) *request.Reply {
+	if r.CallerLeft() {
+		return &request.Reply{Refusal: refusal.New(refusal.CallerGone, "before the request was read")}
+	}
+	return g.forwarder.Forward(r)
+}
+
 // writeReply writes a reply to the caller's response.
 func (g *Gateway) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
 	if reply.Refusal != nil {
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -26,6 +26,7 @@
 var (
 	errOtherRequest  = errors.New("the answer is for a different request")
 	errBodyEncoded   = errors.New("the answer body is content-encoded and not the one that the endpoint sealed")
+	errCallerLeft    = errors.New("the caller has disconnected")
 	errStreamAborted = errors.New("stream aborted")
 )
 
@@ -56,18 +57,25 @@
 
 // send writes the request to the endpoint at an address and reads the head of the answer.
 //
-// An error that wraps connection.ErrNotSent proves that the request did not run.
+// An error that wraps connection.ErrNotSent or is errCallerLeft proves that the request did not run.
 func (r *run) send(now time.Time, address string, info AttemptInfo) (*attempt, error) {
 	var usedSince time.Time
 	if !r.req.Repeatable {
 		usedSince = now.Add(-connection.NonRepeatableMaxIdle)
 	}
+	if r.callerLeft() {
+		return nil, errCallerLeft
+	}
 	conn, err := r.f.Connections.Get(now, address, usedSince)
 	if err != nil {
 		return nil, err
 	}
 	r.f.observer().Connected(conn.Reused)
 	a := &attempt{conn: conn}
+	if !conn.Reused && r.callerLeft() { // Opening a connection takes time.
+		a.abort()
+		return nil, errCallerLeft
+	}
 	release := a.abortOn(r.req.CallerGone)
 	defer release()
 	if err := conn.SetDeadline(r.attemptDeadline(now)); err != nil {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -23,6 +23,7 @@
 	Deadline    time.Time       // For the complete answer.
 	StartBy     time.Time       // Deadline for the first event or the answer to begin; zero means Deadline.
 	CallerGone  <-chan struct{} // Closed when the caller disconnects; nil if the request continues without its caller.
+	CallerLeft  func() bool     // Looks at the caller's connection now, whereas CallerGone may be closed late; nil if it cannot.
 	Codec       Codec
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -149,7 +149,6 @@
 	now := time.Now()
 	outcome, out := r.exchange(now, send)
 	r.f.observer().Attempted(outcome)
-	r.ran = r.ran || outcome != endpoint.Rejected
 	if out != nil && out.Stream != nil {
 		return out // The attempt ends with its stream.
 	}
@@ -163,6 +162,8 @@
 	r.sentAt = now
 	a, err := r.open(now, send)
 	outcome, out := r.handleAnswer(send, a, err)
+	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
+	r.ran = r.ran || !notSent
 	if err != nil || outcome != endpoint.Finished {
 		r.f.Log.Info("attempt failed",
 			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
@@ -237,7 +238,7 @@
 // handleAnswer classifies the result of an attempt. A nil reply means that it produced no answer for the caller.
 func (r *run) handleAnswer(send endpoint.Send, a *attempt, err error) (endpoint.Outcome, *Reply) {
 	switch {
-	case r.callerGone():
+	case r.callerGone(), errors.Is(err, errCallerLeft):
 		if a != nil {
 			a.abort()
 		}
@@ -312,6 +313,9 @@
 	}
 }
 
+// callerLeft looks at the caller's connection, which costs a system call.
+func (r *run) callerLeft() bool { return r.req.CallerLeft != nil && r.req.CallerLeft() }
+
 func answerHeaders(a *attempt) []Header {
 	var out []Header
 	for name, values := range a.resp.Header {
--- a/internal/request/run_test.go
+++ b/internal/request/run_test.go
@@ -177,3 +177,24 @@
 	}
 	require.Zero(t, accepted.Load())
 }
+
+// TestNothingIsSentWhileTheCloseOfItsCallerIsNotNoticed guards against sending a request whose caller has closed its
+// connection while the goroutine that closes CallerGone still waits for the processor.
+func TestNothingIsSentWhileTheCloseOfItsCallerIsNotNoticed(t *testing.T) {
+	f, accepted := newForwarder(t)
+	now := time.Now()
+	out := f.Forward(&Request{
+		Message:    Message{ID: "id", Method: http.MethodPost, Target: "/"},
+		Terms:      Terms{Service: "s", Repeatable: true, MaxAttempts: 3},
+		RunID:      "run",
+		Arrived:    now,
+		Deadline:   now.Add(time.Minute),
+		CallerGone: make(chan struct{}),
+		CallerLeft: func() bool { return true },
+		Codec:      plainCodec{},
+	})
+	require.NotNil(t, out.Refusal)
+	require.Equal(t, refusal.CallerGone, out.Refusal.Kind)
+	require.False(t, out.Ran)
+	require.Zero(t, accepted.Load())
+}
