pkg/fleet: remember the homes of budgets and the addresses of peers until the members change

Cause: each request ranks all routers for its budget, twice with the lender, and builds the list of all peers to find one address.

TestLookupsFollowTheMembers compares what is kept with what would be computed after each of 4,000 random events.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -177,20 +177,14 @@
 
 // Address returns the address of the live router with the given incarnation name, and whether there is one.
 func (m *Members) Address(name string) (string, bool) {
-	for _, p := range m.Peers() {
-		if p.Name() == name {
-			return p.Address, true
-		}
-	}
-	return "", false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Address(name)
 }
 
 // VMAddress returns the address of a VM, whichever incarnation runs there and whatever its state, and whether it is known.
 func (m *Members) VMAddress(vm string) (string, bool) {
-	for _, p := range m.All() {
-		if p.VM == vm {
-			return p.Address, p.Address != ""
-		}
-	}
-	return "", false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.VMAddress(vm)
 }
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -22,6 +22,7 @@
 	probeQueue []string         // VMs still to be probed in the current round.
 	leaving    map[string]bool  // VMs that the platform's list shows as leaving.
 	random     *rand.Rand
+	lookups    lookups // Cleared by Handle when a result may change.
 }
 
 // peer is the state of another VM.
@@ -38,6 +39,15 @@
 // Handle applies one event at time now and returns the actions to carry out.
 func (r *Roster) Handle(now time.Time, ev Event) []Action {
 	r.init()
+	state := r.Self.State
+	actions := r.apply(now, ev)
+	if r.changesLookups(ev, actions, state) {
+		r.lookups = lookups{}
+	}
+	return actions
+}
+
+func (r *Roster) apply(now time.Time, ev Event) []Action {
 	switch ev := ev.(type) {
 	case Configured:
 		return r.handleConfigured(ev.VMs)
@@ -275,42 +285,3 @@
 	}
 	return n
 }
-
-// Homes returns the incarnation names of the n preferred routers for a key, by
-// weighted rendezvous hashing, the best first. A larger VM is a home of more keys.
-//
-// Routers with the same view of the fleet return the same names, and a router
-// that joins or leaves changes the homes of few keys. Configured VMs about
-// which no update was received yet take part in the ranking, so that a router
-// that has just started does not take over their keys; they are left out of the
-// result, which may then have fewer than n names.
-func (r *Roster) Homes(key string, n int) []string {
-	return r.preferred(key, n, func(Member) bool { return true })
-}
-
-// PreferredIn returns the n preferred routers of a data centre for a key, as Homes does for the whole fleet.
-func (r *Roster) PreferredIn(dataCentre, key string, n int) []string {
-	return r.preferred(key, n, func(m Member) bool { return m.DataCentre == dataCentre })
-}
-
-// preferred returns the names of the n preferred routers for a key among those that keep reports true for.
-func (r *Roster) preferred(key string, n int, keep func(Member) bool) []string {
-	var list []Member
-	known := map[string]bool{r.Self.VM: true}
-	if r.Self.State == Alive && keep(r.Self) {
-		list = append(list, r.Self)
-	}
-	for _, p := range r.peersWhere((*peer).candidate) {
-		if keep(p.Member) {
-			list = append(list, p.Member)
-			known[p.VM] = p.known
-		}
-	}
-	var names []string
-	for _, m := range Preferred(list, key, n, func(m Member) float64 { return m.Size }) {
-		if known[m.VM] {
-			names = append(names, m.Name())
-		}
-	}
-	return names
-}
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -210,3 +210,41 @@
 	receive(3, 1)
 	require.Len(t, r.Updates(), 2)
 }
+
+// TestLookupsFollowTheMembers compares what a roster has cached with what it would compute, after each of many events.
+func TestLookupsFollowTheMembers(t *testing.T) {
+	const vms = 9
+	rng := rand.New(rand.NewPCG(3, 4))
+	c := newCluster(vms)
+	r := c.rosters[0]
+	now := start
+	incarnation := uint64(1)
+	for range 4000 {
+		now = now.Add(ProbePeriod / 4)
+		vm := name(rng.IntN(vms))
+		switch rng.IntN(6) {
+		case 0:
+			r.Handle(now, ProbeFailed{VM: vm})
+		case 1:
+			r.Handle(now, SelfChanged{Load: rng.Float64(), Draining: rng.IntN(3) == 0})
+		case 2:
+			incarnation++
+			r.Handle(now, UpdatesReceived{[]Member{{VM: vm, Incarnation: incarnation, State: State(rng.IntN(4))}}})
+		case 3:
+			r.Handle(now, UpdatesReceived{[]Member{{VM: vm, Incarnation: incarnation, Heartbeat: rng.Uint64N(100), State: State(rng.IntN(4))}}})
+		default:
+			r.Handle(now, Tick{})
+		}
+		require.Equal(t, r.rankHomes(homesKey{Key: "team", N: 3}), r.Homes("team", 3))
+		require.Equal(t, r.rankHomes(homesKey{"dc-1", "team", 3}), r.PreferredIn("dc-1", "team", 3))
+		live := map[string]string{}
+		for _, p := range r.Peers() {
+			live[p.Name()] = p.Address
+		}
+		for _, p := range r.Members()[1:] {
+			address, ok := r.Address(p.Name())
+			require.Equal(t, live[p.Name()], address)
+			require.Equal(t, live[p.Name()] != "", ok)
+		}
+	}
+}
