internal/logfile: write the lines of a flush in pieces of 4 KB

Cause: all lines of 250 ms were written at once. The users' collector keeps 8,192 bytes of each write: no stretch of the recorded output of one write is longer (8,145 and 8,254 with the prefix), and the last line of each is cut. Ruled out: the limit of lines per second (400 per event) and the buffer (1 MB); both report what they drop.

TestNoLineIsLostWhereLongWritesAreCutOff failed before (39 lines of 301) and passes.

--- a/internal/logfile/logfile.go
+++ b/internal/logfile/logfile.go
@@ -1,6 +1,7 @@
 package logfile
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,7 @@
 	maxLinesPerSecond = 400     // Per event and level.
 	maxBufferBytes    = 1 << 20 // Total size of the lines that are not yet written.
 	flushInterval     = 250 * time.Millisecond
+	maxWriteBytes     = 4 << 10 // Of one write, unless a line is longer; collectors of output may cut off longer ones.
 )
 
 // New returns a logger that writes to out, and a function that stops the logger after writing all buffered lines.
@@ -108,9 +110,11 @@
 	if n := w.dropped.Swap(0); n > 0 {
 		lines = fmt.Appendf(lines, "{\"Level\":\"warn\",\"Event\":\"lines dropped\",\"Lines\":%d}\n", n)
 	}
-	if len(lines) > 0 {
+	for rest := lines; len(rest) > 0; {
+		n := wholeLines(rest)
 		// An error is ignored, because there is no other output to report it to.
-		_, _ = w.out.Write(lines)
+		_, _ = w.out.Write(rest[:n])
+		rest = rest[n:]
 	}
 	w.mu.Lock()
 	w.spare = lines[:0]
@@ -118,6 +122,20 @@
 	return closed
 }
 
+// wholeLines returns the length of the first lines of a buffer that fit into one write, at least one line.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // close writes the remaining lines and waits until run has returned.
 func (w *writer) close() {
 	w.mu.Lock()
--- a/internal/logfile/logfile_test.go
+++ b/internal/logfile/logfile_test.go
@@ -71,3 +71,35 @@
 	require.LessOrEqual(t, strings.Count(out.String(), `"often"`), 2*maxLinesPerSecond, "the loop may run into a second interval of the limit")
 	require.Contains(t, out.String(), "lines dropped")
 }
+
+// cuttingWriter keeps what a collector would that cuts off each write after limit bytes.
+type cuttingWriter struct {
+	mu    sync.Mutex
+	limit int
+	kept  []byte
+}
+
+// Write implements io.Writer.
+func (w *cuttingWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kept = append(w.kept, p[:min(len(p), w.limit)]...)
+	return len(p), nil
+}
+
+// TestNoLineIsLostWhereLongWritesAreCutOff guards against writing all lines of a flush at once: a collector that keeps
+// 8 KB of each write lost most lines of a busy router.
+func TestNoLineIsLostWhereLongWritesAreCutOff(t *testing.T) {
+	const lines = 300
+	out := &cuttingWriter{limit: 8 << 10}
+	log, flush := New(out)
+	for i := range lines {
+		log.Info("decision", zap.Int("N", i), zap.String("Detail", strings.Repeat("x", 200)))
+	}
+	log.Info("long", zap.String("Detail", strings.Repeat("x", maxWriteBytes)))
+	flush()
+	require.Equal(t, lines+1, strings.Count(string(out.kept), "\n"))
+	for line := range strings.Lines(string(out.kept)) {
+		require.True(t, json.Valid([]byte(line)), line)
+	}
+}
