internal/gateway: recognise a late processor and a full link, and refuse what the VM cannot take

Cause: its VM (0.144 of a core, 10 Mbit/s) gets 140 requests a second from the first second on and 250 to 350 once an account sends 2.5 times its traffic. Answers of peers and endpoints wait behind the callers' bodies and miss their timeouts. Nothing recognised either: the ticks of the gateway are on time because the runtime runs timers before goroutines that wait for the network (lags of 0 ms while 10% of the waits of goroutines exceed 100 ms), and bytes were not counted.

Ruled out: the directory. Callers go to this router whatever the lists hold (354 of 423 requests in 3 s from callers that were never told of it; the same with lists of 64 addresses).

Change: the wait for the processor is taken from the runtime's histogram of all goroutines (95th percentile over 200 ms, twice in a row), with a lower limit for its end. The bytes of callers are counted against the bandwidth of the settings: from 65% of the link a growing share of the requests is refused, from 85% all. While late, a request whose homes did not answer is refused as Overloaded at once instead of a search at further routers, and failed probes do not make peers suspect.

--- a/internal/decision/ticker_test.go
+++ b/internal/decision/ticker_test.go
@@ -26,7 +26,7 @@
 			defer mu.Unlock()
 			return slices.Clone(calls)
 		}
-		go ticker.Run(stop, func(now time.Time, _ time.Duration) bool {
+		go ticker.Run(stop, func(now time.Time) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			calls = append(calls, now.Sub(start))
--- a/internal/decision/waiters.go
+++ b/internal/decision/waiters.go
@@ -95,9 +95,8 @@
 	}
 }
 
-// Run calls f until stop is closed. The function receives the planned time since its last call and reports whether
-// there is work that waits for time to pass.
-func (t *Ticker) Run(stop <-chan struct{}, f func(now time.Time, period time.Duration) (busy bool)) {
+// Run calls f until stop is closed. The function reports whether there is work that waits for time to pass.
+func (t *Ticker) Run(stop <-chan struct{}, f func(now time.Time) (busy bool)) {
 	t.init()
 	period := t.Busy
 	timer := time.NewTimer(period)
@@ -117,7 +116,7 @@
 		case <-timer.C:
 			// The present time: that of the timer does not include the wait for the processor.
 			last = time.Now()
-			busy := f(last, period)
+			busy := f(last)
 			period = t.Idle
 			if busy {
 				period = t.Busy
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -85,7 +85,7 @@
 func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
 	g.inFlight.Add(1)
-	overloaded := g.overload.arrived(now)
+	overloaded := g.overload.arrived(now, len(ctx.Request.Header.RawHeaders())+len(ctx.Request.Body()))
 	if g.draining() || overloaded {
 		ctx.SetConnectionClose()
 	}
@@ -159,7 +159,7 @@
 		return c, refusal.New(refusal.Overloaded, "")
 	case overloaded:
 		// Another router can serve the request at once.
-		return c, &refusal.Error{Kind: refusal.Overloaded, Detail: "processor", After: otherRouterRetryAfter}
+		return c, &refusal.Error{Kind: refusal.Overloaded, Detail: "processor or link", After: otherRouterRetryAfter}
 	}
 	if problem := ambiguousLength(ctx.Request.Header.RawHeaders()); problem != "" {
 		ctx.SetConnectionClose()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"math"
 	"net"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -59,6 +61,7 @@
 	closing            atomic.Bool           // New requests are refused.
 	durations          durations
 	overload           overload
+	schedulerWaits     schedulerWaits // Used by tick only.
 	ticker             decision.Ticker
 
 	workers      *ants.Pool // For background calls to the store and to peers.
@@ -145,6 +148,7 @@
 	g.peerService = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
 	g.feeds = g.newFeeds()
+	g.overload.LinkBytesPerSecond = settings.Capacity.linkBytesPerSecond()
 	g.ticker = decision.Ticker{Busy: tickPeriod, Idle: idlePeriod}
 	g.budgets.OnWaiting = g.ticker.Wake
 	g.endpoints.OnWaiting = g.ticker.Wake
@@ -164,6 +168,7 @@
 	g.forwarder.Observer = g.metrics
 	g.forwarder.Background = g.background
 	g.forwarder.StoreLost = g.reachability.unreachable
+	g.forwarder.Late = g.overload.isLate
 }
 
 // peerTimeout is the timeout of a call to a peer.
@@ -300,13 +305,28 @@
 
 // tick advances the clocks of the budgets, the endpoint entries and the endpoint pool. It reports whether any of them
 // waits for time to pass.
-func (g *Gateway) tick(now time.Time, period time.Duration) (busy bool) {
-	g.overload.ticked(now, period)
+func (g *Gateway) tick(now time.Time) (busy bool) {
+	g.measureLateness(now)
 	g.budgets.Handle(now, budget.Tick{})
 	missing := g.entries.tick(now)
 	return missing || g.budgets.Waiting() > 0 || g.endpoints.Waiting() > 0
 }
 
+// measureLateness measures how long the process waits for the processor, and logs when it becomes late or no longer is.
+func (g *Gateway) measureLateness(now time.Time) {
+	if !g.overload.due(now) {
+		return
+	}
+	wait := g.schedulerWaits.measure()
+	state, changed := g.overload.measured(now, wait)
+	if !changed {
+		return
+	}
+	g.log.Warn("overload", zap.Bool("Late", state.Late), zap.Duration("Wait", wait.P95), zap.Uint64("Samples", wait.Samples),
+		zap.Float64("Rate", math.Round(state.Rate)), zap.Float64("BytesPerSecond", math.Round(state.BytesPerSecond)),
+		zap.Int64("InFlight", g.inFlight.Load()), zap.Int("Goroutines", runtime.NumGoroutine()))
+}
+
 // background runs f on a worker, or in a new goroutine if the pool rejects it.
 func (g *Gateway) background(f func()) {
 	if err := g.workers.Submit(f); err != nil {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -65,7 +65,12 @@
 	m.Endpoints = &g.endpoints
 	m.Background = g.background
 	m.Probe = func(address string, updates []fleet.Member) ([]fleet.Member, error) {
-		return g.peers.Probe(address, updates)
+		answer, err := g.peers.Probe(address, updates)
+		if err != nil && g.overload.isLate(time.Now()) {
+			g.log.Info("probe not counted", zap.String("Address", address), logfile.Error(err))
+			return nil, nil // The answer may wait to be read.
+		}
+		return answer, err
 	}
 	m.OnChange = m.handleChange
 	m.Init(self)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -85,6 +85,12 @@
 	return rate
 }
 
+// linkBytesPerSecond returns the bandwidth of the VM's link, or zero if it is not known.
+func (c CapacitySettings) linkBytesPerSecond() float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return bytesPerMegabit * c.LinkMegabits
+}
+
 // size returns the relative capacity of the VM.
 func (c CapacitySettings) size() float64 {
 	if rate := c.requestRate(); !math.IsInf(rate, 1) {
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -22,6 +22,9 @@
 	// StoreLost reports whether the store is known to be unreachable from this router; nil if that is not tracked.
 	StoreLost func(now time.Time) bool
 
+	// Late reports whether this process is late itself, so that its timeouts say nothing about others; nil if that is not tracked.
+	Late func(now time.Time) bool
+
 	Connections connection.Pool
 }
 
@@ -53,6 +56,8 @@
 func (nopObserver) Connected(bool)              {}
 func (nopObserver) StreamStarted(time.Duration) {}
 
+func (f *Forwarder) late(now time.Time) bool { return f.Late != nil && f.Late(now) }
+
 func (f *Forwarder) observer() Observer {
 	if f.Observer == nil {
 		return nopObserver{}
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -49,6 +49,8 @@
 		return nil
 	case answer.Kind == refusal.BudgetExhausted.String():
 		return r.refuseReservation(refusal.BudgetExhausted)
+	case r.f.late(time.Now()):
+		return r.refuseReservation(refusal.Overloaded) // A search for tokens at further routers would add to the load.
 	}
 	if answer.Kind != "" && r.f.StoreLost != nil && r.f.StoreLost(time.Now()) {
 		return r.refuseReservation(refusal.BudgetUnavailable) // Neither the homes nor this router can draw tokens.
@@ -75,6 +77,8 @@
 			answer = r.reserveAtReferred(home, answer.Peer)
 		}
 		switch {
+		case err != nil && r.f.late(time.Now()):
+			return last
 		case err != nil:
 		case answer.Granted, answer.Kind == refusal.BudgetExhausted.String():
 			return answer
@@ -134,6 +138,10 @@
 				if r.reserveAtPeer(decision.Peer) {
 					return nil
 				}
+				if r.f.late(time.Now()) {
+					r.f.Budgets.Handle(time.Now(), budget.Cancel{Request: r.req.RunID})
+					return r.refuseReservation(refusal.Overloaded)
+				}
 			}
 		}
 	}
@@ -148,12 +156,18 @@
 		zap.Int64("Prepaid", v.Prepaid), zap.Int64("Spent", v.Spent), zap.Int64("Free", v.Free),
 		zap.Int("Holders", v.Holders), zap.Duration("RecordAge", time.Since(v.LoadedAt)), zap.Int("Waiting", v.Waiting))
 	out := refusedReply(kind, r.req.Budget)
-	if kind == refusal.BudgetUnavailable {
+	switch kind {
+	case refusal.BudgetUnavailable:
 		out.Refusal.After = reservationRetryAfter
+	case refusal.Overloaded:
+		out.Refusal.After = overloadRetryAfter
 	}
 	return out
 }
 
+// overloadRetryAfter is the Retry-After of a refusal with Overloaded; another router can serve the request at once.
+const overloadRetryAfter = 50 * time.Millisecond
+
 // reservationRetryAfter is the Retry-After of a refusal with BudgetUnavailable.
 //
 // Within this time requests in flight settle, or the store is tried again.
