Endpoints that say in an answer that they leave or want rest get nothing more

Server-Leaving: 1 on any answer makes the endpoint leaving at this router at once, until its entry goes or another incarnation starts; a later 'ready' of the store or a load report does not take it back. 503 with Retry-After: nothing goes there for that long (fractions; 30 s at most; 1 s if it cannot be read), then one request at a time until one finishes. If all endpoints of a service rest, callers get their refusal at once, with the earliest return and up to half of it more, so that they do not all come back together. Both are logged with the request.

Not done: peers do not hear of either, so each router learns it from its own answers; explain and counters.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -109,11 +109,13 @@
 
 // AnswerHead is what the head of an endpoint's answer states apart from the status.
 type AnswerHead struct {
-	ID      string // ID of the request that is answered.
-	Sealed  bool   // The endpoint itself produced the answer.
-	NotRun  bool   // The endpoint states that it did not run the request.
-	Encoded bool   // The body has a content encoding, so it is not the one that the endpoint sealed.
-	Load    *Load  // Nil if the endpoint reported none.
+	ID      string        // ID of the request that is answered.
+	Sealed  bool          // The endpoint itself produced the answer.
+	NotRun  bool          // The endpoint states that it did not run the request.
+	Encoded bool          // The body has a content encoding, so it is not the one that the endpoint sealed.
+	Load    *Load         // Nil if the endpoint reported none.
+	Leaving bool          // The endpoint is leaving.
+	Rest    time.Duration // Time for which the endpoint wants no requests from this router; zero if it does not say so.
 }
 
 // Load is the load that an endpoint reports about itself.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -271,7 +271,7 @@
 		return failureOutcome(err), nil
 	}
 	now := time.Now()
-	r.reportLoad(now, send.Endpoint, a)
+	r.reportHead(now, send.Endpoint, a)
 	status := a.resp.StatusCode
 	switch {
 	case a.head.NotRun:
@@ -310,7 +310,19 @@
 	a.recycle(time.Now(), &r.f.Connections)
 }
 
-func (r *run) reportLoad(now time.Time, name string, a *attempt) {
+// reportHead passes to the endpoint pool what the head of an answer says about the endpoint.
+func (r *run) reportHead(now time.Time, name string, a *attempt) {
+	if r.direct {
+		return
+	}
+	if a.head.Leaving {
+		r.f.Log.Info("endpoint announces its leave", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name))
+		r.f.Endpoints.Handle(now, endpoint.LeavingAnnounced{Endpoint: name})
+	}
+	if a.head.Rest > 0 {
+		r.f.Log.Info("endpoint rests", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name), zap.Duration("For", a.head.Rest))
+		r.f.Endpoints.Handle(now, endpoint.RestRequested{Endpoint: name, For: a.head.Rest})
+	}
 	if a.head.Load == nil {
 		return
 	}
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -37,6 +37,8 @@
 
 	leavingBySettings bool      // Leaving according to the settings or the VM list.
 	leavingByReport   bool      // Leaving according to the last load report.
+	leavingByAnswer   bool      // Leaving according to an answer.
+	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
 	ejectedUntil      time.Time // End of the ejection, if any.
 	deaths            int       // Deaths and timeouts since the last finished request.
 	failures          float64   // Smoothed fraction of attempts that failed.
@@ -62,13 +64,17 @@
 	b.Slots = cmp.Or(b.Slots, 1)
 }
 
-func (b *backend) leaving() bool { return b.leavingBySettings || b.leavingByReport }
+func (b *backend) leaving() bool {
+	return b.leavingBySettings || b.leavingByReport || b.leavingByAnswer
+}
+
+func (b *backend) rests(now time.Time) bool { return now.Before(b.restsUntil) }
 
 // usable reports whether the endpoint accepts a new request.
 //
-// After a death or a timeout, the endpoint gets one request at a time until one finishes.
+// After a death, a timeout or a rest, the endpoint gets one request at a time until one finishes.
 func (b *backend) usable(now time.Time, ignoreEjection bool) bool {
-	if b.leaving() || (now.Before(b.ejectedUntil) && !ignoreEjection) {
+	if b.leaving() || b.rests(now) || (now.Before(b.ejectedUntil) && !ignoreEjection) {
 		return false
 	}
 	return b.deaths == 0 || len(b.running) == 0
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -65,12 +65,12 @@
 	return b.serves(service) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy)
 }
 
-// allEjected reports whether all endpoints of a model or service are leaving or ejected.
+// allEjected reports whether all endpoints of a model or service are leaving, resting or ejected.
 // Ejection is then ignored, because an ejected endpoint is better than none.
 func (p *Pool) allEjected(now time.Time, service string) bool {
 	for _, name := range p.names {
 		b := p.backends[name]
-		if b.serves(service) && !b.leaving() && !now.Before(b.ejectedUntil) {
+		if b.serves(service) && !b.leaving() && !b.rests(now) && !now.Before(b.ejectedUntil) {
 			return false
 		}
 	}
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -130,6 +130,15 @@
 	Leaving  bool
 }
 
+// LeavingAnnounced reports that an endpoint has said in an answer that it is leaving, which it does not take back.
+type LeavingAnnounced struct{ Endpoint string }
+
+// RestRequested reports that an endpoint has turned a request away and wants none from this router for some time.
+type RestRequested struct {
+	Endpoint string
+	For      time.Duration
+}
+
 // CacheUpdated reports that an endpoint cached a prompt prefix or dropped it.
 type CacheUpdated struct {
 	Endpoint string
@@ -171,6 +180,8 @@
 func (RoutersCounted) isEvent()     {}
 func (LoadReported) isEvent()       {}
 func (LeavingUpdated) isEvent()     {}
+func (LeavingAnnounced) isEvent()   {}
+func (RestRequested) isEvent()      {}
 func (CacheUpdated) isEvent()       {}
 func (Crashed) isEvent()            {}
 func (SuspectReported) isEvent()    {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -81,6 +81,12 @@
 	case LeavingUpdated:
 		p.updateLeaving(ev)
 		return p.dispatch(now)
+	case LeavingAnnounced:
+		p.announceLeaving(ev.Endpoint)
+		return p.dispatch(now)
+	case RestRequested:
+		p.rest(now, ev)
+		return append(p.refuseResting(now), p.dispatch(now)...)
 	case CacheUpdated:
 		p.updateCache(ev)
 		return nil
@@ -173,6 +179,9 @@
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
+	if after, resting := p.allRest(now, j.Service); resting {
+		return []Action{j.refuse(refusal.Overloaded, after)}
+	}
 	p.jobs[r.ID] = j
 	p.queue.add(j)
 	return append(p.dispatch(now), p.shedNew(now, r.ID)...)
