--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -11,7 +11,7 @@
 // Some callers keep to one router, which can be overloaded while all others are
 // idle. The directory sends the other callers away from it, and requests that
 // would wait for the processor or the link until none is answered in time are
-// refused. A refused caller turns to another router, so that the load falls.
+// refused, so that their callers can turn to other routers in time.
 //
 // The wait is measured over all goroutines: timers, and with them the ticks of
 // the gateway, come before goroutines that wait for the network.
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -52,9 +52,9 @@
 	w := s.measure()
 	require.NotZero(t, w.Samples)
 	require.NotZero(t, w.P95)
-	require.Equal(t, time.Second, percentile([]uint64{90, 10}, []float64{0, 1, 2}, 0.95))
-	require.Zero(t, percentile([]uint64{96, 4}, []float64{0, 1, 2}, 0.95))
-	require.Zero(t, percentile([]uint64{0, 0}, []float64{0, 1, 2}, 0.95))
+	require.Equal(t, time.Second, percentile95([]uint64{90, 10}, []float64{0, 1, 2}))
+	require.Zero(t, percentile95([]uint64{96, 4}, []float64{0, 1, 2}))
+	require.Zero(t, percentile95([]uint64{0, 0}, []float64{0, 1, 2}))
 }
 
 const requestBytes = 4000
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -38,17 +38,18 @@
 		out.Samples += counts[i]
 		s.before[i] = n
 	}
-	out.P95 = percentile(counts, h.Buckets, 0.95)
+	out.P95 = percentile95(counts, h.Buckets)
 	return out
 }
 
-// percentile returns the lower bound, in seconds, of the bucket of a histogram that holds the share q of all counts.
-func percentile(counts []uint64, bounds []float64, q float64) time.Duration {
+// percentile95 returns the lower bound of the bucket of a histogram that holds the 95th percentile; bounds are in seconds.
+func percentile95(counts []uint64, bounds []float64) time.Duration {
+	const share = 0.95
 	var total uint64
 	for _, n := range counts {
 		total += n
 	}
-	rank := uint64(math.Ceil(q * float64(total)))
+	rank := uint64(math.Ceil(share * float64(total)))
 	var seen uint64
 	for i, n := range counts {
 		seen += n
--- a/pkg/endpoint/crash_test.go
+++ b/pkg/endpoint/crash_test.go
@@ -105,14 +105,14 @@
 	for _, id := range ids {
 		p.crash(id, "e-0", part)
 	}
-	require.Equal(t, 1, p.Pool.parts.deaths(p.now, part))
+	require.Equal(t, 1, p.parts.deaths(p.now, part))
 	id, action := p.submit(part)
 	require.IsType(t, Send{}, action)
 	waiting, action := p.submit(part)
 	require.Nil(t, action, "while a part is a suspect, one request with it is in flight")
 	actions := p.Handle(p.now, Ended{ID: id, Outcome: Finished, Tokens: 10})
 	require.Equal(t, waiting, actions[0].(Send).ID, "the part is known good")
-	require.Zero(t, p.Pool.parts.deaths(p.now, part))
+	require.Zero(t, p.parts.deaths(p.now, part))
 }
 
 // TestFailureWithoutOutputDoesNotClearAPart guards against taking an endpoint's error for a sound run.
