--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -52,7 +52,11 @@
 		line("%-24s %10d %10d %10d %8d", b.Budget, b.Headroom, b.Reserved, b.Free, b.Waiting)
 	}
 	for _, suspect := range s.Suspects {
-		line("suspect %016x: %d endpoint deaths, until %s", suspect.Fingerprint, suspect.Deaths, suspect.Until.Format("15:04:05"))
+		kind := "suspect"
+		if suspect.Part {
+			kind = "suspect part"
+		}
+		line("%s %016x: %d endpoint deaths, until %s", kind, suspect.Fingerprint, suspect.Deaths, suspect.Until.Format("15:04:05"))
 	}
 	return text.String()
 }
