--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -94,6 +94,8 @@
 		e.g.log.Info("endpoint seen", zap.String("Endpoint", entry.Name), zap.String("Service", entry.Service),
 			zap.String("Address", entry.Address), zap.Int64("Born", entry.StartedAt))
 	}
+	// An endpoint does not take its leave back; an older entry may come from a store that lost the newer one.
+	entry.Leaving = entry.Leaving || ep.Leaving
 	if entry.Leaving && !ep.Leaving {
 		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name))
 	}
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -107,3 +107,12 @@
 	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
 	require.Contains(t, e.restarted, "a")
 }
+
+// TestEndpointThatLeavesStaysLeaving guards against using an endpoint again because the store came back from a copy in
+// which it was still ready.
+func TestEndpointThatLeavesStaysLeaving(t *testing.T) {
+	e := newEntries("a")
+	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("leaving")}})
+	e.applySnapshot(start.Add(time.Second), []keyvalue.Entry{{Key: "e/a", Value: []byte("ready")}})
+	require.False(t, e.usableAt(start.Add(time.Second), "a"))
+}
