--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -158,25 +158,6 @@
 	return out
 }
 
-// checkCrash finds out, after an attempt ended, whether its endpoint has crashed, if a part of the prompt may be the reason.
-//
-// The next attempt waits for the result, since it may crash another endpoint.
-func (r *run) checkCrash(outcome endpoint.Outcome) {
-	name := r.endpoint
-	if outcome != endpoint.Died || r.direct {
-		return
-	}
-	address, ok := r.f.Endpoints.Address(name)
-	if !ok || !r.f.Endpoints.HasUnknownParts(r.req.Parts) {
-		return
-	}
-	if !connection.Refused(address) {
-		return
-	}
-	r.f.Log.Info("endpoint crashed", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name), zap.Any("Parts", r.req.Parts))
-	r.f.Endpoints.Handle(time.Now(), endpoint.Crashed{Endpoint: name, Parts: r.req.Parts})
-}
-
 // exchange sends the request to an endpoint and returns the outcome of the attempt.
 func (r *run) exchange(now time.Time, send endpoint.Send) (endpoint.Outcome, *Reply) {
 	r.attempts++
@@ -310,34 +291,6 @@
 	a.recycle(time.Now(), &r.f.Connections)
 }
 
-// reportHead passes to the endpoint pool what the head of an answer says about the endpoint.
-func (r *run) reportHead(now time.Time, name string, a *attempt) {
-	if r.direct {
-		return
-	}
-	if a.head.Leaving {
-		r.f.Log.Info("endpoint announces its leave", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name))
-		r.f.Endpoints.Handle(now, endpoint.LeavingAnnounced{Endpoint: name})
-	}
-	if a.head.Rest > 0 {
-		r.f.Log.Info("endpoint rests", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name), zap.Duration("For", a.head.Rest))
-		r.f.Endpoints.Handle(now, endpoint.RestRequested{Endpoint: name, For: a.head.Rest})
-	}
-	if a.head.Load == nil {
-		return
-	}
-	load := endpoint.Load{Running: a.head.Load.Running, Waiting: a.head.Load.Waiting}
-	r.f.Endpoints.Handle(now, endpoint.LoadReported{Endpoint: name, Load: load})
-}
-
-// reportOutcome reports the outcome of an attempt to the endpoint pool.
-func (r *run) reportOutcome(outcome endpoint.Outcome, tokens int64) {
-	if r.direct {
-		return
-	}
-	r.f.Endpoints.Handle(time.Now(), endpoint.Ended{ID: r.req.RunID, Outcome: outcome, Tokens: tokens})
-}
-
 func (r *run) callerGone() bool {
 	select {
 	case <-r.req.CallerGone:
