--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -37,7 +37,7 @@
 
 	linkRefuseFrom = 0.65 // Share of the link that callers may use before some requests are refused; answers and peers need the rest.
 	linkRefuseAll  = 0.85 // Share of the link from which on all are refused.
-	lateLinkExcess = 0.5
+	lateLinkExcess = 0.5  // Share of requests to refuse because of the link from which on the process is late.
 
 	measurePeriod   = 200 * time.Millisecond // Between two measurements of the wait for the processor.
 	minWaitSamples  = 16                     // Fewer waits say nothing about the load.
@@ -62,7 +62,7 @@
 	o.measuredAt = now
 	o.wait = w
 	limit := maxWait
-	if o.late() {
+	if o.processorLate() {
 		limit = endWait
 	}
 	if w.Samples >= minWaitSamples && w.P95 >= limit {
@@ -70,7 +70,7 @@
 	} else {
 		o.lateMeasures = 0
 	}
-	state = overloadState{Late: o.late() || o.linkExcess() >= lateLinkExcess, Rate: o.rate, BytesPerSecond: o.byteRate}
+	state = overloadState{Late: o.processorLate() || o.linkExcess() >= lateLinkExcess, Rate: o.rate, BytesPerSecond: o.byteRate}
 	changed = state.Late != o.wasLate
 	o.wasLate = state.Late
 	return state, changed
@@ -89,7 +89,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.decay(now)
-	return o.late() || o.linkExcess() >= lateLinkExcess
+	return o.processorLate() || o.linkExcess() >= lateLinkExcess
 }
 
 // lastWait returns the last measurement.
@@ -111,7 +111,7 @@
 		o.refusals--
 		return true
 	}
-	return o.late()
+	return o.processorLate()
 }
 
 // linkExcess returns the share of the requests to refuse because of the link, which grows with its use; mu must be held.
@@ -138,14 +138,14 @@
 	if o.shunned {
 		limit = returnShare
 	}
-	if o.shunned = o.rate > limit*capacity || o.late(); o.shunned {
+	if o.shunned = o.rate > limit*capacity || o.processorLate(); o.shunned {
 		return 1
 	}
 	return 0
 }
 
-// late reports whether the last measurements were too long; mu must be held.
-func (o *overload) late() bool { return o.lateMeasures >= minLateMeasures }
+// processorLate reports whether the last measurements were too long; mu must be held.
+func (o *overload) processorLate() bool { return o.lateMeasures >= minLateMeasures }
 
 // decay brings the rate up to now; mu must be held.
 func (o *overload) decay(now time.Time) {
