internal/request: each loan has an ID of its own, so that a lost one does not close the next

Cause: a request whose reservation at a lender timed out settles that loan with zero tokens, as the lender may have reserved them. If it then reserves at the same lender again (the other home refers to it), the lender answers that the loan is open, and the late settlement of zero closes it; the request's own finds nothing. The ID of the loan was that of the run. The fault is older, but since settlements are collected for 200 ms the late one nearly always comes second.

Change: the second and further loans of a run have a number behind its ID (RUN/2). explain knows them.

TestRequestIsBilledAtALenderWhoseFirstAnswerWasLost failed before (0 of 10 tokens billed) and passes.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 )
 
 func explainCommand() *cli.Command {
@@ -74,7 +76,7 @@
 				switch {
 				case pass == 0 && l.Request == request && l.Run != "":
 					runs[l.Run] = true
-				case pass == 1 && (l.Request == request || runs[l.Run] || runs[l.Request]):
+				case pass == 1 && (l.Request == request || runs[ledger.RunOfLoan(l.Run)] || runs[ledger.RunOfLoan(l.Request)]):
 					found = append(found, l)
 				case pass == 1 && slices.Contains(stateEvents, l.Event):
 					stateLines[file] = append(stateLines[file], l)
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -24,13 +24,14 @@
 {"Time":"2026-12-04T00:00:09.000Z","Event":"store regained","Feed":"members"}
 {"Time":"2026-12-04T00:00:09.100Z","Event":"requ`), 0o600))
 	require.NoError(t, os.WriteFile(second, []byte(`{"Time":"2026-12-04T00:00:02.500Z","Event":"loan not settled","Run":"vm-1-7"}
+{"Time":"2026-12-04T00:00:02.600Z","Event":"billed","Request":"vm-1-7/2"}
 `), 0o600))
 	var out, errOut bytes.Buffer
 	app := Foxtaillanding(&out, &errOut)
 	require.NoError(t, app.Run(context.Background(), []string{"foxtaillanding", "explain", "r1", first, second}))
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	require.Len(t, lines, 4)
-	for i, part := range []string{"store lost", "tokens not reserved", "vm-2.log", "BudgetUnavailable"} {
+	require.Len(t, lines, 5)
+	for i, part := range []string{"store lost", "tokens not reserved", "vm-2.log", "billed", "BudgetUnavailable"} {
 		require.Contains(t, lines[i], part)
 	}
 	err := app.Run(context.Background(), []string{"foxtaillanding", "explain", "r9", first})
--- a/internal/ledger/loans.go
+++ b/internal/ledger/loans.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +15,7 @@
 
 // Loan asks a router, the lender, to reserve tokens for a request that another router runs.
 type Loan struct {
-	Request          string // ID of the run; identifies the loan.
+	Request          string // Identifies the loan; see LoanID.
 	Budget           string
 	Prepaid          int64 // Prepaid tokens of the budget in the configuration of the asking router.
 	Tokens           int64 // Worst-case cost of the request.
@@ -21,6 +23,26 @@
 	Search           bool  // Whether the lender draws and recalls tokens as for a request of its own.
 }
 
+// loanSeparator separates the ID of a run from the number of the loan.
+const loanSeparator = "/"
+
+// LoanID returns the ID of the n-th loan that a run asks for, counted from 1.
+//
+// Each loan has its own: if the answer of a lender is lost, the settlement of
+// that loan must not close a later one at the same lender.
+func LoanID(run string, n int) string {
+	if n == 1 {
+		return run
+	}
+	return run + loanSeparator + strconv.Itoa(n)
+}
+
+// RunOfLoan returns the ID of the run that asked for a loan.
+func RunOfLoan(id string) string {
+	run, _, _ := strings.Cut(id, loanSeparator)
+	return run
+}
+
 // ErrLoanNotSent reports that a lender was not asked for a loan, so that there is none to settle.
 var ErrLoanNotSent = errors.New("the lender was not asked")
 
@@ -33,7 +55,7 @@
 
 // Settlement reports how many tokens of a loan its request used.
 type Settlement struct {
-	Request string // ID of the run, as in the Loan.
+	Request string // As in the Loan.
 	Tokens  int64
 }
 
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -32,6 +32,7 @@
 type reservation struct {
 	held   bool
 	lender string // Incarnation of the peer that reserved the tokens; empty if this router did.
+	loan   string // ID of the loan at the lender.
 }
 
 // reserve reserves the worst-case cost of the request. A non-nil reply ends the request.
@@ -204,8 +205,10 @@
 //
 // With search, the peer draws and recalls tokens as for a request of its own.
 func (r *run) reserveAt(peer string, search bool) (ledger.LoanReply, error) {
+	r.loans++
+	id := ledger.LoanID(r.req.RunID, r.loans)
 	answer, err := r.f.Peers.Reserve(peer, ledger.Loan{
-		Request:          r.req.RunID,
+		Request:          id,
 		Budget:           r.req.Budget,
 		Prepaid:          r.req.Prepaid,
 		Tokens:           r.req.WorstCase(),
@@ -218,10 +221,10 @@
 		return ledger.LoanReply{}, err
 	case err != nil:
 		// The peer may have reserved the tokens although its answer was lost.
-		r.f.Peers.Settle(peer, ledger.Settlement{Request: r.req.RunID})
+		r.f.Peers.Settle(peer, ledger.Settlement{Request: id})
 		return ledger.LoanReply{}, err
 	case answer.Granted:
-		r.reservation = reservation{held: true, lender: peer}
+		r.reservation = reservation{held: true, lender: peer, loan: id}
 	}
 	return answer, nil
 }
@@ -232,11 +235,11 @@
 		return
 	}
 	r.reservation.held = false
-	settlement := ledger.Settlement{Request: r.req.RunID, Tokens: r.req.cost(Usage{Ran: r.ran, Events: r.events})}
+	tokens := r.req.cost(Usage{Ran: r.ran, Events: r.events})
 	peer := r.reservation.lender
 	if peer == "" {
-		r.f.Budgets.Handle(time.Now(), budget.Settle{Request: settlement.Request, Tokens: settlement.Tokens})
+		r.f.Budgets.Handle(time.Now(), budget.Settle{Request: r.req.RunID, Tokens: tokens})
 		return
 	}
-	r.f.Peers.Settle(peer, settlement)
+	r.f.Peers.Settle(peer, ledger.Settlement{Request: r.reservation.loan, Tokens: tokens})
 }
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -20,6 +20,7 @@
 	direct      bool // Sent to a fixed address; the endpoint pool and the budgets are not involved.
 	decisions   <-chan endpoint.Action
 	reservation reservation
+	loans       int // Loans asked for.
 	attempts    int
 	endpoint    string    // Endpoint of the last attempt.
 	sentAt      time.Time // Start of the last attempt.
--- a/internal/request/run_test.go
+++ b/internal/request/run_test.go
@@ -198,3 +198,60 @@
 	require.False(t, out.Ran)
 	require.Zero(t, accepted.Load())
 }
+
+// lenderPeers are two homes of a budget: the answer of the first is lost although it reserved the tokens, and the second
+// refers to the first. Settlements are kept until the end and then applied in the order in which they were made.
+type lenderPeers struct {
+	open        map[string]bool // Loans at the first home.
+	settlements []ledger.Settlement
+	billed      int64
+}
+
+func (*lenderPeers) Self() string { return "self" }
+
+func (*lenderPeers) Homes(string) []string { return []string{"first", "second"} }
+
+func (l *lenderPeers) Reserve(peer string, loan ledger.Loan) (ledger.LoanReply, error) {
+	if peer == "second" {
+		return ledger.LoanReply{Peer: "first"}, nil
+	}
+	lost := len(l.open) == 0
+	l.open[loan.Request] = true
+	if lost {
+		return ledger.LoanReply{}, io.ErrUnexpectedEOF
+	}
+	return ledger.LoanReply{Granted: true}, nil
+}
+
+func (l *lenderPeers) Settle(_ string, s ledger.Settlement) { l.settlements = append(l.settlements, s) }
+
+func (l *lenderPeers) settle() {
+	for _, s := range l.settlements {
+		if l.open[s.Request] {
+			delete(l.open, s.Request)
+			l.billed += s.Tokens
+		}
+	}
+}
+
+// TestRequestIsBilledAtALenderWhoseFirstAnswerWasLost guards against overspending: the settlement of the lost loan closed
+// the second one of the same request at the same lender, and the request's own settlement found no loan.
+func TestRequestIsBilledAtALenderWhoseFirstAnswerWasLost(t *testing.T) {
+	f, _ := newForwarder(t) // The endpoint breaks off each connection, so the request may have run.
+	peers := &lenderPeers{open: map[string]bool{}}
+	f.Peers = peers
+	f.Background = func(run func()) { run() }
+	now := time.Now()
+	out := f.Forward(&Request{
+		Message:  Message{ID: "id", Method: http.MethodPost, Target: "/", HasPrompt: true, PromptTokens: 10},
+		Terms:    Terms{Service: "s", Budget: "b"},
+		RunID:    "run",
+		Arrived:  now,
+		Deadline: now.Add(time.Minute),
+		Codec:    plainCodec{},
+	})
+	require.True(t, out.Ran)
+	peers.settle()
+	require.EqualValues(t, 10, peers.billed)
+	require.Empty(t, peers.open)
+}
