--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -75,7 +75,7 @@
 		home := homes[(first+i)%len(homes)]
 		answer, err := r.reserveAt(home, true)
 		if err == nil && answer.Peer != "" {
-			answer = r.reserveAtReferred(home, answer.Peer)
+			answer = r.reserveAtReferred(answer.Peer)
 		}
 		switch {
 		case err != nil && r.f.late(time.Now()):
@@ -91,15 +91,12 @@
 }
 
 // reserveAtReferred reserves tokens at the peer that a home referred to.
-func (r *run) reserveAtReferred(home, peer string) ledger.LoanReply {
+func (r *run) reserveAtReferred(peer string) ledger.LoanReply {
 	if peer == r.f.Peers.Self() {
 		return ledger.LoanReply{Kind: refusal.BudgetUnavailable.String()}
 	}
 	answer, err := r.reserveAt(peer, false)
-	if err != nil {
-		r.f.Log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Home", home), zap.String("Peer", peer), logfile.Error(err))
-	}
-	if !answer.Granted {
+	if err != nil || !answer.Granted {
 		answer = ledger.LoanReply{Kind: refusal.BudgetUnavailable.String()} // The home's information was out of date.
 	}
 	return answer
@@ -190,10 +187,7 @@
 // reserveAtPeer reserves tokens at a peer that probably holds some, and reports whether it granted them.
 func (r *run) reserveAtPeer(peer string) bool {
 	answer, err := r.reserveAt(peer, false)
-	if err != nil {
-		r.f.Log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Peer", peer), logfile.Error(err))
-	}
-	if !answer.Granted {
+	if err != nil || !answer.Granted {
 		r.f.Budgets.Handle(time.Now(), budget.ForwardRefused{Request: r.req.RunID, Peer: peer})
 		return false
 	}
@@ -216,6 +210,9 @@
 		Search:           search,
 	})
 	r.f.observer().Reserved(PlacePeer, answer.Granted)
+	if err != nil {
+		r.f.Log.Warn("reservation at a peer failed", zap.String("Request", r.req.ID), zap.String("Run", id), zap.String("Peer", peer), logfile.Error(err))
+	}
 	switch {
 	case errors.Is(err, ledger.ErrLoanNotSent):
 		return ledger.LoanReply{}, err
