--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -123,10 +123,10 @@
 }
 
 // HasUnknownParts reports whether a prompt has a part, shared with others, with which no request is known to have finished.
-func (e *Endpoints) HasUnknownParts(parts []endpoint.Part) bool {
+func (e *Endpoints) HasUnknownParts(prompt []endpoint.Part) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pool.HasUnknownParts(parts)
+	return e.pool.HasUnknownParts(prompt)
 }
 
 // BlockedParts returns the suspicions of the parts of prompts whose requests are refused.
--- a/pkg/endpoint/crash.go
+++ b/pkg/endpoint/crash.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// sharedParts returns the parts of a prompt that other requests may share.
-func (r *Request) sharedParts() []Part {
-	if len(r.Parts) == 0 {
+// sharedParts returns the parts of a prompt that other requests may share: all but the last one.
+func sharedParts(prompt []Part) []Part {
+	if len(prompt) == 0 {
 		return nil
 	}
-	return r.Parts[:len(r.Parts)-1]
+	return prompt[:len(prompt)-1]
 }
 
 // recordCrash suspects the shared parts of a request that was in flight when an endpoint crashed.
@@ -15,8 +15,7 @@
 // All requests that were in flight there report the same crash, which counts once for a part.
 func (p *Pool) recordCrash(now time.Time, ev Crashed) []Action {
 	var actions []Action
-	request := Request{Parts: ev.Parts}
-	for _, part := range request.sharedParts() {
+	for _, part := range sharedParts(ev.Parts) {
 		if p.parts.byID[part.ID].Endpoint == ev.Endpoint {
 			continue
 		}
@@ -30,7 +29,7 @@
 
 // clearParts marks the shared parts of a request that produced output to its end as known good.
 func (p *Pool) clearParts(r *Request) {
-	for _, part := range r.sharedParts() {
+	for _, part := range sharedParts(r.Parts) {
 		p.parts.clear(part.ID)
 	}
 }
@@ -43,7 +42,7 @@
 	if len(p.parts.byID) == 0 {
 		return false
 	}
-	for _, part := range r.sharedParts() {
+	for _, part := range sharedParts(r.Parts) {
 		if p.parts.deaths(now, part.ID) > maxPartDeaths {
 			return true
 		}
@@ -56,7 +55,7 @@
 	if len(p.parts.byID) == 0 {
 		return 0, false
 	}
-	for _, part := range r.sharedParts() {
+	for _, part := range sharedParts(r.Parts) {
 		if p.parts.deaths(now, part.ID) > 0 {
 			return part.ID, true
 		}
@@ -69,7 +68,7 @@
 func (p *Pool) partInFlight(id uint64) bool {
 	for _, name := range p.names {
 		for _, j := range p.backends[name].running {
-			for _, part := range j.sharedParts() {
+			for _, part := range sharedParts(j.Parts) {
 				if part.ID == id {
 					return true
 				}
@@ -80,9 +79,8 @@
 }
 
 // HasUnknownParts reports whether a prompt has a shared part that is not known good.
-func (p *Pool) HasUnknownParts(parts []Part) bool {
-	request := Request{Parts: parts}
-	for _, part := range request.sharedParts() {
+func (p *Pool) HasUnknownParts(prompt []Part) bool {
+	for _, part := range sharedParts(prompt) {
 		if !p.parts.isKnownGood(part.ID) {
 			return true
 		}
