Log the limits that endpoints name, and the endpoint of each request

Change: the head of an answer is read for the limit; a change of it is logged as 'endpoint limit changed', and the line 'request' names the endpoint of the last attempt. What an answer 421 says is not taken for the intended endpoint, which did not write it. Nothing is decided by the limit yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,7 @@
 	g.budgets.OnWaiting = g.ticker.Wake
 	g.endpoints.OnWaiting = g.ticker.Wake
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
+	g.endpoints.OnLimitChanged = g.logLimit
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
 	g.budgets.Store = g.budgetStore
@@ -171,6 +172,11 @@
 	g.forwarder.Late = g.overload.isLate
 }
 
+// logLimit logs that the limit of an endpoint is known to have changed.
+func (g *Gateway) logLimit(c endpoint.LimitChanged) {
+	g.log.Info("endpoint limit changed", zap.String("Endpoint", c.Endpoint), zap.Float64("Before", c.Before), zap.Float64("Now", c.Now))
+}
+
 // peerTimeout is the timeout of a call to a peer.
 const peerTimeout = 800 * time.Millisecond
 
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -16,6 +16,8 @@
 	// BroadcastSuspicion sends a suspicion to the other routers; may be nil.
 	BroadcastSuspicion func(endpoint.Suspicion)
 
+	OnLimitChanged func(endpoint.LimitChanged) // Called when the limit of an endpoint is known to have changed; may be nil.
+
 	OnWaiting func() // Called when a request begins to wait for an endpoint; may be nil.
 
 	mu        sync.Mutex
@@ -107,6 +109,10 @@
 		if e.BroadcastSuspicion != nil {
 			e.BroadcastSuspicion(action.Suspect)
 		}
+	case endpoint.LimitChanged:
+		if e.OnLimitChanged != nil {
+			e.OnLimitChanged(action)
+		}
 	}
 }
 
--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -11,9 +11,10 @@
 
 // reportHead passes to the endpoint pool what the head of an answer says about the endpoint.
 func (r *run) reportHead(now time.Time, name string, a *attempt) {
-	if r.direct {
+	if r.direct || a.head.Misdirected {
 		return
 	}
+	r.f.Endpoints.Handle(now, endpoint.LimitReported{Endpoint: name, Rate: a.head.Limit, At: now})
 	if a.head.Leaving {
 		r.f.Log.Info("endpoint announces its leave", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name))
 		r.f.Endpoints.Handle(now, endpoint.LeavingAnnounced{Endpoint: name})
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -116,6 +116,9 @@
 	Load    *Load         // Nil if the endpoint reported none.
 	Leaving bool          // The endpoint is leaving.
 	Rest    time.Duration // Time for which the endpoint wants no requests from this router; zero if it does not say so.
+	Limit   float64       // Requests per second that the endpoint takes from all routers together; zero if it names no limit.
+
+	Misdirected bool // Another endpoint than the intended one answered; the head says nothing about the intended one.
 }
 
 // Load is the load that an endpoint reports about itself.
@@ -153,6 +156,7 @@
 
 	Ran      bool // An attempt may have run.
 	Attempts int
+	Endpoint string // Endpoint of the last attempt; empty if there was none.
 	Lender   string // Incarnation of the router that reserved the tokens; empty if this router did.
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -34,6 +34,7 @@
 func (r *run) withTotals(out *Reply) *Reply {
 	out.Ran = r.ran
 	out.Attempts = r.attempts
+	out.Endpoint = r.endpoint
 	out.Lender = r.reservation.lender
 	return out
 }
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -39,6 +39,7 @@
 	leavingByReport   bool      // Leaving according to the last load report.
 	leavingByAnswer   bool      // Leaving according to an answer.
 	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
+	limit             limit     // What the endpoint says it takes from all routers together.
 	ejectedUntil      time.Time // End of the ejection, if any.
 	deaths            int       // Deaths and timeouts since the last finished request.
 	failures          float64   // Smoothed fraction of attempts that failed.
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -139,6 +139,13 @@
 	For      time.Duration
 }
 
+// LimitReported reports how many requests an endpoint takes from all routers together.
+type LimitReported struct {
+	Endpoint string
+	Rate     float64   // Requests per second; zero if the endpoint names no limit.
+	At       time.Time // Time of the answer that said so, which another router may have received.
+}
+
 // CacheUpdated reports that an endpoint cached a prompt prefix or dropped it.
 type CacheUpdated struct {
 	Endpoint string
@@ -182,6 +189,7 @@
 func (LeavingUpdated) isEvent()     {}
 func (LeavingAnnounced) isEvent()   {}
 func (RestRequested) isEvent()      {}
+func (LimitReported) isEvent()      {}
 func (CacheUpdated) isEvent()       {}
 func (Crashed) isEvent()            {}
 func (SuspectReported) isEvent()    {}
@@ -209,6 +217,14 @@
 // BroadcastSuspect sends a suspicion to the other routers.
 type BroadcastSuspect struct{ Suspect Suspicion }
 
+// LimitChanged tells that the limit of an endpoint is known to have changed.
+type LimitChanged struct {
+	Endpoint string
+	Before   float64 // Requests per second; zero if there was no limit.
+	Now      float64 // Likewise.
+}
+
 func (Send) isAction()             {}
 func (Refuse) isAction()           {}
 func (BroadcastSuspect) isAction() {}
+func (LimitChanged) isAction()     {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -87,6 +87,8 @@
 	case RestRequested:
 		p.rest(now, ev)
 		return append(p.refuseResting(now), p.dispatch(now)...)
+	case LimitReported:
+		return p.updateLimit(ev)
 	case CacheUpdated:
 		p.updateCache(ev)
 		return nil
