pkg/endpoint: the limit that an endpoint names holds for all routers together

Ruled out: that each router keeps to it by itself, and that only second attempts exceed it. Class: a bound on what all routers do together. Change: the routers that send to the endpoint are chosen by rendezvous hash, at most 4 and 2 for each request a second; each has an equal share in a token bucket that every send uses. Probes spread limits with their age. What they leave no room for goes elsewhere or is refused at once with the time until there is room.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,7 @@
 
 // logLimit logs that the limit of an endpoint is known to have changed.
 func (g *Gateway) logLimit(c endpoint.LimitChanged) {
-	g.log.Info("endpoint limit changed", zap.String("Endpoint", c.Endpoint), zap.Float64("Before", c.Before), zap.Float64("Now", c.Now))
+	g.log.Info("endpoint limit changed", zap.String("Endpoint", c.Endpoint), zap.Float64("Before", c.Before), zap.Float64("Now", c.Now), zap.Float64("Share", c.Share))
 }
 
 // peerTimeout is the timeout of a call to a peer.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -105,6 +105,14 @@
 	}
 	m.Budgets.Handle(now, changed)
 	m.Endpoints.Handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
+	m.Endpoints.Handle(now, endpoint.RoutersListed{Self: m.Self().VM, Routers: m.senders()})
+}
+
+// senders returns the VMs whose routers may send requests to endpoints, this one included.
+func (m *Members) senders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Senders()
 }
 
 // AnswerProbe applies the updates in a peer's probe and returns those of this router.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -106,16 +106,18 @@
 
 // Probe sends updates about members to the router at address and returns the updates that it answers with.
 //
-// Both sides also exchange the suspicions of parts of prompts that they refuse.
+// Both sides also exchange the suspicions of parts of prompts that they refuse, and the limits of endpoints.
 func (c *Client) Probe(address string, updates []fleet.Member) ([]fleet.Member, error) {
 	var answer probeMessage
-	message := probeMessage{Updates: updates, Suspects: blockedParts(time.Now(), c.Endpoints)}
+	began := time.Now()
+	message := probeMessage{Updates: updates, Suspects: blockedParts(began, c.Endpoints), Limits: limitMessages(began, c.Endpoints)}
 	if err := c.Post(address, ProbePath, message, &answer); err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	adoptSuspects(now, c.Endpoints, answer.Suspects)
 	clearSuspects(now, c.Endpoints, answer.Known)
+	adoptLimits(now, c.Endpoints, answer.Limits)
 	return answer.Updates, nil
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -46,11 +46,19 @@
 }
 
 // probeMessage is a probe or the answer to one. It spreads the suspicions of parts that are refused to routers that
-// missed their announcement, for example because they started later.
+// missed their announcement, for example because they started later, and the limits that endpoints name.
 type probeMessage struct {
 	Updates  []fleet.Member
 	Suspects []suspectMessage `json:",omitempty"`
 	Known    suspectReply     // Which of the suspects in the probe are known safe; only in an answer.
+	Limits   []limitMessage   `json:",omitempty"`
+}
+
+// limitMessage tells the limit that an endpoint named in an answer, or that it named none.
+type limitMessage struct {
+	Endpoint          string
+	RequestsPerSecond float64 // Zero if the endpoint named no limit.
+	AgeMilliseconds   int64   // Time since the answer.
 }
 
 // reply answers recall, raise, entrust and settle messages.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -56,10 +56,16 @@
 	return answer, true, err
 }
 
-// answerProbe applies a peer's probe and answers with this router's updates and suspicions.
+// answerProbe applies a peer's probe and answers with this router's updates, suspicions and limits of endpoints.
 func (s *Service) answerProbe(now time.Time, m probeMessage) probeMessage {
 	known := s.handleSuspects(now, m.Suspects)
-	return probeMessage{Updates: s.Members.AnswerProbe(now, m.Updates), Suspects: blockedParts(now, s.Endpoints), Known: known}
+	adoptLimits(now, s.Endpoints, m.Limits)
+	return probeMessage{
+		Updates:  s.Members.AnswerProbe(now, m.Updates),
+		Suspects: blockedParts(now, s.Endpoints),
+		Known:    known,
+		Limits:   limitMessages(now, s.Endpoints),
+	}
 }
 
 // handleSuspects adopts a peer's suspicions and answers with those of the suspects that have finished at this router.
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -142,6 +142,13 @@
 	return e.pool.BlockedParts(now)
 }
 
+// LimitReports returns the limits of endpoints to tell other routers.
+func (e *Endpoints) LimitReports(now time.Time) []endpoint.LimitReported {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.LimitReports(now)
+}
+
 // State is a snapshot of the endpoint pool of one router.
 type State struct {
 	Endpoints []endpoint.View
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -62,7 +62,7 @@
 
 // canSend reports whether a request for a model or service may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, service string, ignoreEjection bool) bool {
-	return b.serves(service) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy)
+	return b.serves(service) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
 }
 
 // allEjected reports whether all endpoints of a model or service are leaving, resting or ejected.
@@ -102,6 +102,7 @@
 	j.prefill = b.prefill(j, false, p.Policy)
 	j.sentAt = now
 	j.firstTokenAt = time.Time{}
+	b.limit.take(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
 	return Send{ID: j.ID, Endpoint: b.Name, Attempt: j.attempts}
@@ -119,7 +120,7 @@
 	if part, found := p.suspectPart(now, &j.Request); found && p.partInFlight(part) {
 		return nil
 	}
-	home := p.home(j, func(b *backend) bool { return b.serves(j.Service) && b.usable(now, false) })
+	home := p.home(j, func(b *backend) bool { return b.serves(j.Service) && b.usable(now, false) && !b.limit.active() })
 	var best *backend
 	var lowest float64
 	for _, name := range p.names {
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -118,6 +118,12 @@
 // RoutersCounted updates the number of routers that send to the same endpoints, including this one.
 type RoutersCounted struct{ Routers int }
 
+// RoutersListed names the routers that may send to the same endpoints, including this one, in a fixed order.
+type RoutersListed struct {
+	Self    string
+	Routers []string
+}
+
 // LoadReported carries a load report from an endpoint.
 type LoadReported struct {
 	Endpoint string
@@ -185,6 +191,7 @@
 func (Ended) isEvent()              {}
 func (Withdrawn) isEvent()          {}
 func (RoutersCounted) isEvent()     {}
+func (RoutersListed) isEvent()      {}
 func (LoadReported) isEvent()       {}
 func (LeavingUpdated) isEvent()     {}
 func (LeavingAnnounced) isEvent()   {}
@@ -222,6 +229,7 @@
 	Endpoint string
 	Before   float64 // Requests per second; zero if there was no limit.
 	Now      float64 // Likewise.
+	Share    float64 // Requests per second that this router may send now; zero if there is no limit or others share it.
 }
 
 func (Send) isAction()             {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -25,6 +25,8 @@
 	retriesRefilledAt time.Time // Last time-based refill of retries.
 	peers             int       // Number of other routers that send to the same endpoints.
 	maxPeers          int       // Highest value of peers so far; a router that this one has lost contact with may still send.
+	self              string    // Name of this router; empty if the routers are not listed.
+	routers           []string  // Names of all routers that may send to the same endpoints.
 	random            *rand.Rand
 }
 
@@ -88,7 +90,9 @@
 		p.rest(now, ev)
 		return append(p.refuseResting(now), p.dispatch(now)...)
 	case LimitReported:
-		return p.updateLimit(ev)
+		return p.updateLimit(now, ev)
+	case RoutersListed:
+		return p.listRouters(now, ev)
 	case CacheUpdated:
 		p.updateCache(ev)
 		return nil
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -132,13 +132,12 @@
 	return jobs
 }
 
-// workAhead returns the work, in output-token equivalents, of the jobs for the same
-// model or service that wait ahead of j.
-func (q *queue) workAhead(j *job) float64 {
-	var sum float64
+// ahead returns what waits ahead of j for the same model or service.
+func (q *queue) ahead(j *job) backlog {
+	var sum backlog
 	for _, other := range q.waiting {
 		if other != j && other.Service == j.Service && !q.before(j, other) {
-			sum += other.work()
+			sum.add(other)
 		}
 	}
 	return sum
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -6,22 +6,35 @@
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
+// backlog is what waits ahead of a job for the same model or service.
+type backlog struct {
+	requests int
+	work     float64 // In output-token equivalents; see job.work.
+}
+
+func (b *backlog) add(j *job) {
+	b.requests++
+	b.work += j.work()
+}
+
 // shed refuses the waiting requests whose first token cannot arrive before their deadline.
 func (p *Pool) shed(now time.Time) []Action {
 	var actions []Action
 	throughputs := map[string]throughput{}
-	ahead := map[string]float64{}
+	ahead := map[string]backlog{}
 	for _, j := range p.queue.sorted() {
 		t, ok := throughputs[j.Service]
 		if !ok {
 			t = p.throughput(now, j.Service)
 			throughputs[j.Service] = t
 		}
-		if action, late := p.shedIfLate(now, j, t.wait(j, ahead[j.Service])); late {
+		before := ahead[j.Service]
+		if action, late := p.shedIfLate(now, j, t.wait(now, j, before)); late {
 			actions = append(actions, action)
 			continue
 		}
-		ahead[j.Service] += j.work()
+		before.add(j)
+		ahead[j.Service] = before
 	}
 	return actions
 }
@@ -33,7 +46,7 @@
 	if !ok || j.target != nil {
 		return nil
 	}
-	if action, late := p.shedIfLate(now, j, p.throughput(now, j.Service).wait(j, p.queue.workAhead(j))); late {
+	if action, late := p.shedIfLate(now, j, p.throughput(now, j.Service).wait(now, j, p.queue.ahead(j))); late {
 		return []Action{action}
 	}
 	return nil
@@ -50,14 +63,20 @@
 	if !unservable {
 		kind = refusal.DeadlineUnreachable
 	}
-	return j.refuse(kind, max(wait, time.Second)), true
+	after := max(wait, time.Second)
+	if wait == noRoom {
+		after = time.Second // Another router may have room.
+	}
+	return j.refuse(kind, after), true
 }
 
 // throughput is the combined throughput of those endpoints of one model or service
 // that are neither leaving nor ejected.
 type throughput struct {
-	outputRate float64 // Output tokens per second of all slots; zero if there is no such endpoint.
-	promptTime float64 // Seconds per prompt token of the fastest endpoint.
+	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
+	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
+
+	limits []limit // Those of the other endpoints.
 }
 
 func (p *Pool) throughput(now time.Time, service string) throughput {
@@ -67,6 +86,10 @@
 		if !b.serves(service) || b.leaving() || now.Before(b.ejectedUntil) {
 			continue
 		}
+		if b.limit.active() {
+			t.limits = append(t.limits, b.limit)
+			continue
+		}
 		if t.outputRate == 0 || b.promptTime < t.promptTime {
 			t.promptTime = b.promptTime
 		}
@@ -75,13 +98,33 @@
 	return t
 }
 
-// wait estimates the time until the first token of a waiting job with the given work ahead of it,
-// in output-token equivalents. It returns zero if the output rate is zero.
-func (t throughput) wait(j *job, ahead float64) time.Duration {
-	if t.outputRate == 0 {
+// wait estimates the time until the first token of a waiting job with a backlog ahead of it.
+// It returns zero if there is no endpoint.
+func (t throughput) wait(now time.Time, j *job, ahead backlog) time.Duration {
+	switch {
+	case t.outputRate > 0:
+		return seconds(float64(j.PromptTokens)*t.promptTime + ahead.work/t.outputRate)
+	case len(t.limits) == 0:
 		return 0
 	}
-	return seconds(float64(j.PromptTokens)*t.promptTime + ahead/t.outputRate)
+	return t.waitForRoom(now, ahead.requests+1)
+}
+
+// waitForRoom returns the time until the limits have had room for n requests.
+func (t throughput) waitForRoom(now time.Time, n int) time.Duration {
+	taken := make([]int, len(t.limits))
+	var wait time.Duration
+	for range n {
+		next := 0
+		for i := range t.limits {
+			if t.limits[i].waitFor(now, taken[i]+1) < t.limits[next].waitFor(now, taken[next]+1) {
+				next = i
+			}
+		}
+		taken[next]++
+		wait = t.limits[next].waitFor(now, taken[next])
+	}
+	return wait
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -109,6 +109,19 @@
 	return members
 }
 
+// Senders returns the VMs whose routers may send requests to endpoints, this one included, sorted.
+//
+// A router that does not answer may still send, so only those that are taken for dead are left out.
+func (r *Roster) Senders() []string {
+	r.init()
+	vms := []string{r.Self.VM}
+	for _, p := range r.peersWhere((*peer).maySend) {
+		vms = append(vms, p.VM)
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 func (r *Roster) init() {
 	if r.peers != nil {
 		return
@@ -273,6 +286,14 @@
 	return p.State == Alive
 }
 
+// maySend reports whether the router on a VM may send requests to endpoints.
+func (p *peer) maySend() bool {
+	if !p.known {
+		return !p.unreachable
+	}
+	return p.State != Dead
+}
+
 // ExpectedRouters returns the number of routers that are presumed alive, this one included.
 //
 // A configured VM about which no update was received yet counts until a probe of it fails.
