--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -58,6 +58,7 @@
 	Service    string
 	Address    string
 	DataCentre string
+	Version    string // Version of its software; empty if unknown.
 	Slots      int
 	Leaving    bool  // The endpoint is shutting down and must get no new requests.
 	StartedAt  int64 // Start time of the endpoint in Unix milliseconds; zero if unknown.
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -92,7 +92,7 @@
 		ep = &trackedEndpoint{}
 		e.tracked[entry.Name] = ep
 		e.g.log.Info("endpoint seen", zap.String("Endpoint", entry.Name), zap.String("Service", entry.Service),
-			zap.String("Address", entry.Address), zap.Int64("Born", entry.StartedAt))
+			zap.String("Address", entry.Address), zap.String("EndpointVersion", entry.Version), zap.Int64("Born", entry.StartedAt))
 	}
 	// An endpoint does not take its leave back; an older entry may come from a store that lost the newer one.
 	entry.Leaving = entry.Leaving || ep.Leaving
@@ -145,7 +145,7 @@
 	list := make([]placement.EndpointConfig, 0, len(e.tracked))
 	for _, name := range slices.Sorted(maps.Keys(e.tracked)) {
 		ep := e.tracked[name]
-		spec := endpoint.Endpoint{Name: name, Serves: []string{ep.Service}, Slots: ep.Slots}
+		spec := endpoint.Endpoint{Name: name, Serves: []string{ep.Service}, Version: ep.Version, Slots: ep.Slots}
 		if s, ok := t.Service(ep.Service); ok && s.ModelEngine {
 			spec.PromptTokensPerSecond = initialPromptRate
 			spec.TokensPerSecond = initialTokenRate
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -105,6 +105,6 @@
 	c.g.log.Info("request",
 		zap.String("Request", c.req.ID), zap.String("Run", c.req.RunID), zap.String("Route", c.route.Name), zap.Uint64("Version", c.version),
 		zap.String("Outcome", outcome), zap.Int("Status", status), zap.Int("Attempts", reply.Attempts), zap.Bool("Ran", reply.Ran),
-		zap.String("Endpoint", reply.Endpoint),
+		zap.String("Endpoint", reply.Endpoint), zap.String("EndpointVersion", reply.Version), zap.String("Resumes", c.req.ResumesID),
 		zap.String("Lender", reply.Lender), zap.Duration("Took", took))
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -36,6 +36,7 @@
 	Headers      []Header
 	Body         []byte
 	LastEventID  string // ID of the event after which a stream resumes; empty starts at the beginning.
+	ResumesID    string // ID of the request that brought the first event of the stream that the caller resumes; empty if unknown.
 	HasPrompt    bool   // The request is for a model and describes a prompt.
 	PromptTokens int64
 	OutputTokens int64 // Upper bound of the output.
@@ -157,6 +158,7 @@
 	Ran      bool // An attempt may have run.
 	Attempts int
 	Endpoint string // Endpoint of the last attempt; empty if there was none.
+	Version  string // Software version of Endpoint.
 	Lender   string // Incarnation of the router that reserved the tokens; empty if this router did.
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -23,6 +23,7 @@
 	loans       int // Loans asked for.
 	attempts    int
 	endpoint    string    // Endpoint of the last attempt.
+	version     string    // Its software version.
 	sentAt      time.Time // Start of the last attempt.
 	ran         bool      // An attempt may have run.
 	events      int64     // Events delivered to the caller.
@@ -35,6 +36,7 @@
 	out.Ran = r.ran
 	out.Attempts = r.attempts
 	out.Endpoint = r.endpoint
+	out.Version = r.version
 	out.Lender = r.reservation.lender
 	return out
 }
@@ -164,6 +166,7 @@
 func (r *run) exchange(now time.Time, send endpoint.Send) (endpoint.Outcome, *Reply) {
 	r.attempts++
 	r.endpoint = send.Endpoint
+	r.version = send.Version
 	r.sentAt = now
 	a, err := r.open(now, send)
 	outcome, out := r.handleAnswer(send, a, err)
@@ -171,7 +174,7 @@
 	r.ran = r.ran || !notSent
 	if err != nil || outcome != endpoint.Finished {
 		r.f.Log.Info("attempt failed",
-			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.Int("Attempt", send.Attempt),
+			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.String("EndpointVersion", send.Version), zap.Int("Attempt", send.Attempt),
 			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))
 	}
 	return outcome, out
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -135,7 +135,7 @@
 		r.reportOutcome(endpoint.Abandoned, 0)
 		return errStreamAborted
 	}
-	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()),
+	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
 		zap.Int64("Events", r.events), logfile.Error(err))
 	outcome := failureOutcome(err)
 	r.reportOutcome(outcome, 0)
@@ -225,7 +225,7 @@
 	r := s.run
 	r.f.Log.Info("stream ended",
 		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.Int64("Events", r.events),
-		zap.String("LastEvent", r.lastEventID), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
+		zap.String("LastEvent", r.lastEventID), zap.String("EndpointVersion", r.version), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
 	r.reportOutcome(outcome, r.events*r.req.TokensPerEvent)
 	r.finish()
 	if s.OnClose != nil {
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -105,7 +105,7 @@
 	b.limit.take(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
-	return Send{ID: j.ID, Endpoint: b.Name, Attempt: j.attempts}
+	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
 }
 
 // choose returns the usable endpoint with a free slot and the lowest cost, or nil.
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -37,6 +37,7 @@
 type Endpoint struct {
 	Name                  string
 	Serves                []string // Names of its models or services.
+	Version               string   // Version of its software; empty if unknown.
 	Slots                 int      // Number of requests that it runs concurrently.
 	TokensPerSecond       float64  // Output tokens per second of one stream, used until measured.
 	PromptTokensPerSecond float64  // Prompt tokens per second, used until measured.
@@ -211,7 +212,8 @@
 type Send struct {
 	ID       string
 	Endpoint string
-	Attempt  int // Number of the attempt within the request, from 1.
+	Version  string // Software version of the endpoint.
+	Attempt  int    // Number of the attempt within the request, from 1.
 }
 
 // Refuse ends a request with a refusal.
--- a/pkg/endpoint/limit_test.go
+++ b/pkg/endpoint/limit_test.go
@@ -151,7 +151,7 @@
 	refused = submit(start, "3", 3*time.Second)[0].(Refuse)
 	require.Equal(t, 4*time.Second, refused.RetryAfter, "request 2 waits ahead of it")
 	sent := p.Handle(start.Add(2*time.Second), Tick{})
-	require.Equal(t, []Action{Send{"2", "a", 1}}, sent)
+	require.Equal(t, []Action{Send{ID: "2", Endpoint: "a", Attempt: 1}}, sent)
 }
 
 // TestLimitEndsWithTheAnswerThatNamesNone also lets other routers tell so, and an earlier answer arrive late.
@@ -180,6 +180,6 @@
 		require.IsType(t, Refuse{}, submitTo(p, start.Add(limitTTL/2), "1")[0])
 		now := start.Add(limitTTL + 1)
 		require.IsType(t, Send{}, submitTo(p, now, "2")[0])
-		require.NotContains(t, submitTo(p, now, "3"), Send{"3", limitedEndpoint, 1})
+		require.NotContains(t, submitTo(p, now, "3"), Send{ID: "3", Endpoint: limitedEndpoint, Attempt: 1})
 	}
 }
--- a/pkg/endpoint/pool_test.go
+++ b/pkg/endpoint/pool_test.go
@@ -158,7 +158,7 @@
 	var p Pool
 	p.Handle(start, Configured{testEndpoints[1:2]})
 	r := Request{ID: "x", Service: "m", OutputTokens: 1, Fingerprint: 1, Repeatable: true, Deadline: start.Add(time.Minute)}
-	require.Equal(t, []Action{Send{"x", "b", 1}}, p.Handle(start, Submitted{r}))
+	require.Equal(t, []Action{Send{ID: "x", Endpoint: "b", Attempt: 1}}, p.Handle(start, Submitted{r}))
 	p.Handle(start, Ended{"x", Died, 0})
 	p.Handle(start, LeavingUpdated{"b", true})
 	require.Equal(t, []Action{Refuse{"x", refusal.AnswerBroken, 0}}, p.Handle(start, Retried{"x"}))
