pkg/endpoint: a stream goes on only at an endpoint with the version that began it

Change: the first event binds a request to the version of the endpoint that sent it; which endpoints may serve a request is a selector (service, and version if bound) wherever the pool looks at them.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -22,12 +22,15 @@
 	if err == nil {
 		_ = conn.Close()
 	}
-	return errors.Is(err, unix.ECONNREFUSED)
+	return IsRefused(err)
 }
 
 // ErrNotSent reports that no byte of a request can have reached the endpoint.
 var ErrNotSent = errors.New("request not sent")
 
+// IsRefused reports whether an error says that nothing accepts connections at an address.
+func IsRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // Limits of connections to endpoints.
 const (
 	dialTimeout        = 800 * time.Millisecond
@@ -180,7 +183,7 @@
 	}
 	conn, err := d.Dial("tcp4", address)
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "dialling %s: %v", address, err)
+		return nil, errors.Mark(errors.Wrapf(err, "dialling %s", address), ErrNotSent)
 	}
 	c := &Conn{Conn: conn, address: address}
 	c.limit.in = conn
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -172,6 +172,9 @@
 	outcome, out := r.handleAnswer(send, a, err)
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
+	if connection.IsRefused(err) {
+		r.f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: send.Endpoint})
+	}
 	if err != nil || outcome != endpoint.Finished {
 		r.f.Log.Info("attempt failed",
 			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.String("EndpointVersion", send.Version), zap.Int("Attempt", send.Attempt),
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -41,6 +41,7 @@
 	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
 	limit             limit     // What the endpoint says it takes from all routers together.
 	ejectedUntil      time.Time // End of the ejection, if any.
+	downAt            time.Time // When its address last refused connections; zero if it never did.
 	deaths            int       // Deaths and timeouts since the last finished request.
 	failures          float64   // Smoothed fraction of attempts that failed.
 
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -7,7 +7,7 @@
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
-// availability is the state of the endpoints of one model or service.
+// availability is the state of the endpoints of one selector.
 type availability struct {
 	open           bool // Some endpoint may have a free slot.
 	ignoreEjection bool // All endpoints that are not leaving are ejected, so ejection is ignored.
@@ -16,7 +16,7 @@
 // dispatch sends each waiting request for which an endpoint has a free slot.
 func (p *Pool) dispatch(now time.Time) []Action {
 	actions := p.refuseSuspects(now)
-	known := map[string]availability{}
+	known := map[selector]availability{}
 	for {
 		var chosen *backend
 		j := p.queue.next(func(j *job) bool {
@@ -29,18 +29,19 @@
 		if j == nil {
 			return actions
 		}
-		delete(known, j.Service)
+		clear(known)
 		actions = append(actions, p.send(now, j, chosen))
 	}
 }
 
-// chooseCached is like choose but checks availability once for all jobs of a model or service.
-// The caller deletes an entry of known after a send.
-func (p *Pool) chooseCached(now time.Time, j *job, known map[string]availability) *backend {
-	state, ok := known[j.Service]
+// chooseCached is like choose but checks availability once for all jobs with the same selector.
+// The caller clears known after a send.
+func (p *Pool) chooseCached(now time.Time, j *job, known map[selector]availability) *backend {
+	s := j.selector()
+	state, ok := known[s]
 	if !ok {
-		state = p.availabilityOf(now, j.Service)
-		known[j.Service] = state
+		state = p.availabilityOf(now, s)
+		known[s] = state
 	}
 	if !state.open {
 		return nil
@@ -48,11 +49,11 @@
 	return p.choose(now, j, state.ignoreEjection)
 }
 
-// availabilityOf returns the state of the endpoints of a model or service.
-func (p *Pool) availabilityOf(now time.Time, service string) availability {
-	state := availability{ignoreEjection: p.allEjected(now, service)}
+// availabilityOf returns the state of the endpoints that a selector admits.
+func (p *Pool) availabilityOf(now time.Time, s selector) availability {
+	state := availability{ignoreEjection: p.allEjected(now, s)}
 	for _, name := range p.names {
-		if p.canSend(now, p.backends[name], service, state.ignoreEjection) {
+		if p.canSend(now, p.backends[name], s, state.ignoreEjection) {
 			state.open = true
 			return state
 		}
@@ -60,17 +61,17 @@
 	return state
 }
 
-// canSend reports whether a request for a model or service may be sent to an endpoint now.
-func (p *Pool) canSend(now time.Time, b *backend, service string, ignoreEjection bool) bool {
-	return b.serves(service) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
+// canSend reports whether a request with a selector may be sent to an endpoint now.
+func (p *Pool) canSend(now time.Time, b *backend, s selector, ignoreEjection bool) bool {
+	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
 }
 
-// allEjected reports whether all endpoints of a model or service are leaving, resting or ejected.
+// allEjected reports whether all endpoints that a selector admits are leaving, resting or ejected.
 // Ejection is then ignored, because an ejected endpoint is better than none.
-func (p *Pool) allEjected(now time.Time, service string) bool {
+func (p *Pool) allEjected(now time.Time, s selector) bool {
 	for _, name := range p.names {
 		b := p.backends[name]
-		if b.serves(service) && !b.leaving() && !b.rests(now) && !now.Before(b.ejectedUntil) {
+		if b.fits(s) && !b.leaving() && !b.rests(now) && !now.Before(b.ejectedUntil) {
 			return false
 		}
 	}
@@ -101,6 +102,7 @@
 	j.target = b
 	j.prefill = b.prefill(j, false, p.Policy)
 	j.sentAt = now
+	j.sentVersion = b.Version
 	j.firstTokenAt = time.Time{}
 	b.limit.take(now)
 	b.running[j.ID] = j
@@ -120,12 +122,12 @@
 	if part, found := p.suspectPart(now, &j.Request); found && p.partInFlight(part) {
 		return nil
 	}
-	home := p.home(j, func(b *backend) bool { return b.serves(j.Service) && b.usable(now, false) && !b.limit.active() })
+	home := p.home(j, func(b *backend) bool { return b.fits(j.selector()) && b.usable(now, false) && !b.limit.active() })
 	var best *backend
 	var lowest float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !p.canSend(now, b, j.Service, ignoreEjection) {
+		if !p.canSend(now, b, j.selector(), ignoreEjection) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
--- a/pkg/endpoint/doc.go
+++ b/pkg/endpoint/doc.go
@@ -13,6 +13,9 @@
 //   - A request gets one Send or one Refuse after it is submitted and after each
 //     retry, unless it is withdrawn first. At most one attempt of a request is in
 //     flight.
+//   - A stream goes on only at an endpoint with the software version that began it.
+//   - The routers together send an endpoint that names a limit no more than about
+//     that limit; every send counts.
 //   - An endpoint that any source reports as leaving gets no new Send.
 //   - A request that was in flight on an endpoint that died is a suspect, unless
 //     a request with the same fingerprint has finished before. A suspect is
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -57,6 +57,8 @@
 	Deadline     time.Time // Latest time for the first token.
 	Fingerprint  uint64    // Hash of the account and the content; identical requests share it.
 	Repeatable   bool      // Whether the request may run more than once.
+	VersionBound bool      // Only endpoints with the software version Version may serve it, since one of them began its stream.
+	Version      string    // Not used unless VersionBound is set.
 	MaxAttempts  int       // Maximum number of attempts, not counting rejected ones; zero means the policy's.
 }
 
@@ -166,6 +168,9 @@
 	Parts    []Part
 }
 
+// ConnectionRefused reports that no process accepts connections at the address of an endpoint.
+type ConnectionRefused struct{ Endpoint string }
+
 // SuspectReported carries a suspicion from another router.
 type SuspectReported struct{ Suspect Suspicion }
 
@@ -199,6 +204,7 @@
 func (RestRequested) isEvent()      {}
 func (LimitReported) isEvent()      {}
 func (CacheUpdated) isEvent()       {}
+func (ConnectionRefused) isEvent()  {}
 func (Crashed) isEvent()            {}
 func (SuspectReported) isEvent()    {}
 func (SuspectCleared) isEvent()     {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -99,7 +99,11 @@
 	case SuspectReported:
 		p.suspectsOf(ev.Suspect.Part).merge(now, ev.Suspect)
 		return p.dispatch(now)
+	case ConnectionRefused:
+		p.recordDown(now, ev.Endpoint)
+		return nil
 	case Crashed:
+		p.recordDown(now, ev.Endpoint)
 		return p.recordCrash(now, ev)
 	case RetryBudgetChanged:
 		p.Policy.RetryRatio = ev.RetryRatio
@@ -185,7 +189,7 @@
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
-	if after, resting := p.allRest(now, j.Service); resting {
+	if after, resting := p.allRest(now, j.selector()); resting {
 		return []Action{j.refuse(refusal.Overloaded, after)}
 	}
 	p.jobs[r.ID] = j
@@ -204,7 +208,7 @@
 	serving, notLeaving := 0, 0
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.serves(j.Service) {
+		if !b.fits(j.selector()) {
 			continue
 		}
 		serving++
@@ -213,7 +217,7 @@
 		}
 	}
 	switch {
-	case serving == 0:
+	case serving == 0 && !j.VersionBound:
 		return refusal.UnknownModel, true
 	case notLeaving == 0:
 		return refusal.NoEndpoint, true
@@ -246,6 +250,7 @@
 		return
 	}
 	j.firstTokenAt = now
+	j.bindVersion()
 	if j.prefill >= minMeasuredPromptTokens && len(j.target.running) <= j.target.Slots {
 		j.target.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
 	}
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -20,6 +20,7 @@
 	mayHaveRun   bool     // Whether any attempt may have run.
 	target       *backend // Endpoint of the attempt in flight; nil if there is none.
 	sentAt       time.Time
+	sentVersion  string    // Software version of target when the attempt was sent.
 	firstTokenAt time.Time // Time of the first token of the last attempt; zero before it.
 }
 
--- a/pkg/endpoint/rest.go
+++ b/pkg/endpoint/rest.go
@@ -32,13 +32,13 @@
 	b.deaths = max(b.deaths, 1)
 }
 
-// allRest reports whether all endpoints of a model or service that are not leaving rest, and after which time a caller
+// allRest reports whether all endpoints that a selector admits and that are not leaving rest, and after which time a caller
 // should return.
-func (p *Pool) allRest(now time.Time, service string) (after time.Duration, resting bool) {
+func (p *Pool) allRest(now time.Time, s selector) (after time.Duration, resting bool) {
 	var earliest time.Time
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.serves(service) || b.leaving() {
+		if !b.fits(s) || b.leaving() {
 			continue
 		}
 		if !b.rests(now) {
@@ -55,11 +55,11 @@
 	return left + time.Duration(restRetryShare*p.random.Float64()*float64(left)), true
 }
 
-// refuseResting refuses the waiting requests of models and services whose endpoints all rest.
+// refuseResting refuses the waiting requests whose endpoints all rest.
 func (p *Pool) refuseResting(now time.Time) []Action {
 	var actions []Action
 	for _, j := range slices.Clone(p.queue.waiting) {
-		if after, resting := p.allRest(now, j.Service); resting {
+		if after, resting := p.allRest(now, j.selector()); resting {
 			p.queue.remove(j)
 			delete(p.jobs, j.ID)
 			actions = append(actions, j.refuse(refusal.Overloaded, after))
--- /dev/null
+++ b/pkg/endpoint/selector.go
@@ -0,0 +1,52 @@
+package endpoint
+
+import "time"
+
+// versionSettleTime is how long after an endpoint was down its version is uncertain.
+//
+// It may start again with another one that is not known here yet.
+const versionSettleTime = 3 * time.Second
+
+// selector says which endpoints may serve a request.
+type selector struct {
+	service      string // Name of a model or service.
+	versionBound bool   // Only endpoints with the version may.
+	version      string
+}
+
+func (r *Request) selector() selector { return selector{r.Service, r.VersionBound, r.Version} }
+
+// fits reports whether a selector admits an endpoint, whatever its state.
+func (b *backend) fits(s selector) bool {
+	return b.serves(s.service) && (!s.versionBound || b.Version == s.version)
+}
+
+// uncertain reports whether a selector admits an endpoint by a version that it may no longer have.
+func (b *backend) uncertain(now time.Time, s selector) bool {
+	return s.versionBound && !b.downAt.IsZero() && now.Sub(b.downAt) < versionSettleTime
+}
+
+func (p *Pool) recordDown(now time.Time, name string) {
+	if b, ok := p.backends[name]; ok {
+		b.downAt = now
+	}
+}
+
+// bindVersion makes the version of the endpoint that began the job's stream the only one that may go on with it.
+func (j *job) bindVersion() {
+	j.VersionBound = true
+	j.Version = j.sentVersion
+}
+
+// Versions returns the software versions of the endpoints of a model or service, each once, also of those that are leaving.
+func (p *Pool) Versions(service string) []string {
+	var versions []string
+	seen := map[string]bool{}
+	for _, name := range p.names {
+		if b := p.backends[name]; b.serves(service) && !seen[b.Version] {
+			seen[b.Version] = true
+			versions = append(versions, b.Version)
+		}
+	}
+	return versions
+}
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -20,13 +20,13 @@
 // shed refuses the waiting requests whose first token cannot arrive before their deadline.
 func (p *Pool) shed(now time.Time) []Action {
 	var actions []Action
-	throughputs := map[string]throughput{}
-	ahead := map[string]backlog{}
+	throughputs := map[selector]throughput{}
+	ahead := map[string]backlog{} // By model or service.
 	for _, j := range p.queue.sorted() {
-		t, ok := throughputs[j.Service]
+		t, ok := throughputs[j.selector()]
 		if !ok {
-			t = p.throughput(now, j.Service)
-			throughputs[j.Service] = t
+			t = p.throughput(now, j.selector())
+			throughputs[j.selector()] = t
 		}
 		before := ahead[j.Service]
 		if action, late := p.shedIfLate(now, j, t.wait(now, j, before)); late {
@@ -46,7 +46,7 @@
 	if !ok || j.target != nil {
 		return nil
 	}
-	if action, late := p.shedIfLate(now, j, p.throughput(now, j.Service).wait(now, j, p.queue.ahead(j))); late {
+	if action, late := p.shedIfLate(now, j, p.throughput(now, j.selector()).wait(now, j, p.queue.ahead(j))); late {
 		return []Action{action}
 	}
 	return nil
@@ -70,8 +70,8 @@
 	return j.refuse(kind, after), true
 }
 
-// throughput is the combined throughput of those endpoints of one model or service
-// that are neither leaving nor ejected.
+// throughput is the combined throughput of those endpoints that a selector admits
+// and that are neither leaving nor ejected.
 type throughput struct {
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
@@ -79,11 +79,11 @@
 	limits []limit // Those of the other endpoints.
 }
 
-func (p *Pool) throughput(now time.Time, service string) throughput {
+func (p *Pool) throughput(now time.Time, s selector) throughput {
 	var t throughput
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.serves(service) || b.leaving() || now.Before(b.ejectedUntil) {
+		if !b.fits(s) || b.leaving() || now.Before(b.ejectedUntil) {
 			continue
 		}
 		if b.limit.active() {
