A stream that a caller takes up goes on only at the version that began it

Class: state of a request that dies with the router that served it. While endpoints of several versions serve a service, the homes of a stream, two other routers by rendezvous hash, are told its version; the router at which it is taken up asks them. Not known and several versions: refused at once, not run. A route with several services sends what a caller takes up to the service that began it.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -211,7 +211,7 @@
 			return refusal.New(refusal.Unauthenticated, c.route.Name)
 		}
 	}
-	name := c.route.Service(head.ID)
+	name := c.route.Service(head.StreamID())
 	service, ok := t.Service(name)
 	if !ok {
 		service = &route.Service{Name: name}
@@ -225,6 +225,7 @@
 	out := request.Terms{
 		Urgency:        r.Priority,
 		Service:        s.Name,
+		Services:       r.Services(),
 		TokensPerEvent: s.TokensPerEvent,
 		Repeatable:     r.Repeatable(),
 		Streams:        r.Kind == route.Stream,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
@@ -73,6 +74,7 @@
 	members      members
 	peers        *peer.Client
 	peerService  peer.Service
+	origins      peer.Origins
 	metrics      *metrics
 	store        *instrumentedStore
 	budgetStore  *keyvalue.GuardedStore // Store for the budgets, with rate limits and a circuit breaker.
@@ -145,7 +147,15 @@
 	g.peers.Endpoints = &g.endpoints
 	g.peers.Log = g.log
 	g.peers.Background = g.background
-	g.peerService = peer.Service{Members: &g.members.Members, Budgets: &g.budgets, Endpoints: &g.endpoints, IsHome: g.peers.IsHome}
+	g.origins.Client = g.peers
+	g.origins.Registry = &origin.Registry{}
+	g.peerService = peer.Service{
+		Members:   &g.members.Members,
+		Budgets:   &g.budgets,
+		Endpoints: &g.endpoints,
+		Origins:   g.origins.Registry,
+		IsHome:    g.peers.IsHome,
+	}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
 	g.feeds = g.newFeeds()
 	g.overload.LinkBytesPerSecond = settings.Capacity.linkBytesPerSecond()
@@ -165,6 +175,7 @@
 	g.forwarder.Endpoints = &g.endpoints
 	g.forwarder.Budgets = &g.budgets
 	g.forwarder.Peers = g.peers
+	g.forwarder.Origins = &g.origins
 	g.forwarder.Log = g.log
 	g.forwarder.Observer = g.metrics
 	g.forwarder.Background = g.background
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -209,6 +209,7 @@
 	m.fetchConfiguration(now)
 	m.g.forwarder.Connections.Expire(now)
 	m.g.drawInitialGrants(now)
+	m.g.origins.Tell(now)
 }
 
 // publishSelf passes this router's own state to the roster.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -53,11 +53,16 @@
 
 // Post sends v to a path of the router at address and decodes the answer into out, unless out is nil.
 func (c *Client) Post(address, path string, v, out any) error {
+	return c.postWithin(c.timeout, address, path, v, out)
+}
+
+// postWithin is like Post but with a timeout of its own.
+func (c *Client) postWithin(timeout time.Duration, address, path string, v, out any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return errors.Wrap(err, "encoding a peer message")
 	}
-	answer, err := c.do(c.http, fasthttp.MethodPost, address, path, body, c.timeout)
+	answer, err := c.do(c.http, fasthttp.MethodPost, address, path, body, timeout)
 	if err != nil || out == nil {
 		return err
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -15,6 +15,8 @@
 	ReservePath = "/Peer/Reserve"
 	SettlePath  = "/Peer/Settle"
 	SuspectPath = "/Peer/Suspect"
+	OriginsPath = "/Peer/Origins"
+	OriginPath  = "/Peer/Origin"
 	FeedPath    = "/Peer/Feed" // Answered by the daemons that follow feeds of the store.
 )
 
@@ -61,6 +63,12 @@
 	AgeMilliseconds   int64   // Time since the answer.
 }
 
+// originQuery asks where a stream began that a caller takes up. An origin.Answer answers it.
+type originQuery struct {
+	Stream  string
+	Service string
+}
+
 // reply answers recall, raise, entrust and settle messages.
 type reply struct{ Granted bool }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -16,6 +17,7 @@
 	Members   *membership.Members
 	Budgets   *ledger.Ledger
 	Endpoints *placement.Endpoints
+	Origins   *origin.Registry
 	IsHome    func(budget string) bool // Reports whether this router holds grants of a budget ready.
 }
 
@@ -50,6 +52,13 @@
 		})
 	case SuspectPath:
 		answer, err = HandleMessage(body, func(messages []suspectMessage) any { return s.handleSuspects(time.Now(), messages) })
+	case OriginsPath:
+		answer, err = HandleMessage(body, func(origins []origin.Origin) any {
+			s.Origins.Learn(time.Now(), origins)
+			return reply{true}
+		})
+	case OriginPath:
+		answer, err = HandleMessage(body, func(q originQuery) any { return s.answerOrigin(time.Now(), q) })
 	default:
 		return nil, false, nil
 	}
@@ -68,6 +77,12 @@
 	}
 }
 
+// answerOrigin answers what this router knows of a stream and of the versions of its service.
+func (s *Service) answerOrigin(now time.Time, q originQuery) origin.Answer {
+	o, known := s.Origins.Find(now, q.Stream)
+	return origin.Answer{Origin: o, Known: known, SeveralVersions: s.Endpoints.HasSeveralVersions(q.Service)}
+}
+
 // handleSuspects adopts a peer's suspicions and answers with those of the suspects that have finished at this router.
 func (s *Service) handleSuspects(now time.Time, messages []suspectMessage) suspectReply {
 	adoptSuspects(now, s.Endpoints, messages)
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -11,13 +11,14 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
-var paths = []string{ProbePath, RecallPath, RaisePath, EntrustPath, ReservePath, SettlePath, SuspectPath}
+var paths = []string{ProbePath, RecallPath, RaisePath, EntrustPath, ReservePath, SettlePath, SuspectPath, OriginsPath, OriginPath}
 
 // newService returns the service of a router without peers, whose budget "team" has the given prepaid tokens.
 func newService(t testing.TB, tokens int64) *Service {
@@ -25,7 +26,7 @@
 	record, err := budget.Record{Budget: "team"}.TopUp("first", tokens)
 	require.NoError(t, err)
 	require.NoError(t, ledger.PutRecord(t.Context(), store, record))
-	s := &Service{Members: &membership.Members{}, Budgets: &ledger.Ledger{}, Endpoints: &placement.Endpoints{}}
+	s := &Service{Members: &membership.Members{}, Budgets: &ledger.Ledger{}, Endpoints: &placement.Endpoints{}, Origins: &origin.Registry{}}
 	s.Members.Budgets = s.Budgets
 	s.Members.Endpoints = s.Endpoints
 	s.Members.Background = func(func()) {}
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -142,6 +142,15 @@
 	return e.pool.BlockedParts(now)
 }
 
+// HasSeveralVersions reports whether endpoints of several software versions serve a model or service.
+//
+// Those that are gone count as long as they are configured, which is longer than streams last.
+func (e *Endpoints) HasSeveralVersions(service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.pool.Versions(service)) > 1
+}
+
 // LimitReports returns the limits of endpoints to tell other routers.
 func (e *Endpoints) LimitReports(now time.Time) []endpoint.LimitReported {
 	e.mu.Lock()
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 )
@@ -19,6 +20,8 @@
 	Log        *zap.Logger
 	Observer   Observer     // Nil discards the counts.
 	Background func(func()) // Runs a function asynchronously.
+	Origins    Origins      // Nil if streams may go on at any endpoint.
+
 	// StoreLost reports whether the store is known to be unreachable from this router; nil if that is not tracked.
 	StoreLost func(now time.Time) bool
 
@@ -40,6 +43,16 @@
 	StreamStarted(took time.Duration)
 }
 
+// Origins knows at which software version each stream began, at whichever router.
+type Origins interface {
+	// Began records where a stream began.
+	Began(now time.Time, o origin.Origin)
+	// Ended records that this router serves a stream no longer.
+	Ended(stream string)
+	// Find returns where a stream that a caller takes up began; it may ask other routers.
+	Find(now time.Time, stream, service string) origin.Answer
+}
+
 // Place is where tokens were reserved, as a metric label.
 type Place string
 
--- /dev/null
+++ b/internal/request/origin.go
@@ -0,0 +1,59 @@
+package request
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+)
+
+// StreamID returns the ID of the stream that the request begins or takes up: that of the request that brought its first event.
+func (m *Message) StreamID() string { return cmp.Or(m.ResumesID, m.ID) }
+
+// takesUp reports whether the caller takes up a stream that another request began.
+func (r *Request) takesUp() bool { return r.Streams && r.LastEventID != "" }
+
+// bindToOrigin lets a stream that the caller takes up go on only at the software version that began it.
+//
+// A non-nil reply refuses the request: several versions serve, and no router that was asked knows which of them began it.
+func (r *run) bindToOrigin() *Reply {
+	if r.f.Origins == nil || !r.req.takesUp() {
+		return nil
+	}
+	now := time.Now()
+	answer := r.f.Origins.Find(now, r.req.StreamID(), r.req.Service)
+	r.f.Log.Info("stream taken up",
+		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Resumes", r.req.ResumesID), zap.String("LastEvent", r.req.LastEventID),
+		zap.Bool("Known", answer.Known), zap.Bool("SeveralVersions", answer.SeveralVersions),
+		zap.String("Service", answer.Origin.Service), zap.String("EndpointVersion", answer.Origin.Version), zap.Duration("Took", time.Since(now)))
+	switch {
+	case !answer.Known && answer.SeveralVersions:
+		return refusedReply(refusal.NoEndpoint, "the version that began the stream is not known")
+	case !answer.Known:
+		return nil
+	case answer.Origin.Service != r.req.Service && !slices.Contains(r.req.Services, answer.Origin.Service):
+		return refusedReply(refusal.NoEndpoint, "the route no longer uses the service that began the stream")
+	}
+	r.req.Service = answer.Origin.Service
+	r.origin = &answer.Origin
+	return nil
+}
+
+// recordOrigin records where the stream of the run began, or that it goes on.
+func (r *run) recordOrigin(now time.Time) {
+	if r.f.Origins == nil || r.direct {
+		return
+	}
+	r.f.Origins.Began(now, origin.Origin{Stream: r.req.StreamID(), Service: r.req.Service, Version: r.version})
+}
+
+// forgetOrigin records that the stream of the run has ended.
+func (r *run) forgetOrigin() {
+	if r.f.Origins != nil && !r.direct {
+		r.f.Origins.Ended(r.req.StreamID())
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -49,9 +49,10 @@
 	Account        string
 	Weight         float64 // Relative share of the account; zero means 1.
 	Class          endpoint.Class
-	Urgency        int    // Scheduling priority forwarded to the endpoint; 0 is the most urgent.
-	Service        string // Name of the model or service that serves the request.
-	TokensPerEvent int64  // Upper bound of the output tokens in one stream event.
+	Urgency        int      // Scheduling priority forwarded to the endpoint; 0 is the most urgent.
+	Service        string   // Name of the model or service that serves the request.
+	Services       []string // All that may serve it, for a stream that another one of them began; may be empty.
+	TokensPerEvent int64    // Upper bound of the output tokens in one stream event.
 
 	Repeatable   bool          // The request may run more than once.
 	Streams      bool          // A successful answer is an event stream.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -22,11 +23,12 @@
 	reservation reservation
 	loans       int // Loans asked for.
 	attempts    int
-	endpoint    string    // Endpoint of the last attempt.
-	version     string    // Its software version.
-	sentAt      time.Time // Start of the last attempt.
-	ran         bool      // An attempt may have run.
-	events      int64     // Events delivered to the caller.
+	endpoint    string         // Endpoint of the last attempt.
+	version     string         // Its software version.
+	origin      *origin.Origin // Where the stream that the caller takes up began; nil if it takes up none or any endpoint may go on with it.
+	sentAt      time.Time      // Start of the last attempt.
+	ran         bool           // An attempt may have run.
+	events      int64          // Events delivered to the caller.
 	lastEventID string
 	fallback    *Reply // Server error from an endpoint, returned if no other attempt succeeds.
 }
@@ -43,6 +45,9 @@
 
 // serve processes the request until its answer, or the first event of its stream, is available.
 func (r *run) serve() *Reply {
+	if out := r.bindToOrigin(); out != nil {
+		return out
+	}
 	if out := r.reserve(); out != nil {
 		return out
 	}
@@ -80,7 +85,7 @@
 }
 
 func (r *run) poolRequest() endpoint.Request {
-	return endpoint.Request{
+	out := endpoint.Request{
 		ID:           r.req.RunID,
 		Service:      r.req.Service,
 		Account:      r.req.Account,
@@ -95,6 +100,11 @@
 		Repeatable:   r.req.Repeatable,
 		MaxAttempts:  max(1, r.req.MaxAttempts),
 	}
+	if r.origin != nil {
+		out.VersionBound = true
+		out.Version = r.origin.Version
+	}
+	return out
 }
 
 // awaitDecision waits for the decision of the endpoint pool. A non-nil reply ends the request without another attempt.
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -53,6 +53,7 @@
 		now := time.Now()
 		if !r.direct {
 			r.f.Endpoints.Handle(now, endpoint.FirstToken{ID: r.req.RunID})
+			r.recordOrigin(now)
 		}
 		r.f.observer().StreamStarted(now.Sub(r.sentAt))
 	}
@@ -227,6 +228,7 @@
 		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.Int64("Events", r.events),
 		zap.String("LastEvent", r.lastEventID), zap.String("EndpointVersion", r.version), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
 	r.reportOutcome(outcome, r.events*r.req.TokensPerEvent)
+	r.forgetOrigin()
 	r.finish()
 	if s.OnClose != nil {
 		s.OnClose()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/ledger"
 	"github.com/foxtaillanding/foxtaillanding/internal/operators"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
@@ -118,7 +119,13 @@
 	r.members.Probe = r.peers.Probe
 	r.members.OnChange = func(now time.Time) { r.budgets.UpdateHomes(now, r.peers.IsHome) }
 	r.members.Init(member)
-	r.peerService = peer.Service{Members: &r.members.Members, Budgets: &r.budgets, Endpoints: &r.endpoints, IsHome: r.peers.IsHome}
+	r.peerService = peer.Service{
+		Members:   &r.members.Members,
+		Budgets:   &r.budgets,
+		Endpoints: &r.endpoints,
+		Origins:   &origin.Registry{},
+		IsHome:    r.peers.IsHome,
+	}
 	r.endpoints.BroadcastSuspicion = r.peers.BroadcastSuspicion
 	r.endpoints.Init(r.cfg.Endpoint)
 	r.budgets.Store = r.cfg.Store
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -70,6 +70,15 @@
 	return s, ok
 }
 
+// Services returns the names of the services that requests of the route may be sent to.
+func (r *Route) Services() []string {
+	names := make([]string, 0, len(r.Targets))
+	for _, target := range r.Targets {
+		names = append(names, target.Service)
+	}
+	return names
+}
+
 // Service returns the name of the service for the request with the given ID; the same ID always gives the same service.
 //
 // It returns an empty name if the route has no targets.
