--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -148,7 +148,7 @@
 func (e *Endpoints) HasSeveralVersions(service string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.pool.Versions(service)) > 1
+	return e.pool.HasSeveralVersions(service)
 }
 
 // LimitReports returns the limits of endpoints to tell other routers.
--- a/pkg/endpoint/selector.go
+++ b/pkg/endpoint/selector.go
@@ -38,15 +38,18 @@
 	j.Version = j.sentVersion
 }
 
-// Versions returns the software versions of the endpoints of a model or service, each once, also of those that are leaving.
-func (p *Pool) Versions(service string) []string {
-	var versions []string
-	seen := map[string]bool{}
+// HasSeveralVersions reports whether the endpoints of a model or service, also those that are leaving, differ in their version.
+func (p *Pool) HasSeveralVersions(service string) bool {
+	var first *backend
 	for _, name := range p.names {
-		if b := p.backends[name]; b.serves(service) && !seen[b.Version] {
-			seen[b.Version] = true
-			versions = append(versions, b.Version)
+		b := p.backends[name]
+		switch {
+		case !b.serves(service):
+		case first == nil:
+			first = b
+		case b.Version != first.Version:
+			return true
 		}
 	}
-	return versions
+	return false
 }
--- a/pkg/endpoint/selector_test.go
+++ b/pkg/endpoint/selector_test.go
@@ -73,5 +73,6 @@
 	r.VersionBound = true
 	r.Version = "v3"
 	require.Equal(t, []Action{Refuse{"1", refusal.NoEndpoint, 0}}, p.Handle(start, Submitted{r}))
-	require.Equal(t, []string{"v1", "v2"}, p.Versions("m"))
+	require.True(t, p.HasSeveralVersions("m"))
+	require.False(t, p.HasSeveralVersions("other"))
 }
