pkg/budget: the model has data centres, pauses and the product's choice of witnesses

Change: the choice of witnesses is fleet.Witnesses, which membership and the model use; holders have data centres; a paused holder handles nothing, and what reaches it meanwhile waits; all of a data centre can be lost at once. Behaviour is as before. TestWitnessesAreInOtherDataCentres fails when routers of the own data centre are offered (tried).

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -90,18 +90,11 @@
 }
 
 // publish passes the set of live routers to Budgets and Endpoints.
-//
-// Only routers of other data centres are offered as witnesses, so that the loss
-// of one data centre takes out either the holder or its witness, but not both.
-// If there are none, the holder chooses among all peers.
 func (m *Members) publish(now time.Time) {
-	dataCentre := m.Self().DataCentre
-	var changed budget.PeersChanged
-	for _, p := range m.Peers() {
+	peers := m.Peers()
+	changed := budget.PeersChanged{Witnesses: fleet.Witnesses(m.Self(), peers)}
+	for _, p := range peers {
 		changed.Peers = append(changed.Peers, p.Name())
-		if p.State == fleet.Alive && p.DataCentre != dataCentre {
-			changed.Witnesses = append(changed.Witnesses, p.Name())
-		}
 	}
 	m.Budgets.Handle(now, changed)
 	m.Endpoints.Handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
--- /dev/null
+++ b/internal/membership/members_test.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
+)
+
+// recordedBudgets keeps the last event.
+type recordedBudgets struct{ last budget.Event }
+
+func (b *recordedBudgets) Handle(_ time.Time, ev budget.Event) { b.last = ev }
+
+// recordedEndpoints keeps the last list of routers.
+type recordedEndpoints struct{ listed endpoint.RoutersListed }
+
+func (e *recordedEndpoints) Handle(_ time.Time, ev endpoint.Event) {
+	if listed, ok := ev.(endpoint.RoutersListed); ok {
+		e.listed = listed
+	}
+}
+
+// TestWitnessesAreInOtherDataCentres guards against a holder whose witness is lost together with it.
+func TestWitnessesAreInOtherDataCentres(t *testing.T) {
+	budgets := &recordedBudgets{}
+	endpoints := &recordedEndpoints{}
+	m := &Members{Budgets: budgets, Endpoints: endpoints, Background: func(func()) {}}
+	m.Init(fleet.Member{VM: "self", Incarnation: 1, DataCentre: "north", Size: 1})
+	vms := []fleet.ConfiguredVM{
+		{VM: "self", Address: "a:1", DataCentre: "north", Size: 1},
+		{VM: "beside", Address: "b:1", DataCentre: "north", Size: 1},
+		{VM: "far", Address: "c:1", DataCentre: "south", Size: 1},
+		{VM: "stopping", Address: "d:1", DataCentre: "south", Size: 1},
+		{VM: "silent", Address: "e:1", DataCentre: "south", Size: 1},
+	}
+	now := time.Now()
+	m.Handle(now, fleet.Configured{VMs: vms})
+	m.Handle(now, fleet.UpdatesReceived{Updates: []fleet.Member{
+		{VM: "beside", Incarnation: 1},
+		{VM: "far", Incarnation: 1},
+		{VM: "stopping", Incarnation: 1, State: fleet.Draining},
+		{VM: "silent", Incarnation: 1, State: fleet.Suspected},
+	}})
+	changed := budgets.last.(budget.PeersChanged)
+	require.Equal(t, []string{"beside.1", "far.1", "stopping.1"}, changed.Peers)
+	require.Equal(t, []string{"far.1"}, changed.Witnesses)
+	require.Equal(t, []string{"beside", "far", "self", "silent", "stopping"}, endpoints.listed.Routers, "all that may still send")
+}
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
 const (
@@ -47,6 +49,8 @@
 	store       fakeStore
 	holders     map[string]*Holder
 	names       []string
+	dataCentre  map[string]string        // By holder.
+	paused      map[string]bool          // Holders that handle nothing until they are resumed.
 	clockOffset map[string]time.Duration // Clock error by holder.
 	now         time.Time
 	inTransit   []envelope
@@ -67,13 +71,14 @@
 
 func newFleetMachine() *fleetMachine {
 	m := &fleetMachine{
-		holders: map[string]*Holder{}, clockOffset: map[string]time.Duration{}, now: start,
+		holders: map[string]*Holder{}, dataCentre: map[string]string{}, paused: map[string]bool{},
+		clockOffset: map[string]time.Duration{}, now: start,
 		running: map[string]int64{}, reserved: map[string]int64{}, outcomes: map[string]int{},
 		origins: map[string]origin{}, answered: map[string]bool{}, receivedBy: map[string]string{},
 	}
 	m.store.record.Budget = testBudget
-	for range 3 {
-		m.addHolder()
+	for _, dataCentre := range []string{"north", "south", "north"} {
+		m.addHolder(dataCentre)
 	}
 	return m
 }
@@ -83,8 +88,9 @@
 	return fmt.Sprintf("%s-%d", prefix, m.nextID)
 }
 
-func (m *fleetMachine) addHolder() {
+func (m *fleetMachine) addHolder(dataCentre string) {
 	name := m.id("vm")
+	m.dataCentre[name] = dataCentre
 	m.holders[name] = &Holder{Name: name, Policy: Policy{MaxForwards: 2, SealAfter: testSealAfter, Step: time.Second, RetireAfter: 30 * time.Second}}
 	m.names = append(m.names, name)
 	for _, other := range m.names {
@@ -96,6 +102,7 @@
 func (m *fleetMachine) kill(i int) {
 	victim := m.names[i]
 	delete(m.holders, victim)
+	delete(m.paused, victim)
 	m.names = append(m.names[:i], m.names[i+1:]...)
 	for _, id := range slices.Sorted(maps.Keys(m.origins)) {
 		o := m.origins[id]
@@ -108,14 +115,58 @@
 		}
 		m.inTransit = append(m.inTransit, envelope{holder: o.holder, event: lost})
 	}
-	m.addHolder()
+	m.addHolder(m.dataCentre[victim])
+}
+
+// loseDataCentre kills all holders of the data centre that a holder is in, before any of them returns.
+func (m *fleetMachine) loseDataCentre(holder string) {
+	var lost []string
+	for _, name := range m.names {
+		if m.dataCentre[name] == m.dataCentre[holder] {
+			lost = append(lost, name)
+		}
+	}
+	for _, name := range lost {
+		delete(m.holders, name)
+	}
+	for _, name := range lost {
+		m.kill(slices.Index(m.names, name))
+	}
+}
+
+// sealPaused pauses a holder for so long that its witness seals its account, and lets the others go on.
+func (m *fleetMachine) sealPaused(holder string) {
+	m.paused[holder] = true
+	m.suspect(holder)
+	m.run(sealDeliveries)
+}
+
+// sealDeliveries is the number of deliveries within which a witness has sealed an account if no fault occurs.
+const sealDeliveries = 12
+
+// run delivers up to n envelopes in order and without faults, except to paused holders.
+func (m *fleetMachine) run(n int) {
+	for ; n > 0; n-- {
+		i := slices.IndexFunc(m.inTransit, func(e envelope) bool { return !m.paused[e.holder] })
+		if i < 0 {
+			return
+		}
+		m.deliver(i, 0)
+	}
 }
 
+// handle passes an event to a holder; a paused one receives it after it was resumed.
 func (m *fleetMachine) handle(holder string, ev Event) {
 	h, ok := m.holders[holder]
 	if !ok {
 		return
 	}
+	if m.paused[holder] {
+		if _, ok := ev.(Tick); !ok {
+			m.inTransit = append(m.inTransit, envelope{holder: holder, event: ev})
+		}
+		return
+	}
 	for _, action := range h.Handle(m.now.Add(m.clockOffset[holder]), ev) {
 		m.collect(holder, action)
 	}
@@ -166,6 +217,9 @@
 // deliver processes one envelope with the given fate; fate 0 means that no fault occurs, and the action determines what the others mean.
 func (m *fleetMachine) deliver(i, fate int) {
 	e := m.inTransit[i]
+	if m.paused[e.holder] {
+		return
+	}
 	m.inTransit = append(m.inTransit[:i], m.inTransit[i+1:]...)
 	if e.event != nil {
 		m.handle(e.holder, e.event)
@@ -245,13 +299,26 @@
 
 // setPeers sends a holder its list of reachable peers, which leaves out the excluded one although it is live.
 func (m *fleetMachine) setPeers(holder, excluded string) {
-	var peers []string
+	var peers PeersChanged
+	var members []fleet.Member
 	for _, other := range m.names {
 		if other != holder && other != excluded {
-			peers = append(peers, other)
+			peers.Peers = append(peers.Peers, other)
+			members = append(members, m.member(other))
 		}
 	}
-	m.handle(holder, PeersChanged{Peers: peers})
+	witnesses := fleet.Witnesses(m.member(holder), members)
+	for _, other := range peers.Peers {
+		if slices.Contains(witnesses, m.member(other).Name()) {
+			peers.Witnesses = append(peers.Witnesses, other)
+		}
+	}
+	m.handle(holder, peers)
+}
+
+// member returns a holder's router as the other routers see it.
+func (m *fleetMachine) member(holder string) fleet.Member {
+	return fleet.Member{VM: holder, DataCentre: m.dataCentre[holder]}
 }
 
 // suspect hides a holder from its witness for so long that the witness seals its account.
@@ -329,9 +396,10 @@
 	}
 }
 
-// heal drops late writes, makes all peers reachable and runs the holders without faults for 400 seconds.
+// heal drops late writes, resumes all holders, makes all peers reachable and runs the holders without faults for 400 seconds.
 func (m *fleetMachine) heal(t require.TestingT) {
 	m.lateWrites = nil
+	clear(m.paused)
 	for _, name := range m.names {
 		m.setPeers(name, "")
 	}
@@ -382,9 +450,7 @@
 			m.deliver(s.Index, s.Fate)
 		}
 	case "Run":
-		for n := s.Index; n > 0 && len(m.inTransit) > 0; n-- {
-			m.deliver(0, 0)
-		}
+		m.run(s.Index)
 	case "LandLate":
 		if s.Index < len(m.lateWrites) {
 			m.store.put(m.lateWrites[s.Index].Version, m.lateWrites[s.Index].Record)
@@ -405,6 +471,14 @@
 		}
 	case "Suspect":
 		m.suspect(s.Holder)
+	case "Pause":
+		m.paused[s.Holder] = true
+	case "Resume":
+		delete(m.paused, s.Holder)
+	case "SealPaused":
+		m.sealPaused(s.Holder)
+	case "LoseDataCentre":
+		m.loseDataCentre(s.Holder)
 	case "Tick":
 		m.now = m.now.Add(time.Duration(s.Milliseconds) * time.Millisecond)
 		m.handle(s.Holder, Tick{})
