pkg/budget: a witness reads the record before it seals an account

Callers would see refusals for tokens that nobody can spend: when a router died, its witness dropped the seal of its account if its own copy of the record was older than that account, and the tokens above the ceiling stayed with the dead router for good. A witness need not use the budget itself, so its copy may be old. Found by TestLossOfADataCentreLeavesSealedAccounts, new here: Granted 101, Ceiling 2, Spent 1, never sealed. Ruled out: that the witness had not received a raise (it had acknowledged ceiling 3) or did not notice the death (sealed was set). Change: the record is read between the decision to seal and the seal. A flag and not a time says whether it was, since clocks may step. Evidence: that test and TestWitnessSealsAnAccountThatItsRecordDoesNotShow fail without the change and pass with it.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -32,6 +32,7 @@
 	raising       bool              // A Raise is in flight.
 	raiseFailedAt time.Time         // Time at which the last Raise failed.
 	sealing       []witnessedKey    // Accounts of absent holders to be sealed.
+	sealsUnread   bool              // The record was not read since an account was added to sealing.
 	orphans       []OrphanedAccount // Accounts of stopped holders to be closed.
 
 	write         *write    // Write in flight or of unknown outcome; nil if there is none.
--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -340,6 +340,7 @@
 		return h.loadFailed(now, LoadFailed{ev.Budget})
 	}
 	a.loading = false
+	a.sealsUnread = false
 	if w := a.write; w != nil && ev.Version == w.base {
 		w.inFlight = true
 		a.callStartedAt = now
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -33,6 +33,12 @@
 		draw := func(label string, low, high int64) int64 { return rapid.Int64Range(low, high).Draw(t, label) }
 		holder := func() string { return rapid.SampledFrom(m.names).Draw(t, "holder") }
 		act := func(s step) { m.apply(t, s) }
+		serve := func(name string) { // Demand makes grants exceed ceilings.
+			act(step{Op: "Request", Holder: name, Tokens: draw("tokens", 1, 300)})
+			act(step{Op: "Run", Index: 12})
+			act(step{Op: "Settle", Tokens: draw("used", 0, 300)})
+			act(step{Op: "Run", Index: 12})
+		}
 		act(step{Op: "TopUp", Tokens: draw("prepaid", 1, 4000)})
 		t.Repeat(map[string]func(*rapid.T){
 			"": m.check,
@@ -51,9 +57,23 @@
 			"clock step":   func(*rapid.T) { act(step{Op: "ClockStep", Holder: holder(), Milliseconds: draw("ms", -60000, 60000)}) },
 			"top up":       func(*rapid.T) { act(step{Op: "TopUp", Tokens: draw("tokens", 1, 500)}) },
 			"top up again": func(*rapid.T) { act(step{Op: "TopUpAgain"}) },
-			"kill":         func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
-			"leave":        func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
-			"homed":        func(*rapid.T) { act(step{Op: "Homed", Holder: holder(), Index: int(draw("home", 0, 1))}) },
+			"serve":        func(*rapid.T) { serve(holder()) },
+			"pause":        func(*rapid.T) { act(step{Op: "Pause", Holder: holder()}) },
+			"resume":       func(*rapid.T) { act(step{Op: "Resume", Holder: holder()}) },
+			"paused beyond its seal": func(*rapid.T) {
+				name := holder()
+				serve(name)
+				serve(name)
+				act(step{Op: "SealPaused", Holder: name})
+				serve(holder())
+				act(step{Op: "Resume", Holder: name})
+				act(step{Op: "Request", Holder: name, Tokens: draw("tokens", 1, 900)})
+				act(step{Op: "Run", Index: int(draw("deliveries", 0, 12))})
+			},
+			"lose data centre": func(*rapid.T) { act(step{Op: "LoseDataCentre", Holder: holder()}) },
+			"kill":             func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
+			"leave":            func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
+			"homed":            func(*rapid.T) { act(step{Op: "Homed", Holder: holder(), Index: int(draw("home", 0, 1))}) },
 		})
 		m.finish(t)
 	})
@@ -218,3 +238,49 @@
 		require.NotEqual(t, Refuse{"y", refusal.BudgetExhausted}, action)
 	}
 }
+
+// TestLossOfADataCentreLeavesSealedAccounts loses all routers of a data centre after some demand; the witnesses elsewhere must
+// return what the lost routers cannot have spent.
+func TestLossOfADataCentreLeavesSealedAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetMachine()
+		draw := func(label string, low, high int64) int64 { return rapid.Int64Range(low, high).Draw(t, label) }
+		holder := func() string { return rapid.SampledFrom(m.names).Draw(t, "holder") }
+		m.apply(t, step{Op: "TopUp", Tokens: draw("prepaid", 1000, 100_000)})
+		for range draw("requests", 1, 12) {
+			m.apply(t, step{Op: "Request", Holder: holder(), Tokens: draw("tokens", 1, 900)})
+			m.apply(t, step{Op: "Run", Index: 100})
+			m.apply(t, step{Op: "Settle", Tokens: draw("used", 0, 900)})
+			m.apply(t, step{Op: "Run", Index: 100})
+		}
+		lost := holder()
+		m.apply(t, step{Op: "LoseDataCentre", Holder: lost})
+		m.heal(t)
+		for name, a := range m.store.record.Holders {
+			if m.dataCentre[name] == m.dataCentre[lost] && m.holders[name] == nil {
+				require.Equal(t, a.Granted, a.Ceiling, "%s: what is above the ceiling stays with a lost router: %+v", name, a)
+			}
+		}
+		m.finish(t)
+	})
+}
+
+// TestWitnessSealsAnAccountThatItsRecordDoesNotShow guards against a seal that a witness drops, because it last read the
+// record before the lost router drew from the budget: the tokens stayed with the lost router for good.
+func TestWitnessSealsAnAccountThatItsRecordDoesNotShow(t *testing.T) {
+	m := newFleetMachine()
+	holder, witness := m.names[0], m.names[1]
+	m.apply(t, step{Op: "TopUp", Tokens: 1000})
+	for _, name := range []string{witness, holder, holder} { // The last grant covers the demand of the one before.
+		m.apply(t, step{Op: "Request", Holder: name, Tokens: 1})
+		m.apply(t, step{Op: "Run", Index: 100})
+		m.apply(t, step{Op: "Settle", Tokens: int64(len(m.billed))})
+		m.apply(t, step{Op: "Run", Index: 100})
+	}
+	before := m.store.record.Holders[holder]
+	require.Equal(t, witness, before.Witness)
+	require.Greater(t, before.Granted, before.Ceiling)
+	m.apply(t, step{Op: "Kill", Holder: holder})
+	m.heal(t)
+	require.EqualValues(t, 1, m.store.record.Holders[holder].Seals)
+}
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -77,11 +77,17 @@
 		w.sealed = true
 		a := h.account(key.budget)
 		a.sealing = append(a.sealing, key)
+		a.sealsUnread = true
 	}
 }
 
 // seal writes the next queued seal; seals that the record no longer permits are dropped.
+//
+// The record is read first: a witness need not use the budget itself, so that its copy may be older than the account.
 func (h *Holder) seal(now time.Time, a *account) []Action {
+	if len(a.sealing) > 0 && a.sealsUnread {
+		return []Action{h.load(now, a)}
+	}
 	for len(a.sealing) > 0 {
 		key := a.sealing[0]
 		w := h.witnessed[key]
