pkg/budget: an account that a holder opens again is not taken for the one that it closed

Callers would be billed for tokens that they never used, and a router could write nothing for a budget any more: a witness remembers the spend that a holder reported for an account it has closed since; when it sealed the holder's next account under the same seal count, it reported the old spend for the new account, and each later write of the holder, whose own count was lower, was rejected as a decrease. Ruled out: a recall without an answer (none was open), a cut store (the record was read each 300 ms). Change: the seal count of a holder's next account begins above those of all that it closed.

--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -36,7 +36,7 @@
 func (h *Holder) startStoreCall(now time.Time, a *account) []Action {
 	p := h.Policy.withDefaults()
 	if !a.recordValid {
-		if a.own == (Account{}) && !a.initialGrantDue && len(a.waiting) == 0 && len(a.recallReplies) == 0 && len(a.sealing) == 0 && len(a.orphans) == 0 {
+		if a.own.unused() && !a.initialGrantDue && len(a.waiting) == 0 && len(a.recallReplies) == 0 && len(a.sealing) == 0 && len(a.orphans) == 0 {
 			return h.closeUnused(now, a)
 		}
 		return []Action{h.load(now, a)}
@@ -265,10 +265,12 @@
 // accountClosed updates the state once the store holds no account of this holder.
 //
 // Usage and refunds that arrived while the closing write was in flight are
-// carried over to the holder's next account. If there is nothing to carry over
+// carried over to the holder's next account, whose seal count is higher, so that
+// no witness takes it for this one. If there is nothing to carry over
 // and no work is pending, the budget is removed from the holder.
 func (h *Holder) accountClosed(a *account, w *write) {
-	carried := Account{}
+	h.lastSeals = max(h.lastSeals, a.own.Seals+1)
+	carried := Account{Seals: h.lastSeals}
 	if w != nil {
 		carried.Spent = a.own.Spent - w.before.Spent
 		carried.Refunded = a.own.Refunded - w.before.Refunded
@@ -276,7 +278,7 @@
 	a.own = carried
 	a.acked = 0
 	a.closed = h.draining
-	if !h.draining && carried == (Account{}) && a.reserved == 0 && len(a.waiting) == 0 && len(a.recallReplies) == 0 && len(a.sealing) == 0 && len(a.orphans) == 0 {
+	if !h.draining && carried.unused() && a.reserved == 0 && len(a.waiting) == 0 && len(a.recallReplies) == 0 && len(a.sealing) == 0 && len(a.orphans) == 0 {
 		a.closed = true
 		delete(h.accounts, a.budget)
 	}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -22,6 +22,7 @@
 	witnesses []string
 	draining  bool
 	sweptAt   time.Time
+	lastSeals uint64 // Seal count with which the next account begins; above those of all that were closed.
 }
 
 type reservation struct {
@@ -177,7 +178,7 @@
 		h.accounts = map[string]*account{}
 		h.requests = map[string]*reservation{}
 	}
-	a = &account{budget: budget, record: Record{Budget: budget}}
+	a = &account{budget: budget, record: Record{Budget: budget}, own: Account{Seals: h.lastSeals}}
 	h.accounts[budget] = a
 	return a
 }
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -54,6 +54,7 @@
 	clockOffset map[string]time.Duration // Clock error by holder.
 	now         time.Time
 	inTransit   []envelope
+	lateRaises  []envelope        // Raises that were reported as failed and that may still reach their witness.
 	lateWrites  []Commit          // Writes whose outcome was reported as unknown and that may still take effect.
 	running     map[string]int64  // Reserved tokens by "holder request" of dispatched requests that are not settled.
 	reserved    map[string]int64  // Tokens to reserve by request.
@@ -69,7 +70,11 @@
 	maxTotal    int64 // Highest prepaid total that was sent to a holder.
 }
 
-func newFleetMachine() *fleetMachine {
+// newFleetMachine returns the fleet of the recorded traces.
+func newFleetMachine() *fleetMachine { return newFleetMachineOf("north", "south", "north") }
+
+// newFleetMachineOf returns a fleet with one holder in each of the given data centres, which may be named repeatedly.
+func newFleetMachineOf(dataCentres ...string) *fleetMachine {
 	m := &fleetMachine{
 		holders: map[string]*Holder{}, dataCentre: map[string]string{}, paused: map[string]bool{},
 		clockOffset: map[string]time.Duration{}, now: start,
@@ -77,9 +82,10 @@
 		origins: map[string]origin{}, answered: map[string]bool{}, receivedBy: map[string]string{},
 	}
 	m.store.record.Budget = testBudget
-	for _, dataCentre := range []string{"north", "south", "north"} {
+	for _, dataCentre := range dataCentres {
 		m.addHolder(dataCentre)
 	}
+	m.trace = []step{{Op: "Fleet", DataCentres: dataCentres}}
 	return m
 }
 
@@ -185,7 +191,10 @@
 			m.outcomes[action.Request]++
 		}
 	case AnswerRaise:
-		o := m.origins[action.ID]
+		o, awaited := m.origins[action.ID]
+		if !awaited {
+			return
+		}
 		m.answered[action.ID] = true
 		m.inTransit = append(m.inTransit, envelope{holder: o.holder, event: RaiseDone{*o.raise, action.Acknowledged && m.fate != 2}})
 	case AnswerRecall:
@@ -286,13 +295,17 @@
 	m.handle(f.Peer, Reserve{Request: request, Budget: testBudget, Tokens: m.reserved[f.Request], Forwarded: true})
 }
 
-// raise delivers a raise to the witness; with fate 1 it is lost, with fate 2 its answer is lost.
+// raise delivers a raise to the witness; with fate 1 it is lost, with fate 2 its answer is lost, with fate 3 it arrives late.
 func (m *fleetMachine) raise(holder string, r Raise, fate int) {
-	if fate == 1 || m.holders[r.Witness] == nil {
+	id := m.id("raise")
+	if fate == 3 {
+		late := RaiseRequested{r.Budget, holder, r.Seals, r.Ceiling, r.Spent, id}
+		m.lateRaises = append(m.lateRaises, envelope{holder: r.Witness, event: late})
+	}
+	if fate == 1 || fate == 3 || m.holders[r.Witness] == nil {
 		m.inTransit = append(m.inTransit, envelope{holder: holder, event: RaiseDone{r, false}})
 		return
 	}
-	id := m.id("raise")
 	m.origins[id] = origin{holder: holder, peer: r.Witness, raise: &r}
 	m.handle(r.Witness, RaiseRequested{r.Budget, holder, r.Seals, r.Ceiling, r.Spent, id})
 }
@@ -327,7 +340,11 @@
 	if a == nil || m.holders[a.own.Witness] == nil {
 		return
 	}
-	witness := a.own.Witness
+	m.suspectBy(a.own.Witness, holder)
+}
+
+// suspectBy hides a holder from another one for so long that this one seals its account if it was ever asked to witness it.
+func (m *fleetMachine) suspectBy(witness, holder string) {
 	m.setPeers(witness, holder)
 	m.now = m.now.Add(testSealAfter)
 	m.handle(witness, Tick{})
@@ -399,6 +416,7 @@
 // heal drops late writes, resumes all holders, makes all peers reachable and runs the holders without faults for 400 seconds.
 func (m *fleetMachine) heal(t require.TestingT) {
 	m.lateWrites = nil
+	m.lateRaises = nil
 	clear(m.paused)
 	for _, name := range m.names {
 		m.setPeers(name, "")
@@ -437,6 +455,8 @@
 	Fate         int    `json:",omitempty"` // See deliver.
 	Milliseconds int64  `json:",omitempty"`
 	Missed       string `json:",omitempty"` // Live holder that is left out of the peers of Holder.
+
+	DataCentres []string `json:",omitempty"` // Of the first holders; only in the first step of a trace.
 }
 
 // apply executes one step; a step that refers to a missing envelope, write, bill or account has no effect.
@@ -455,6 +475,9 @@
 		if s.Index < len(m.lateWrites) {
 			m.store.put(m.lateWrites[s.Index].Version, m.lateWrites[s.Index].Record)
 		}
+		if s.Index < len(m.lateRaises) {
+			m.handle(m.lateRaises[s.Index].holder, m.lateRaises[s.Index].event)
+		}
 	case "Settle":
 		if key := sampleKey(m.running); key != "" {
 			m.settle(key, min(s.Tokens, m.running[key]))
@@ -471,6 +494,8 @@
 		}
 	case "Suspect":
 		m.suspect(s.Holder)
+	case "SuspectBy":
+		m.suspectBy(s.Holder, s.Missed)
 	case "Pause":
 		m.paused[s.Holder] = true
 	case "Resume":
--- a/pkg/budget/record.go
+++ b/pkg/budget/record.go
@@ -15,7 +15,13 @@
 	Returned int64
 	Refunded int64  `json:",omitempty"` // Tokens of duplicate bills credited to this account; the bills may be those of another holder.
 	Witness  string `json:",omitempty"` // The incarnation that may acknowledge a higher Ceiling than the store holds.
-	Seals    uint64 `json:",omitempty"` // Number of times the witness returned the tokens above the Ceiling.
+	Seals    uint64 `json:",omitempty"` // Rises by one when the witness returns the tokens above the Ceiling, and from one account of an incarnation to its next.
+}
+
+// unused reports whether nothing was ever counted in the account.
+func (a Account) unused() bool {
+	a.Seals = 0
+	return a == Account{}
 }
 
 // Outstanding returns the tokens granted and not returned.
--- a/pkg/budget/trace_test.go
+++ b/pkg/budget/trace_test.go
@@ -70,6 +70,10 @@
 		}
 		var s step
 		require.NoError(t, json.Unmarshal(lines.Bytes(), &s))
+		if s.Op == "Fleet" {
+			*m = *newFleetMachineOf(s.DataCentres...)
+			continue
+		}
 		m.apply(t, s)
 		m.verify(t)
 	}
--- /dev/null
+++ b/pkg/budget/witness_test.go
@@ -0,0 +1,110 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// witnessedFleet returns a fleet whose first holder has a grant above its ceiling, which its witness has raised.
+func witnessedFleet(t *testing.T) (m *fleetMachine, holder, witness string) {
+	m = newFleetMachine()
+	holder = m.names[0]
+	m.apply(t, step{Op: "TopUp", Tokens: 10_000})
+	for range 2 {
+		m.apply(t, step{Op: "Request", Holder: holder, Tokens: 100})
+		m.apply(t, step{Op: "Run", Index: 100})
+		m.apply(t, step{Op: "Settle", Tokens: 100})
+		m.apply(t, step{Op: "Run", Index: 100})
+	}
+	a := m.holders[holder].accounts[testBudget]
+	require.Greater(t, a.own.Granted, a.ceiling())
+	require.Positive(t, a.acked)
+	return m, holder, a.own.Witness
+}
+
+// pass lets time pass without faults, in ticks of 100 ms.
+func (m *fleetMachine) pass(t *testing.T, d time.Duration) {
+	for range d / (100 * time.Millisecond) {
+		for _, name := range m.names {
+			m.apply(t, step{Op: "Tick", Holder: name})
+		}
+		m.apply(t, step{Op: "Run", Index: 100})
+		m.now = m.now.Add(100 * time.Millisecond)
+	}
+}
+
+// TestHoldersAreSealedOnlyAfterALongAbsence keeps a holder in sight, lets it be missed for a shorter time, and then for longer.
+func TestHoldersAreSealedOnlyAfterALongAbsence(t *testing.T) {
+	m, holder, witness := witnessedFleet(t)
+	seals := func() uint64 { return m.store.record.Holders[holder].Seals }
+	m.pass(t, 3*testSealAfter)
+	require.Zero(t, seals(), "in sight")
+	m.setPeers(witness, holder)
+	m.pass(t, testSealAfter-200*time.Millisecond)
+	require.Zero(t, seals(), "absent for a shorter time")
+	m.setPeers(witness, "")
+	m.pass(t, 3*testSealAfter)
+	require.Zero(t, seals(), "in sight again")
+	m.setPeers(witness, holder)
+	m.pass(t, testSealAfter+time.Second)
+	require.EqualValues(t, 1, seals())
+}
+
+// TestSealCostsOneWrite lets time pass after a seal.
+func TestSealCostsOneWrite(t *testing.T) {
+	m, holder, witness := witnessedFleet(t)
+	m.apply(t, step{Op: "Kill", Holder: holder})
+	m.pass(t, testSealAfter+time.Second)
+	require.EqualValues(t, 1, m.store.record.Holders[holder].Seals)
+	version := m.store.version
+	for range 100 {
+		m.now = m.now.Add(time.Second)
+		require.Empty(t, m.holders[witness].Handle(m.now, Tick{}), "store calls after the seal")
+	}
+	require.Equal(t, version, m.store.version)
+}
+
+// TestSealedHolderThatReturnsIsWitnessedAgain seals the account of a paused holder, which then draws and raises again.
+func TestSealedHolderThatReturnsIsWitnessedAgain(t *testing.T) {
+	m, holder, witness := witnessedFleet(t)
+	m.apply(t, step{Op: "SealPaused", Holder: holder})
+	m.apply(t, step{Op: "Resume", Holder: holder})
+	m.setPeers(witness, "")
+	a := m.holders[holder].accounts[testBudget]
+	for range 10 { // The witness refuses what the holder asks before it has read of the seal; the holder then does without for a while.
+		m.pass(t, time.Second)
+		m.apply(t, step{Op: "Request", Holder: holder, Tokens: 500})
+		m.pass(t, time.Second)
+		m.apply(t, step{Op: "Settle", Tokens: 500})
+	}
+	require.EqualValues(t, 1, a.own.Seals)
+	require.Equal(t, witness, a.own.Witness)
+	require.Positive(t, a.acked, "the witness acknowledges ceilings of the account as it is since the seal")
+}
+
+// TestAccountOpenedAgainIsNotSealedForTheEarlierOne guards against a witness that remembers the account that a holder closed:
+// its seal reported the earlier account's spend for the new one, and the holder could write nothing any more.
+func TestAccountOpenedAgainIsNotSealedForTheEarlierOne(t *testing.T) {
+	m, holder, _ := witnessedFleet(t)
+	m.pass(t, m.holders[holder].Policy.RetireAfter+5*time.Second)
+	require.NotContains(t, m.store.record.Holders, holder, "closed while idle")
+	spent := m.store.record.Spent()
+	m.apply(t, step{Op: "Request", Holder: holder, Tokens: 300})
+	m.apply(t, step{Op: "Run", Index: 100})
+	m.apply(t, step{Op: "SealPaused", Holder: holder})
+	m.apply(t, step{Op: "Resume", Holder: holder})
+	require.Equal(t, spent, m.store.record.Spent())
+	m.apply(t, step{Op: "Settle", Tokens: 20})
+	m.apply(t, step{Op: "Request", Holder: holder, Tokens: 500})
+	m.apply(t, step{Op: "Run", Index: 100})
+	require.NotEmpty(t, m.running, "the holder goes on")
+}
+
+// TestDrainingWitnessAcknowledgesNothing guards against acknowledgements that are lost when the witness ends soon after.
+func TestDrainingWitnessAcknowledgesNothing(t *testing.T) {
+	h := &Holder{Name: "w"}
+	h.Handle(start, Drain{})
+	require.Equal(t, []Action{AnswerRaise{"1", false}}, h.Handle(start, RaiseRequested{Budget: testBudget, Holder: "h", Ceiling: 5, ID: "1"}))
+}
