--- a/pkg/budget/witness_test.go
+++ b/pkg/budget/witness_test.go
@@ -108,3 +108,23 @@
 	h.Handle(start, Drain{})
 	require.Equal(t, []Action{AnswerRaise{"1", false}}, h.Handle(start, RaiseRequested{Budget: testBudget, Holder: "h", Ceiling: 5, ID: "1"}))
 }
+
+// TestWitnessSealsAnAccountThatItsRecordDoesNotShow guards against a seal that a witness drops, because it last read the
+// record before the lost router drew from the budget: the tokens stayed with the lost router for good.
+func TestWitnessSealsAnAccountThatItsRecordDoesNotShow(t *testing.T) {
+	m := newFleetMachine()
+	holder, witness := m.names[0], m.names[1]
+	m.apply(t, step{Op: "TopUp", Tokens: 1000})
+	for _, name := range []string{witness, holder, holder} { // The last grant covers the demand of the one before.
+		m.apply(t, step{Op: "Request", Holder: name, Tokens: 1})
+		m.apply(t, step{Op: "Run", Index: 100})
+		m.apply(t, step{Op: "Settle", Tokens: int64(len(m.billed))})
+		m.apply(t, step{Op: "Run", Index: 100})
+	}
+	before := m.store.record.Holders[holder]
+	require.Equal(t, witness, before.Witness)
+	require.Greater(t, before.Granted, before.Ceiling)
+	m.apply(t, step{Op: "Kill", Holder: holder})
+	m.heal(t)
+	require.EqualValues(t, 1, m.store.record.Holders[holder].Seals)
+}
