internal/soak: two software versions serve side by side, and callers take up streams that broke

Cause: no run of the real programs showed whether a stream goes on only at the version that began it. Change: events name the version of their server; callers break off one stream in six and take it up at any router, as they do those that broke; an event of another version is a problem, under any fault.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -76,7 +76,7 @@
 	}
 	out := c.Root().Writer
 	if len(report.Problems) == 0 {
-		_, err := fmt.Fprintf(out, "seed %d: %d calls, %d served, no problem\n", seed, report.Calls, report.Served)
+		_, err := fmt.Fprintf(out, "seed %d: %d calls, %d served, %d of %d broken streams went on, no problem\n", seed, report.Calls, report.Served, report.GoneOn, report.TakenUp)
 		return true, errors.CombineErrors(err, os.RemoveAll(dir))
 	}
 	_, err = fmt.Fprintf(out, "seed %d: %d calls, %d served, %d problems, logs in %s\n", seed, report.Calls, report.Served, len(report.Problems), dir)
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -85,6 +85,7 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.StringFlag{Name: "id", Usage: "`ID` of this incarnation", Required: true},
+			&cli.StringFlag{Name: "software", Usage: "`VERSION` of its software"},
 			&cli.IntFlag{Name: "events", Usage: "number of events of a complete stream", Value: 10},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -93,7 +94,7 @@
 				return errors.Wrap(err, "listening for callers")
 			}
 			server := &http.Server{
-				Handler:           &platformstandin.Server{ID: c.String("id"), Events: c.Int("events")},
+				Handler:           &platformstandin.Server{ID: c.String("id"), Version: c.String("software"), Events: c.Int("events")},
 				ReadHeaderTimeout: time.Minute,
 				ErrorLog:          log.New(io.Discard, "", 0),
 			}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -89,9 +89,10 @@
 
 // server is a server of the service.
 type server struct {
-	id   string
-	proc *process
-	link *standin.Link // Link from the routers.
+	id      string
+	version string // Version of its software.
+	proc    *process
+	link    *standin.Link // Link from the routers.
 }
 
 // fleet holds the processes of a run.
@@ -113,7 +114,7 @@
 		return f, err
 	}
 	for i := range cfg.Servers {
-		if err := f.addServer(fmt.Sprintf("i-%d", i)); err != nil {
+		if err := f.addServer(fmt.Sprintf("i-%d", i), fmt.Sprintf("v%d", i%softwareVersions)); err != nil {
 			return f, err
 		}
 	}
@@ -129,8 +130,11 @@
 func (f *fleet) logPath(name string) string    { return filepath.Join(f.cfg.Dir, name+".log") }
 func (f *fleet) binaryPath(name string) string { return filepath.Join(f.cfg.Binaries, name) }
 
-func (f *fleet) addServer(id string) error {
-	p, err := start(f.logPath(id), true, f.binaryPath("standin"), "server", "--id", id, "--events", strconv.Itoa(streamEvents))
+// softwareVersions is the number of software versions that serve side by side.
+const softwareVersions = 2
+
+func (f *fleet) addServer(id, version string) error {
+	p, err := start(f.logPath(id), true, f.binaryPath("standin"), "server", "--id", id, "--software", version, "--events", strconv.Itoa(streamEvents))
 	if err != nil {
 		return err
 	}
@@ -138,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	s := &server{id: id, proc: p, link: link}
+	s := &server{id: id, version: version, proc: p, link: link}
 	f.servers = append(f.servers, s)
 	f.register(s, false)
 	return nil
@@ -147,7 +151,7 @@
 // register writes the entry of a server to the store.
 func (f *fleet) register(s *server, leaving bool) {
 	const slots = 64
-	value, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: s.link.Address, DataCentre: "dc", Slots: slots, Leaving: leaving, StartedAt: 1})
+	value, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: s.link.Address, DataCentre: "dc", Version: s.version, Slots: slots, Leaving: leaving, StartedAt: 1})
 	if err != nil {
 		panic(err) // The types of this module can always be encoded.
 	}
@@ -274,6 +278,7 @@
 			newRoute(string(order), route.NonIdempotent, 1),
 			newRoute(string(lookup), route.Idempotent, 2),
 			newRoute(string(stream), route.Stream, 2),
+			newRoute(string(streamOnce), route.Stream, 1),
 		},
 		Services: []route.Service{{Name: service, TokensPerEvent: 1}},
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,8 @@
 type Report struct {
 	Calls    int
 	Served   int      // Calls answered with status 200.
+	TakenUp  int      // Calls that took up a broken stream.
+	GoneOn   int      // Those of them that got the rest of it.
 	Problems []string // Violations and failures; empty if the run passed.
 }
 
@@ -70,7 +72,8 @@
 	wg.Wait()
 	sleep(ctx, lateRunTime)
 	problems = append(problems, checkInvariants(f, c)...)
-	return Report{len(c.calls), c.served(), problems}, nil
+	takenUp, goneOn := c.takenUp()
+	return Report{Calls: len(c.calls), Served: c.served(), TakenUp: takenUp, GoneOn: goneOn, Problems: problems}, nil
 }
 
 // runCycle injects faults, clears them, and checks that the fleet serves requests and sends none to a draining server.
@@ -138,6 +141,20 @@
 	return n
 }
 
+// takenUp returns the number of calls that took up a broken stream, and of those that got the rest of it.
+func (c *callers) takenUp() (all, goneOn int) {
+	for _, call := range c.calls {
+		if call.resumes == "" {
+			continue
+		}
+		all++
+		if call.status == http.StatusOK {
+			goneOn++
+		}
+	}
+	return all, goneOn
+}
+
 // readRuns fetches the runs of a server, keyed by the ID of the request.
 func readRuns(s *server) (map[string]platformstandin.Run, error) {
 	client := http.Client{Timeout: 10 * time.Second}
@@ -166,7 +183,7 @@
 	spent := map[string]int64{}
 	for _, call := range c.calls {
 		problems = append(problems, call.check(runCounts[call.id])...)
-		if call.kind == stream && runCounts[call.id] > 0 {
+		if call.kind.streams() && runCounts[call.id] > 0 {
 			spent[call.account] += promptTokens + int64(call.events)
 		}
 	}
