--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxKnown = 16384       // Streams that a router knows of; about 4 MB.
+	maxKnown = 16384       // Streams that a router knows of; a few megabytes.
 	ttl      = time.Minute // How long a stream is known after it was last heard of; above the deadlines of streams.
 )
 
