--- a/internal/peer/suspicion_test.go
+++ b/internal/peer/suspicion_test.go
@@ -44,3 +44,22 @@
 	require.EqualValues(t, 7, blocked[0].Fingerprint)
 	require.True(t, c.Endpoints.KnownSafe(8, true))
 }
+
+// TestProbesClearRequestsThatFinishedElsewhere lets a router that suspects a request probe one at which it has finished
+// since the suspicion was told.
+func TestProbesClearRequestsThatFinishedElsewhere(t *testing.T) {
+	const fingerprint = 7
+	s := newService(t, 10)
+	c := newClient(serve(t, s))
+	now := time.Now()
+	c.Endpoints.Handle(now, endpoint.SuspectReported{Suspect: endpoint.Suspicion{Fingerprint: fingerprint, Deaths: 2, Until: now.Add(time.Minute)}})
+	s.Endpoints.Configure(now, []placement.EndpointConfig{{Endpoint: endpoint.Endpoint{Name: "e", Serves: []string{"m"}, Slots: 1}, Address: "a:1"}}, nil)
+	s.Endpoints.Decisions.Open("run")
+	s.Endpoints.Handle(now, endpoint.Submitted{Request: endpoint.Request{ID: "run", Service: "m", Fingerprint: fingerprint, Deadline: now.Add(time.Minute)}})
+	s.Endpoints.Handle(now, endpoint.Ended{ID: "run", Outcome: endpoint.Finished, Tokens: 1})
+	address, known := c.Members.VMAddress("vm-1")
+	require.True(t, known)
+	_, err := c.Probe(address, nil)
+	require.NoError(t, err)
+	require.True(t, c.Endpoints.KnownSafe(fingerprint, false))
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -108,14 +108,15 @@
 
 // checkServing checks that enough of the requests sent since from were served.
 //
-// It considers only the account rich, whose budget is never exhausted.
+// It considers only the account rich, whose budget is never exhausted, and no streams that their callers broke off.
 func (c *callers) checkServing(from time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	served, total := 0, 0
 	statuses := map[int]int{}
 	for _, call := range c.calls {
-		if call.sent.Before(from) || call.account != "rich" {
+		brokenOff := call.leaves > 0 && call.events == call.leaves
+		if call.sent.Before(from) || call.account != "rich" || brokenOff {
 			continue
 		}
 		total++
