--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -83,6 +83,8 @@
 	store *standin.Link // Link to the store.
 	gen   atomic.Int64  // Generation, incremented whenever the process ends or starts.
 
+	restarting sync.Mutex // Held while the process is restarted, so that overlapping restarts leave no process behind.
+
 	mu   sync.Mutex
 	proc *process // Guarded by mu.
 }
@@ -185,6 +187,8 @@
 
 // restart ends a router by a signal and starts it again after a pause.
 func (f *fleet) restart(r *router, s os.Signal, pause time.Duration) error {
+	r.restarting.Lock()
+	defer r.restarting.Unlock()
 	r.mu.Lock()
 	p := r.proc
 	r.mu.Unlock()
