--- a/pkg/budget/spend_test.go
+++ b/pkg/budget/spend_test.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// askAgain lets a holder whose account was sealed meanwhile ask for more.
+func (d spendSteps) askAgain(holder string) {
+	d.act(step{Op: "Request", Holder: holder, Tokens: d.draw("tokens", 1, 900)})
+	d.act(step{Op: "Run", Index: int(d.draw("deliveries", 0, 12))})
+}
+
 // pausedBeyondSeal pauses a holder until its account is sealed, lets others draw what was returned, and lets it ask again.
 func (d spendSteps) pausedBeyondSeal() {
 	name := d.holder()
@@ -58,8 +64,7 @@
 	d.act(step{Op: "SealPaused", Holder: name})
 	d.serve(d.holder())
 	d.act(step{Op: "Resume", Holder: name})
-	d.act(step{Op: "Request", Holder: name, Tokens: d.draw("tokens", 1, 900)})
-	d.act(step{Op: "Run", Index: int(d.draw("deliveries", 0, 12))})
+	d.askAgain(name)
 }
 
 // changedWitness lets a holder change its witness with a raise under way, and an earlier or the new witness seal its account.
@@ -77,8 +82,7 @@
 	d.act(step{Op: "Run", Index: int(d.draw("deliveries", 0, 12))})
 	d.act(step{Op: "SuspectBy", Holder: d.holder(), Missed: name})
 	d.act(step{Op: "Run", Index: sealDeliveries})
-	d.act(step{Op: "Request", Holder: name, Tokens: d.draw("tokens", 1, 900)})
-	d.act(step{Op: "Run", Index: int(d.draw("deliveries", 0, 12))})
+	d.askAgain(name)
 }
 
 // lateRaise lets a raise reach the witness only after a later one, before the witness seals the account.
