internal/request: the log says for how long an endpoint was silent, and why a stream was not whole

'stream broke' gets the Silence since the last event and GivenUp, 'stream ended' the Problem. The error of a resumption that is refused while its attempt fails is the refusal, as documented for Next. Nothing is decided by them.

--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,8 @@
 	pending   []byte // Bytes of the current event that were not yet read.
 	eof       bool
 	completed bool
+	lastAt    time.Time // When the last event arrived.
+	problem   string    // Why the stream ended early, for the log; empty if its caller stopped reading it.
 }
 
 // startStream waits for the first complete event of an answer and returns its stream.
@@ -74,6 +77,7 @@
 
 // deliver makes an event the next one that the caller reads.
 func (s *Stream) deliver(e Event) {
+	s.lastAt = time.Now()
 	s.pending = e.Raw
 	s.run.events++
 	if e.ID != "" {
@@ -134,11 +138,11 @@
 	r := s.run
 	if r.callerGone() {
 		r.reportOutcome(endpoint.Abandoned, 0)
-		return errStreamAborted
+		return s.abort(refusal.CallerGone.String())
 	}
-	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
-		zap.Int64("Events", r.events), logfile.Error(err))
 	outcome := failureOutcome(err)
+	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
+		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", outcome == endpoint.Silent), logfile.Error(err))
 	r.reportOutcome(outcome, 0)
 	r.checkCrash(outcome)
 	return s.resume()
@@ -168,26 +172,34 @@
 func (s *Stream) resume() error {
 	r := s.run
 	if !r.req.Resumable || r.lastEventID == "" {
-		return errStreamAborted
+		return s.abort("not resumable")
 	}
 	for {
 		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
 		send, out := r.awaitDecision(r.req.Deadline)
-		if out != nil {
-			return streamError(out.Refusal)
+		if out == nil {
+			out = r.try(send)
 		}
-		out = r.try(send)
 		switch {
 		case out == nil:
 		case out.Stream != nil:
 			s.continueWith(out.Stream)
 			return nil
+		case out.Refusal != nil:
+			s.problem = out.Refusal.Kind.String()
+			return out.Refusal
 		default:
-			return errStreamAborted
+			return s.abort("status " + strconv.Itoa(out.Status) + " when resumed")
 		}
 	}
 }
 
+// abort records why the stream ends early and returns the error for its reader.
+func (s *Stream) abort(problem string) error {
+	s.problem = problem
+	return errStreamAborted
+}
+
 // continueWith takes over the state of another attempt's stream.
 func (s *Stream) continueWith(next *Stream) {
 	s.attempt = next.attempt
@@ -196,13 +208,7 @@
 	s.pending = next.pending
 	s.eof = next.eof
 	s.completed = next.completed
-}
-
-func streamError(e *refusal.Error) error {
-	if e == nil {
-		return errStreamAborted
-	}
-	return e
+	s.lastAt = next.lastAt
 }
 
 // complete marks the stream as ended by the endpoint after a complete event.
@@ -225,7 +231,7 @@
 	}
 	r := s.run
 	r.f.Log.Info("stream ended",
-		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.Int64("Events", r.events),
+		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.String("Problem", s.problem), zap.Int64("Events", r.events),
 		zap.String("LastEvent", r.lastEventID), zap.String("EndpointVersion", r.version), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
 	r.reportOutcome(outcome, r.events*r.req.TokensPerEvent)
 	r.forgetOrigin()
