internal/gateway: the log names the request whose answer was cut, not written, or not read

An answer that ended on the caller's connection left at most the HTTP library's line "error when serving connection", which names two addresses and no request. Read in the library (workerpool.go): it prints the line only for errors other than a timeout, a reset, a broken pipe or an unexpected end. So it stood for streams that broke (or whose caller left) and for requests that were not valid; a write that failed or timed out and a request that stopped midway left no line at all.

Accepted connections are now wrapped (listener, conn). Three lines, at most one per answer: - `answer cut`: request, run, events passed on, cause - `answer not written`: request, run, caller, bytes written, cause - `request not read`: caller, kind, cause

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -54,6 +55,7 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
 		kind = refusal.TooLarge
 	}
+	g.log.Info("request not read", zap.Stringer("Caller", ctx.RemoteAddr()), zap.Stringer("Kind", kind), logfile.Error(err))
 	g.dialect.Refuse(&ctx.Response, refusal.New(kind, err.Error()))
 	ctx.SetConnectionClose()
 }
@@ -90,6 +92,7 @@
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, overloaded)
+	beginAnswer(ctx, &c.req)
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
@@ -115,7 +118,7 @@
 	} else {
 		done()
 	}
-	g.writeReply(ctx, reply)
+	c.writeReply(ctx, reply)
 }
 
 // forward serves a request unless its caller has left while the request waited to be read.
@@ -127,12 +130,12 @@
 }
 
 // writeReply writes a reply to the caller's response.
-func (g *Gateway) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
+func (c *callerRequest) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
 	if reply.Refusal != nil {
 		if reply.Refusal.Kind == refusal.CallerGone {
 			ctx.SetConnectionClose()
 		}
-		g.dialect.Refuse(&ctx.Response, reply.Refusal)
+		c.g.dialect.Refuse(&ctx.Response, reply.Refusal)
 		return
 	}
 	ctx.SetStatusCode(reply.Status)
@@ -144,7 +147,7 @@
 		return
 	}
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(reply.Stream, -1)
+	ctx.SetBodyStream(&answerStream{Stream: reply.Stream, log: c.g.log, req: &c.req}, -1)
 }
 
 // admit validates a request and determines its route and terms.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -266,7 +266,7 @@
 	}
 	server := g.newServer(handler)
 	go func() {
-		if err := server.Serve(ln); err != nil {
+		if err := server.Serve(&listener{Listener: ln, log: g.log}); err != nil {
 			g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
 		}
 	}()
