internal/request: a stream leaves a silent endpoint only for a place that it has

Cause: limitEventWait closed the attempt after max(1 s, 4 x gap) without an event, and only then asked the pool, which may refuse: retry budget, attempts, version, limits, rests, ejections. Change: a timer beside the blocked reader asks the pool for a place (MoveRequested), which reserves it within all limits or denies it and changes nothing; then it connects; only with both the old attempt is closed and the new one begins (Moved). If the endpoint speaks first, or the other one cannot be reached, place and retry are given back (MoveCancelled). Without a place it is asked again every half second until the deadline. The read deadline was weighed and not used to wake the reader: an HTTP body cannot be read on after a timeout. A StallTimeout (the chat router) works by the same timer; requests that must not be repeated or resumed keep the old one. The search is logged ('endpoint silent'), once for each outcome of an attempt. TestPoolInvariants also moves requests.

--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// RequestMove asks the pool for a place at another endpoint for a request in flight. If it returns nil, the Denial tells why.
+func (e *Endpoints) RequestMove(now time.Time, id string) (*endpoint.Reserved, endpoint.Denial) {
+	var reserved *endpoint.Reserved
+	var denial endpoint.Denial
+	for _, action := range decision.Apply(&e.mu, e.pool.Handle, now, endpoint.Event(endpoint.MoveRequested{ID: id})) {
+		switch action := action.(type) {
+		case endpoint.Reserved:
+			reserved = &action
+		case endpoint.MoveDenied:
+			denial = action.Reason
+		default:
+			e.perform(now, action)
+		}
+	}
+	return reserved, denial
+}
+
 // Waiting returns the number of requests that wait for an endpoint.
 func (e *Endpoints) Waiting() int {
 	e.mu.Lock()
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -55,23 +55,25 @@
 	return n, err
 }
 
-// send writes the request to the endpoint at an address and reads the head of the answer.
+// send writes the request to the endpoint at an address and reads the head of the answer. A nil conn is obtained first.
 //
 // An error that wraps connection.ErrNotSent or is errCallerLeft proves that the request did not run.
-func (r *run) send(now time.Time, address string, info AttemptInfo) (*attempt, error) {
-	var usedSince time.Time
-	if !r.req.Repeatable {
-		usedSince = now.Add(-connection.NonRepeatableMaxIdle)
-	}
+func (r *run) send(now time.Time, address string, conn *connection.Conn, info AttemptInfo) (*attempt, error) {
 	if r.callerLeft() {
+		if conn != nil {
+			_ = conn.Close()
+		}
 		return nil, errCallerLeft
 	}
-	conn, err := r.f.Connections.Get(now, address, usedSince)
-	if err != nil {
-		return nil, err
+	if conn == nil {
+		var err error
+		if conn, err = r.f.Connections.Get(now, address, r.usedSince(now)); err != nil {
+			return nil, err
+		}
 	}
 	r.f.observer().Connected(conn.Reused)
 	a := &attempt{conn: conn}
+	r.stall = r.newStallWatch(a, info.Endpoint)
 	if !conn.Reused && r.callerLeft() { // Opening a connection takes time.
 		a.abort()
 		return nil, errCallerLeft
@@ -94,6 +96,14 @@
 	return a, nil
 }
 
+// usedSince returns when a pooled connection must have been used last to carry the request.
+func (r *run) usedSince(now time.Time) time.Time {
+	if r.req.Repeatable {
+		return time.Time{}
+	}
+	return now.Add(-connection.NonRepeatableMaxIdle)
+}
+
 // readHead reads the head of the answer to r.
 //
 // A reused connection may still deliver answers to earlier requests, which are
--- /dev/null
+++ b/internal/request/move.go
@@ -0,0 +1,188 @@
+package request
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+)
+
+// place is a place at another endpoint that is reserved for a request, and a connection to it.
+type place struct {
+	send endpoint.Send
+	conn *connection.Conn
+}
+
+// stallWatch looks for another place for a request while its endpoint is silent.
+//
+// The attempt at the silent endpoint goes on until a place and a connection to
+// it are there, however long that takes; then it is aborted, which wakes its
+// reader. If the endpoint speaks first, the place is given back. A stallWatch
+// belongs to one attempt; a nil one does nothing.
+type stallWatch struct {
+	f        *Forwarder
+	req      *Request
+	attempt  *attempt
+	endpoint string
+
+	mu      sync.Mutex
+	timer   *time.Timer     // Runs search; nil before the first wait.
+	waits   int             // Number of waits so far, by which a search finds out that its wait has ended.
+	waiting bool            // The reader of the attempt waits for the endpoint.
+	since   time.Time       // Start of the wait.
+	pause   time.Duration   // Time between two searches.
+	found   *place          // Place for which the attempt was aborted; nil while it goes on.
+	logged  map[string]bool // Outcomes that were logged.
+}
+
+// errMoved reports that an attempt was aborted in favour of a place at another endpoint.
+var errMoved = errors.New("the request goes on at another endpoint")
+
+// newStallWatch returns the watch of an attempt, or nil if the request must not move to another endpoint.
+func (r *run) newStallWatch(a *attempt, name string) *stallWatch {
+	if r.direct || !r.req.Repeatable {
+		return nil
+	}
+	return &stallWatch{f: r.f, req: r.req, attempt: a, endpoint: name}
+}
+
+// maxSearchPause is the longest time between two searches for a place while an endpoint stays silent.
+const maxSearchPause = 500 * time.Millisecond
+
+// begin starts a wait for the endpoint; after the silence d a place is looked for.
+func (w *stallWatch) begin(now time.Time, d time.Duration) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waits++
+	w.waiting = true
+	w.since = now
+	w.pause = min(d, maxSearchPause)
+	if w.timer == nil {
+		w.timer = time.AfterFunc(d, w.search)
+		return
+	}
+	w.timer.Reset(d)
+}
+
+// end ends the wait. If the attempt was aborted, it returns the place at which the request goes on.
+func (w *stallWatch) end() *place {
+	if w == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.waiting = false
+	found := w.found
+	w.found = nil
+	return found
+}
+
+// search looks for a place, and aborts the attempt if there is one and the endpoint is still silent.
+func (w *stallWatch) search() {
+	w.mu.Lock()
+	wait, silence := w.waits, time.Since(w.since)
+	active := w.waiting
+	w.mu.Unlock()
+	if !active {
+		return
+	}
+	var next *place
+	if !w.f.late(time.Now()) {
+		next = w.reserve(silence)
+	}
+	if w.settle(wait, next) || next == nil {
+		return
+	}
+	w.log("Overtaken", next.send.Endpoint, silence, nil)
+	w.f.giveBack(next, false)
+}
+
+// settle ends a search: it aborts the attempt for a place or, without one, arranges the next search. It reports false if the
+// wait has ended meanwhile.
+func (w *stallWatch) settle(wait int, next *place) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.waiting || w.waits != wait {
+		return false
+	}
+	if next == nil {
+		w.timer.Reset(w.pause)
+		return true
+	}
+	w.waiting = false
+	w.found = next
+	w.attempt.abort()
+	return true
+}
+
+// reserve returns a place at another endpoint with a connection to it, or nil.
+func (w *stallWatch) reserve(silence time.Duration) *place {
+	now := time.Now()
+	reserved, denial := w.f.Endpoints.RequestMove(now, w.req.RunID)
+	if reserved == nil {
+		w.log(denial.String(), "", silence, nil)
+		return nil
+	}
+	next := &place{send: reserved.Place}
+	conn, err := w.f.connect(now, next.send.Endpoint)
+	if err != nil {
+		w.log("NotConnected", next.send.Endpoint, silence, err)
+		w.f.giveBack(next, true)
+		return nil
+	}
+	next.conn = conn
+	w.log("Placed", next.send.Endpoint, silence, nil)
+	return next
+}
+
+// log logs the outcome of a search, each outcome once for an attempt.
+func (w *stallWatch) log(outcome, to string, silence time.Duration, err error) {
+	w.mu.Lock()
+	repeated := w.logged[outcome]
+	if w.logged == nil {
+		w.logged = map[string]bool{}
+	}
+	w.logged[outcome] = true
+	w.mu.Unlock()
+	if repeated {
+		return
+	}
+	w.f.Log.Info("endpoint silent", zap.String("Request", w.req.ID), zap.String("Run", w.req.RunID), zap.String("Endpoint", w.endpoint),
+		zap.Duration("Silence", silence), zap.String("Outcome", outcome), zap.String("To", to), logfile.Error(err))
+}
+
+// connect returns a connection to an endpoint for a request that is repeatable.
+func (f *Forwarder) connect(now time.Time, name string) (*connection.Conn, error) {
+	address, ok := f.Endpoints.Address(name)
+	if !ok {
+		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", name)
+	}
+	conn, err := f.Connections.Get(now, address, time.Time{})
+	if connection.IsRefused(err) {
+		f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: name})
+	}
+	return conn, err
+}
+
+// giveBack gives a place back that is not used.
+func (f *Forwarder) giveBack(p *place, unreachable bool) {
+	if p == nil {
+		return
+	}
+	now := time.Now()
+	f.Endpoints.Handle(now, endpoint.MoveCancelled{ID: p.send.ID, Attempt: p.send.Attempt, Unreachable: unreachable})
+	if p.conn != nil {
+		f.Connections.Put(now, p.conn, 0)
+	}
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -30,7 +30,8 @@
 	ran         bool           // An attempt may have run.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
-	fallback    *Reply // Server error from an endpoint, returned if no other attempt succeeds.
+	fallback    *Reply      // Server error from an endpoint, returned if no other attempt succeeds.
+	stall       *stallWatch // Of the last attempt; nil if the request cannot move to another endpoint.
 }
 
 // withTotals sets the fields of a reply that summarise the run, and returns it.
@@ -77,7 +78,7 @@
 		if out != nil {
 			return out
 		}
-		if out := r.try(send); out != nil {
+		if out := r.try(send, nil); out != nil {
 			return out
 		}
 		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
@@ -159,10 +160,10 @@
 	return &Reply{Refusal: &refusal.Error{Kind: kind, Detail: r.req.Service, After: after}}
 }
 
-// try makes one attempt; a nil reply means that another one is needed.
-func (r *run) try(send endpoint.Send) *Reply {
+// try makes one attempt, on a connection if there is one already; a nil reply means that another one is needed.
+func (r *run) try(send endpoint.Send, conn *connection.Conn) *Reply {
 	now := time.Now()
-	outcome, out := r.exchange(now, send)
+	outcome, out := r.exchange(now, send, conn)
 	r.f.observer().Attempted(outcome)
 	if out != nil && out.Stream != nil {
 		return out // The attempt ends with its stream.
@@ -173,12 +174,12 @@
 }
 
 // exchange sends the request to an endpoint and returns the outcome of the attempt.
-func (r *run) exchange(now time.Time, send endpoint.Send) (endpoint.Outcome, *Reply) {
+func (r *run) exchange(now time.Time, send endpoint.Send, conn *connection.Conn) (endpoint.Outcome, *Reply) {
 	r.attempts++
 	r.endpoint = send.Endpoint
 	r.version = send.Version
 	r.sentAt = now
-	a, err := r.open(now, send)
+	a, err := r.open(now, send, conn)
 	outcome, out := r.handleAnswer(send, a, err)
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
@@ -193,12 +194,15 @@
 	return outcome, out
 }
 
-func (r *run) open(now time.Time, send endpoint.Send) (*attempt, error) {
+func (r *run) open(now time.Time, send endpoint.Send, conn *connection.Conn) (*attempt, error) {
+	if conn != nil {
+		return r.send(now, conn.Address(), conn, r.attemptInfo(now, send))
+	}
 	address, ok := r.f.Endpoints.Address(send.Endpoint)
 	if !ok {
 		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", send.Endpoint)
 	}
-	return r.send(now, address, r.attemptInfo(now, send))
+	return r.send(now, address, nil, r.attemptInfo(now, send))
 }
 
 // forwardTo makes the single attempt of a request that is sent to a fixed address.
@@ -206,7 +210,7 @@
 	now := time.Now()
 	r.attempts++
 	r.sentAt = now
-	a, err := r.send(now, address, AttemptInfo{Attempt: r.attempts, Account: r.req.Account, Timeout: r.req.Deadline.Sub(now), LastEventID: r.lastEventID})
+	a, err := r.send(now, address, nil, AttemptInfo{Attempt: r.attempts, Account: r.req.Account, Timeout: r.req.Deadline.Sub(now), LastEventID: r.lastEventID})
 	outcome, out := r.handleAnswer(endpoint.Send{}, a, err)
 	r.ran = outcome != endpoint.Rejected
 	if out != nil {
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -31,6 +32,7 @@
 	release func() // Stops the goroutine that aborts the attempt when the caller disconnects.
 
 	pending   []byte // Bytes of the current event that were not yet read.
+	next      *place // Where the stream goes on, as its attempt was aborted; nil while it goes on here.
 	eof       bool
 	completed bool
 	lastAt    time.Time // When the last event arrived.
@@ -123,8 +125,16 @@
 
 // advance waits for the next event, and resumes the stream at another endpoint if this one fails.
 func (s *Stream) advance() error {
-	s.limitEventWait(time.Now())
+	if s.next != nil {
+		return s.leave(errMoved) // The last event arrived while its attempt was aborted.
+	}
+	now := time.Now()
+	s.limitEventWait(now)
+	if s.movable() {
+		s.run.stall.begin(now, s.stallTimeout())
+	}
 	e, err := s.events.Next()
+	s.next = s.run.stall.end()
 	switch err {
 	case nil:
 		s.deliver(e)
@@ -133,6 +143,11 @@
 		s.complete()
 		return nil
 	}
+	return s.leave(err)
+}
+
+// leave ends the attempt after an error and resumes the stream, at the place that was found if there is one.
+func (s *Stream) leave(err error) error {
 	s.release()
 	s.attempt.abort()
 	r := s.run
@@ -141,27 +156,55 @@
 		return s.abort(refusal.CallerGone.String())
 	}
 	outcome := failureOutcome(err)
+	if s.next != nil {
+		outcome = endpoint.Silent
+	}
 	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
 		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", outcome == endpoint.Silent), logfile.Error(err))
+	if s.next != nil {
+		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
+		return s.resume(r.try(s.takeNext()))
+	}
 	r.reportOutcome(outcome, 0)
 	r.checkCrash(outcome)
-	return s.resume()
+	if !r.req.Resumable || r.lastEventID == "" {
+		return s.abort("not resumable")
+	}
+	return s.resume(nil)
+}
+
+// takeNext returns the attempt with which the stream goes on.
+func (s *Stream) takeNext() (endpoint.Send, *connection.Conn) {
+	next := s.next
+	s.next = nil
+	return next.send, next.conn
 }
 
-// minStallTimeout is the shortest silence after which a stream without a StallTimeout is resumed elsewhere.
+// minStallTimeout is the shortest silence after which a stream without a StallTimeout may move to another endpoint.
 //
 // It is below the 2 s for which every caller waits at least.
 const minStallTimeout = time.Second
 
+// stallTimeout returns the silence after which the stream may move to another endpoint.
+func (s *Stream) stallTimeout() time.Duration {
+	if s.run.req.StallTimeout > 0 {
+		return s.run.req.StallTimeout
+	}
+	return max(minStallTimeout, 4*s.run.req.Gap)
+}
+
+// movable reports whether the stream may go on at another endpoint although its own has not failed.
+func (s *Stream) movable() bool {
+	r := s.run
+	return r.stall != nil && r.req.Resumable && r.lastEventID != ""
+}
+
 // limitEventWait sets the read deadline for the next event.
 func (s *Stream) limitEventWait(now time.Time) {
 	r := s.run
 	until := r.req.Deadline.Add(answerMargin)
-	switch {
-	case r.req.StallTimeout > 0:
+	if r.req.StallTimeout > 0 && !s.movable() {
 		until = earlier(until, now.Add(r.req.StallTimeout))
-	case r.req.Resumable && r.attempts < r.req.MaxAttempts:
-		until = earlier(until, now.Add(max(minStallTimeout, 4*r.req.Gap)))
 	}
 	if err := s.attempt.conn.SetReadDeadline(until); err != nil {
 		r.f.Log.Debug("no limit for the next event", zap.String("Run", r.req.RunID), logfile.Error(err))
@@ -169,29 +212,27 @@
 }
 
 // resume continues the stream at another endpoint after the last event that was delivered.
-func (s *Stream) resume() error {
+//
+// The parameter is the result of an attempt to do so, or nil.
+func (s *Stream) resume(out *Reply) error {
 	r := s.run
-	if !r.req.Resumable || r.lastEventID == "" {
-		return s.abort("not resumable")
-	}
-	for {
+	for out == nil {
 		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
-		send, out := r.awaitDecision(r.req.Deadline)
-		if out == nil {
-			out = r.try(send)
-		}
-		switch {
-		case out == nil:
-		case out.Stream != nil:
-			s.continueWith(out.Stream)
-			return nil
-		case out.Refusal != nil:
-			s.problem = out.Refusal.Kind.String()
-			return out.Refusal
-		default:
-			return s.abort("status " + strconv.Itoa(out.Status) + " when resumed")
+		var send endpoint.Send
+		if send, out = r.awaitDecision(r.req.Deadline); out == nil {
+			out = r.try(send, nil)
 		}
 	}
+	switch {
+	case out.Stream != nil:
+		s.continueWith(out.Stream)
+		return nil
+	case out.Refusal != nil:
+		s.problem = out.Refusal.Kind.String()
+		return out.Refusal
+	default:
+		return s.abort("status " + strconv.Itoa(out.Status) + " when resumed")
+	}
 }
 
 // abort records why the stream ends early and returns the error for its reader.
@@ -206,6 +247,7 @@
 	s.events = next.events
 	s.release = next.release
 	s.pending = next.pending
+	s.next = next.next
 	s.eof = next.eof
 	s.completed = next.completed
 	s.lastAt = next.lastAt
@@ -214,16 +256,24 @@
 // complete marks the stream as ended by the endpoint after a complete event.
 func (s *Stream) complete() {
 	s.release()
+	s.giveBackNext()
 	s.eof = true
 	s.completed = true
 	s.attempt.recycle(time.Now(), &s.run.f.Connections)
 }
 
+// giveBackNext gives the place back at which the stream would have gone on, if there is one.
+func (s *Stream) giveBackNext() {
+	s.run.f.giveBack(s.next, false)
+	s.next = nil
+}
+
 // Close ends the attempt and settles the request.
 //
 // Call it once, when the answer was written or the caller disconnected.
 func (s *Stream) Close() error {
 	s.release()
+	s.giveBackNext()
 	s.attempt.abort()
 	outcome := endpoint.Abandoned
 	if s.completed {
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -96,6 +96,15 @@
 
 func (p *Pool) send(now time.Time, j *job, b *backend) Action {
 	p.queue.remove(j)
+	b.limit.take(now)
+	b.running[j.ID] = j
+	b.recordChange(now, 1)
+	p.startAttempt(now, j, b)
+	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
+}
+
+// startAttempt records the start of an attempt of a job at an endpoint, which counts it as running already.
+func (p *Pool) startAttempt(now time.Time, j *job, b *backend) {
 	p.queue.charge(j)
 	j.attempts++
 	j.suspect = p.suspects.deaths(now, j.Fingerprint) > 0
@@ -104,13 +113,9 @@
 	j.sentAt = now
 	j.sentVersion = b.Version
 	j.firstTokenAt = time.Time{}
-	b.limit.take(now)
-	b.running[j.ID] = j
-	b.recordChange(now, 1)
-	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
 }
 
-// choose returns the usable endpoint with a free slot and the lowest cost, or nil.
+// choose returns the usable endpoint with a free slot and the lowest cost, other than that of an attempt in flight, or nil.
 //
 // A suspect is not sent while a request with its fingerprint is in flight, nor to an endpoint that runs another suspect. A
 // request with a suspect part is not sent while another one with that part is in flight.
@@ -127,7 +132,7 @@
 	var lowest float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !p.canSend(now, b, j.selector(), ignoreEjection) {
+		if b == j.target || !p.canSend(now, b, j.selector(), ignoreEjection) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -114,7 +114,7 @@
 		p.suspectsOf(ev.Part).clear(ev.Fingerprint)
 		return p.dispatch(now)
 	default:
-		return nil
+		return p.handleMove(now, ev)
 	}
 }
 
@@ -233,7 +233,7 @@
 	kind, refused := p.unservable(now, j)
 	switch {
 	case refused:
-	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy), p.retries < 1:
+	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy, j.runs), p.retries < 1:
 		kind = refusal.NoEndpoint
 	default:
 		p.retries--
@@ -262,6 +262,7 @@
 	if !ok || j.target == nil {
 		return nil
 	}
+	p.releasePlace(now, j)
 	b := j.target
 	b.recordOutcome(ev.Outcome)
 	delete(b.running, ev.ID)
@@ -312,6 +313,7 @@
 	if !ok {
 		return
 	}
+	p.releasePlace(now, j)
 	if j.target != nil {
 		delete(j.target.running, id)
 		j.target.recordChange(now, -1)
--- a/pkg/endpoint/pool_test.go
+++ b/pkg/endpoint/pool_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// move asks for another place for a request in flight and takes it or gives it back.
+func (m *poolModel) move(t require.TestingT, id string, cancelled bool) {
+	actions := m.pool.Handle(m.now, MoveRequested{id})
+	require.Len(t, actions, 1)
+	reserved, ok := actions[0].(Reserved)
+	if !ok {
+		return
+	}
+	require.True(t, m.requests[id].Repeatable, "a request that is not repeatable moves")
+	require.NotEqual(t, m.inFlight[id], reserved.Place.Endpoint, "moved to the endpoint where it is")
+	if cancelled {
+		m.handle(t, MoveCancelled{ID: id, Attempt: reserved.Place.Attempt, Unreachable: true})
+		return
+	}
+	delete(m.inFlight, id)
+	m.mayHaveRun[id] = true
+	m.sent(t, reserved.Place)
+	m.handle(t, Moved{id, Silent})
+}
+
 // firstInFlight returns the lowest ID of the requests in flight, or "".
 func (m *poolModel) firstInFlight() string {
 	first := ""
@@ -134,6 +154,11 @@
 					m.end(t, id, rapid.SampledFrom([]Outcome{Died, Finished, Rejected, Incomplete, Silent}).Draw(t, "outcome"))
 				}
 			},
+			"move": func(t *rapid.T) {
+				if id := m.firstInFlight(); id != "" {
+					m.move(t, id, rapid.Bool().Draw(t, "cancelled"))
+				}
+			},
 			"leave": func(t *rapid.T) {
 				n, leaving := name(), rapid.Bool().Draw(t, "leaving")
 				m.leaving[n] = leaving
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -19,6 +19,7 @@
 	suspect      bool     // Whether the request was a suspect at its last send.
 	mayHaveRun   bool     // Whether any attempt may have run.
 	target       *backend // Endpoint of the attempt in flight; nil if there is none.
+	place        *backend // Endpoint at which a place is reserved for the next attempt; nil if there is none. See MoveRequested.
 	sentAt       time.Time
 	sentVersion  string    // Software version of target when the attempt was sent.
 	firstTokenAt time.Time // Time of the first token of the last attempt; zero before it.
@@ -33,15 +34,15 @@
 	return Refuse{j.ID, kind, after}
 }
 
-// attemptsExhausted reports whether the job has used up its attempts. Sends that are
+// attemptsExhausted reports whether a job has used up its attempts after so many that may have run. Sends that are
 // known not to have run do not count, but the total number of sends is limited as well.
-func (j *job) attemptsExhausted(p Policy) bool {
+func (j *job) attemptsExhausted(p Policy, runs int) bool {
 	const extraSends = 2
 	limit := p.MaxAttempts
 	if j.MaxAttempts > 0 {
 		limit = j.MaxAttempts
 	}
-	return j.runs >= limit || j.attempts >= limit+extraSends
+	return runs >= limit || j.attempts >= limit+extraSends
 }
 
 func (j *job) weight() float64 {
