internal/gateway: a stream is no longer cut 20 s after its first event

What callers saw: a stream that lasts over 20 s (from its first event) ended without its end, although its endpoint was sound and its caller read every event. No line said so, as the HTTP library logs no timeouts.

Before: TestStreamMayTakeLongerThanOneWrite (timeout 300 ms, ten events 100 ms apart) failed with "unexpected EOF" after 0.31 s. TestCallerThatDoesNotReadEndsItsAnswer passed, and still does: a caller that does not read ends its answer.

Change: conn sets the deadline of each write, the server sets none.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -14,7 +15,8 @@
 type listener struct {
 	net.Listener
 
-	log *zap.Logger
+	log      *zap.Logger
+	timeouts timeouts
 }
 
 // Accept implements net.Listener.
@@ -27,21 +29,24 @@
 	if !ok {
 		return accepted, nil
 	}
-	return &conn{TCPConn: tcp, log: l.log}, nil
+	return &conn{TCPConn: tcp, log: l.log, timeouts: l.timeouts}, nil
 }
 
-// conn is an accepted connection. It logs which request is left without a complete answer when a write fails.
+// conn is an accepted connection. It limits the time of each write, and logs which request is left without a complete
+// answer when one fails.
 //
-// The HTTP library logs such an error without the request, or not at all.
+// The HTTP library limits the time of the whole answer, which would cut long
+// streams, and logs a failed write without the request or not at all.
 // One goroutine serves the connection, so its fields need no lock.
 type conn struct {
 	*net.TCPConn
 
-	log     *zap.Logger
-	request string // ID of the request that was last read, as its caller chose it.
-	run     string // Its run ID; empty if it was not admitted.
-	written int64  // Bytes written since then.
-	failed  bool   // A write failed.
+	log      *zap.Logger
+	timeouts timeouts
+	request  string // ID of the request that was last read, as its caller chose it.
+	run      string // Its run ID; empty if it was not admitted.
+	written  int64  // Bytes written since then.
+	failed   bool   // A write failed.
 }
 
 // beginAnswer records which request the next writes answer, if its connection is a conn.
@@ -57,7 +62,10 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := 0, c.SetWriteDeadline(time.Now().Add(c.timeouts.write))
+	if err == nil {
+		n, err = c.TCPConn.Write(p)
+	}
 	c.written += int64(n)
 	if err != nil && !c.failed {
 		c.failed = true
--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +29,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	server := g.newServer(handler)
-	go func() { _ = server.Serve(&listener{Listener: ln, log: g.log}) }()
+	go func() { _ = server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.timeouts}) }()
 	return ln.Addr().String()
 }
 
@@ -57,3 +60,52 @@
 	require.Zero(t, line["Bytes"])
 	require.NotEmpty(t, line["Error"])
 }
+
+// TestStreamMayTakeLongerThanOneWrite sends a stream that takes several times the timeout of a write, while its caller
+// reads each event at once.
+func TestStreamMayTakeLongerThanOneWrite(t *testing.T) {
+	g := newTestGateway(t)
+	g.timeouts.write = 300 * time.Millisecond
+	const events = 10
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.SetBodyStream(&slowEvents{left: events, pause: 100 * time.Millisecond}, -1)
+	})
+	resp, err := http.Get("http://" + address)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, strings.Repeat("event", events), string(body))
+}
+
+// TestCallerThatDoesNotReadEndsItsAnswer guards against answers that wait for their callers for ever.
+func TestCallerThatDoesNotReadEndsItsAnswer(t *testing.T) {
+	g := newTestGateway(t)
+	core, lines := observer.New(zap.InfoLevel)
+	g.log = zap.New(core)
+	g.timeouts.write = 300 * time.Millisecond
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, 64<<20)) })
+	caller, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return lines.FilterMessage("answer not written").Len() > 0 }, eventually, pollInterval)
+}
+
+// slowEvents is a stream of events with a pause before each.
+type slowEvents struct {
+	left  int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (s *slowEvents) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	s.left--
+	time.Sleep(s.pause)
+	return copy(p, "event"), nil
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -20,14 +20,26 @@
 
 // Limits of the HTTP servers.
 const (
-	headerBufferBytes = 17 << 10         // Above the largest header that configurations allow.
-	maxBodyBytes      = 16 << 20         // The configuration may set a lower limit.
-	readTimeout       = 30 * time.Second // For reading one request.
-	idleTimeout       = 90 * time.Second // Above the idle timeouts of all callers.
-	writeTimeout      = 20 * time.Second
+	headerBufferBytes = 17 << 10 // Above the largest header that configurations allow.
+	maxBodyBytes      = 16 << 20 // The configuration may set a lower limit.
 	maxConcurrent     = 4096
 )
 
+// timeouts bounds the waits on an accepted connection.
+type timeouts struct {
+	read  time.Duration // For reading one request.
+	idle  time.Duration // Between two requests.
+	write time.Duration // For one write; a stream writes each event.
+}
+
+// defaultTimeouts are the timeouts of the HTTP servers.
+var defaultTimeouts = timeouts{
+	read:  30 * time.Second,
+	idle:  90 * time.Second, // Above the idle timeouts of all callers.
+	write: 20 * time.Second,
+}
+
+// newServer returns an HTTP server for connections that a listener accepts; they limit their writes themselves.
 func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                         "foxtaillanding",
@@ -36,9 +48,8 @@
 		Concurrency:                  maxConcurrent,
 		ReadBufferSize:               headerBufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
-		ReadTimeout:                  readTimeout,
-		IdleTimeout:                  idleTimeout,
-		WriteTimeout:                 writeTimeout,
+		ReadTimeout:                  g.timeouts.read,
+		IdleTimeout:                  g.timeouts.idle,
 		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	started time.Time
 	stop    chan struct{}
 
+	timeouts           timeouts                    // Not changed after the start.
 	table              atomic.Pointer[route.Table] // Nil until the first configuration is in force.
 	tableMu            sync.Mutex                  // Held while a configuration is put in force.
 	initialGrantsDrawn bool                        // Accessed only in members.tick, which one goroutine calls.
@@ -106,7 +107,7 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
-	g := &Gateway{cfg: cfg, dialect: cfg.Dialect, log: cfg.Log, started: time.Now(), stop: make(chan struct{})}
+	g := &Gateway{cfg: cfg, dialect: cfg.Dialect, log: cfg.Log, started: time.Now(), stop: make(chan struct{}), timeouts: defaultTimeouts}
 	const unlimited = -1
 	var err error
 	if g.workers, err = ants.NewPool(unlimited); err != nil {
@@ -266,7 +267,7 @@
 	}
 	server := g.newServer(handler)
 	go func() {
-		if err := server.Serve(&listener{Listener: ln, log: g.log}); err != nil {
+		if err := server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.timeouts}); err != nil {
 			g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
 		}
 	}()
