internal/gateway: callers may be idle, and slow to send, for as long as the configuration allows

What callers saw: `idleTimeoutMs` and `headerTimeoutMs` of the configuration were decoded and read by nothing. A connection was closed after 90 s without a request, also if its caller may reuse it later, so that a request could cross the close; a request that arrived over more than 30 s was answered 400 and its connection closed.

Before, with the router's own limits at 100 ms and the configuration's at 10 s: TestIdleConnectionOutlivesTheLimitOfItsCaller failed with "unexpected EOF", TestRequestMayArriveAsSlowlyAsTheLimit got the 400. The two tests of the opposite (an idle connection is closed after the limit, a request that stops midway is refused) passed before and pass now.

Change: the timeouts of the HTTP library are fixed when it starts and belong to one goroutine per connection, so conn keeps its own: idle is the longer of the router's and the configuration's, reading is the router's 30 s (for the body) plus the configuration's for the head. A limit that is raised while a connection waits counts for that wait.

A connection on which no request has come yet is now closed after 90 s, no more after 30 s.

--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
 // Waits for a state.
@@ -29,7 +32,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	server := g.newServer(handler)
-	go func() { _ = server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.timeouts}) }()
+	go func() { _ = server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts}) }()
 	return ln.Addr().String()
 }
 
@@ -109,3 +112,97 @@
 	time.Sleep(s.pause)
 	return copy(p, "event"), nil
 }
+
+// TestIdleConnectionOutlivesTheLimitOfItsCaller reuses a connection that was idle for most of the limit that the
+// configuration sets, which is above the router's own.
+func TestIdleConnectionOutlivesTheLimitOfItsCaller(t *testing.T) {
+	g := newTestGateway(t)
+	g.timeouts.idle = 100 * time.Millisecond
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	caller := dialTest(t, address)
+	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	// The limit is raised while the connection is idle.
+	g.table.Store(route.NewTable(route.Configuration{Version: 2, Limits: route.Limits{IdleTimeout: 10 * time.Second}}))
+	time.Sleep(500 * time.Millisecond)
+	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+// TestIdleConnectionIsClosedAfterTheLimit guards against connections that are kept for ever.
+func TestIdleConnectionIsClosedAfterTheLimit(t *testing.T) {
+	g := newTestGateway(t)
+	g.timeouts.idle = 100 * time.Millisecond
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	caller := dialTest(t, address)
+	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(eventually)))
+	_, err := caller.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestRequestMayArriveAsSlowlyAsTheLimit sends a head over most of the time that the configuration allows, which is more
+// than the router's own.
+func TestRequestMayArriveAsSlowlyAsTheLimit(t *testing.T) {
+	g := newTestGateway(t)
+	g.dialect = refusingDialect{}
+	g.timeouts.read = 100 * time.Millisecond
+	g.table.Store(route.NewTable(route.Configuration{Version: 2, Limits: route.Limits{HeaderTimeout: 10 * time.Second}}))
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	caller := dialTest(t, address)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost")
+	require.NoError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	caller.exchange(": h\r\n\r\n")
+}
+
+// TestRequestThatDoesNotArriveIsRefused guards against requests that are read for ever.
+func TestRequestThatDoesNotArriveIsRefused(t *testing.T) {
+	g := newTestGateway(t)
+	g.dialect = refusingDialect{}
+	g.timeouts.read = 100 * time.Millisecond
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	caller := dialTest(t, address)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost")
+	require.NoError(t, err)
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(eventually)))
+	answer, err := io.ReadAll(caller.in)
+	require.NoError(t, err, "the router closes the connection")
+	require.Contains(t, string(answer), " 400 ")
+}
+
+// refusingDialect answers each refusal with status 400.
+type refusingDialect struct{ entryDialect }
+
+// Refuse implements Dialect.
+func (refusingDialect) Refuse(resp *fasthttp.Response, _ *refusal.Error) {
+	resp.SetStatusCode(fasthttp.StatusBadRequest)
+}
+
+// testCaller is a caller's connection.
+type testCaller struct {
+	net.Conn
+
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func dialTest(t *testing.T, address string) *testCaller {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &testCaller{Conn: c, t: t, in: bufio.NewReader(c)}
+}
+
+// exchange sends the text of a request, or the rest of one, and reads its answer.
+func (c *testCaller) exchange(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(c.t, err)
+	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(eventually)))
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	require.NoError(c.t, resp.Body.Close())
+	require.Equal(c.t, "well", string(body))
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -27,7 +27,7 @@
 
 // timeouts bounds the waits on an accepted connection.
 type timeouts struct {
-	read  time.Duration // For reading one request.
+	read  time.Duration // For reading one request, from its first byte.
 	idle  time.Duration // Between two requests.
 	write time.Duration // For one write; a stream writes each event.
 }
@@ -35,11 +35,24 @@
 // defaultTimeouts are the timeouts of the HTTP servers.
 var defaultTimeouts = timeouts{
 	read:  30 * time.Second,
-	idle:  90 * time.Second, // Above the idle timeouts of all callers.
+	idle:  90 * time.Second,
 	write: 20 * time.Second,
 }
 
-// newServer returns an HTTP server for connections that a listener accepts; they limit their writes themselves.
+// currentTimeouts returns the timeouts in force: those of the gateway, or longer ones where the configuration allows callers
+// more time.
+//
+// Callers reuse a connection until shortly before the idle timeout of the configuration.
+func (g *Gateway) currentTimeouts() timeouts {
+	out := g.timeouts
+	if t := g.table.Load(); t != nil {
+		out.idle = max(out.idle, t.Limits.IdleTimeout)
+		out.read += t.Limits.HeaderTimeout // The rest is for the body.
+	}
+	return out
+}
+
+// newServer returns an HTTP server for connections that a listener accepts; they limit their reads and writes themselves.
 func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                         "foxtaillanding",
@@ -48,8 +61,6 @@
 		Concurrency:                  maxConcurrent,
 		ReadBufferSize:               headerBufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
-		ReadTimeout:                  g.timeouts.read,
-		IdleTimeout:                  g.timeouts.idle,
 		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -267,7 +267,7 @@
 	}
 	server := g.newServer(handler)
 	go func() {
-		if err := server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.timeouts}); err != nil {
+		if err := server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts}); err != nil {
 			g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
 		}
 	}()
