internal/request: a repeatable request leaves a silent endpoint only for a place that it has

Callers saw repeatable requests and streams before their first event refused as AnswerBroken although their endpoint would have answered in time. Cause: attemptDeadline closed an attempt after max(2 x objective, half of the time left), or the StallTimeout, before it was known whether another endpoint could take the request. A first event that arrives while the attempt is closed is delivered, and the stream goes on after it at the new place; a whole answer is passed on and the place given back. Not changed: a request that is not repeatable, or that goes to a peer, keeps a StallTimeout as its end (chat router only).

--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -84,6 +84,7 @@
 		a.abort()
 		return nil, errors.Wrap(connection.ErrNotSent, err.Error())
 	}
+	r.stall.begin(now, r.firstStallTimeout(now))
 	message := net.Buffers{encodeHead(&r.req.Message, r.req.Codec.AttemptHeaders(&r.req.Message, info), address), r.req.Body}
 	if _, err := message.WriteTo(conn.Conn); err != nil {
 		a.abort()
--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -51,6 +51,32 @@
 	return &stallWatch{f: r.f, req: r.req, attempt: a, endpoint: name}
 }
 
+// firstStallTimeout returns the silence after which a request without an answer or a first event may move to another endpoint.
+//
+// Enough of the time until the deadline is left for another attempt.
+func (r *run) firstStallTimeout(now time.Time) time.Duration {
+	if r.req.StallTimeout > 0 {
+		return r.req.StallTimeout
+	}
+	left := r.req.Deadline.Sub(now)
+	return max(2*r.req.Objective, left/2)
+}
+
+// endFirstWait ends the wait for an answer or the first event, of which out is the result. It returns the place at which the
+// request goes on, unless the answer came all the same; a stream that has begun goes on there after its first event.
+func (r *run) endFirstWait(out *Reply) *place {
+	next := r.stall.end()
+	switch {
+	case out == nil:
+		return next
+	case out.Stream != nil && !out.Stream.completed:
+		out.Stream.next = next
+	default:
+		r.f.giveBack(next, false)
+	}
+	return nil
+}
+
 // maxSearchPause is the longest time between two searches for a place while an endpoint stays silent.
 const maxSearchPause = 500 * time.Millisecond
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -160,27 +160,38 @@
 	return &Reply{Refusal: &refusal.Error{Kind: kind, Detail: r.req.Service, After: after}}
 }
 
-// try makes one attempt, on a connection if there is one already; a nil reply means that another one is needed.
+// try makes one attempt, on a connection if there is one already, and further ones as long as the request moves to other
+// endpoints; a nil reply means that another one is needed.
 func (r *run) try(send endpoint.Send, conn *connection.Conn) *Reply {
-	now := time.Now()
-	outcome, out := r.exchange(now, send, conn)
-	r.f.observer().Attempted(outcome)
-	if out != nil && out.Stream != nil {
-		return out // The attempt ends with its stream.
+	for {
+		outcome, out, next := r.exchange(time.Now(), send, conn)
+		r.f.observer().Attempted(outcome)
+		switch {
+		case out != nil && out.Stream != nil:
+			return out // The attempt ends with its stream.
+		case next == nil:
+			r.reportOutcome(outcome, 0)
+			r.checkCrash(outcome)
+			return out
+		}
+		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
+		send, conn = next.send, next.conn
 	}
-	r.reportOutcome(outcome, 0)
-	r.checkCrash(outcome)
-	return out
 }
 
-// exchange sends the request to an endpoint and returns the outcome of the attempt.
-func (r *run) exchange(now time.Time, send endpoint.Send, conn *connection.Conn) (endpoint.Outcome, *Reply) {
+// exchange sends the request to an endpoint and returns the outcome of the attempt, and the place at which the request goes
+// on if the endpoint was silent and there is one.
+func (r *run) exchange(now time.Time, send endpoint.Send, conn *connection.Conn) (endpoint.Outcome, *Reply, *place) {
 	r.attempts++
 	r.endpoint = send.Endpoint
 	r.version = send.Version
 	r.sentAt = now
 	a, err := r.open(now, send, conn)
 	outcome, out := r.handleAnswer(send, a, err)
+	next := r.endFirstWait(out)
+	if next != nil && outcome == endpoint.Died {
+		outcome = endpoint.Silent // The stall watch closed the connection.
+	}
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
 	if connection.IsRefused(err) {
@@ -191,7 +202,7 @@
 			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.String("EndpointVersion", send.Version), zap.Int("Attempt", send.Attempt),
 			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))
 	}
-	return outcome, out
+	return outcome, out, next
 }
 
 func (r *run) open(now time.Time, send endpoint.Send, conn *connection.Conn) (*attempt, error) {
@@ -235,19 +246,12 @@
 }
 
 // attemptDeadline returns the time at which an attempt without an answer or a first event is aborted.
-//
-// A repeatable request that has another attempt left stops waiting for a silent
-// endpoint before its own deadline, so that there is time for the next attempt.
 func (r *run) attemptDeadline(now time.Time) time.Time {
 	last := r.req.Deadline.Add(answerMargin)
-	if r.req.StallTimeout > 0 {
+	if r.stall == nil && r.req.StallTimeout > 0 {
 		return earlier(last, now.Add(r.req.StallTimeout))
 	}
-	if !r.req.Repeatable || r.attempts >= r.req.MaxAttempts {
-		return last
-	}
-	left := r.req.Deadline.Sub(now)
-	return now.Add(max(2*r.req.Objective, left/2))
+	return last
 }
 
 // answerMargin is how long after the deadline an attempt still waits, because an endpoint may answer just when the deadline expires.
