internal/connection: the kernel no longer ends a connection to a host that was silent for two seconds

Retransmissions are due 0.2, 0.6, 1.4 and 3.0 s after the first transmission; TCP_USER_TIMEOUT of 2 s gave up before the one that would have arrived. And as the user timeout also decides when keep-alive probes give up, one lost probe ended a watch of the store, although maxProbes says two.

Change: with probes the user timeout covers both of them (3 s); without, it is 5 s. It is no detector of dead endpoints: every attempt has its own deadline, and the silence of an endpoint is judged in internal/request. The price: a request that may not be repeated, sent to a host that is gone, and with more than 2 s left, now learns so up to 3 s later.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -34,11 +34,16 @@
 // Limits of connections to endpoints.
 const (
 	dialTimeout        = 800 * time.Millisecond
-	userTimeout        = 2 * time.Second // TCP_USER_TIMEOUT: unacknowledged bytes end a connection after this time.
 	defaultIdleTimeout = 3 * time.Second // For an endpoint that sends no Keep-Alive timeout.
 	maxIdlePerAddress  = 24
 	maxProbes          = 2 // Unanswered keep-alive probes that end a connection.
 
+	// unacknowledgedTimeout is the time after which bytes that are not
+	// acknowledged end a connection without probes. Retransmissions are up to
+	// 1.6 s apart in the first 3 s, so that a host that was silent for 2 s
+	// acknowledges in time.
+	unacknowledgedTimeout = 5 * time.Second
+
 	// NonRepeatableMaxIdle is the longest idle time after which a pooled
 	// connection may carry a request that must not be repeated.
 	NonRepeatableMaxIdle = 300 * time.Millisecond
@@ -177,7 +182,7 @@
 }
 
 func (p *Pool) dial(address string) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
 	if p.ProbeAfter > 0 {
 		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.ProbeAfter, Interval: p.ProbeAfter, Count: maxProbes}
 	}
@@ -191,11 +196,22 @@
 	return c, nil
 }
 
+// userTimeout returns the TCP_USER_TIMEOUT of new connections.
+//
+// It also decides when probes give up, whatever their number: at the first
+// unanswered probe that is due after it. So it covers maxProbes of them.
+func (p *Pool) userTimeout() time.Duration {
+	if p.ProbeAfter > 0 {
+		return (1 + maxProbes) * p.ProbeAfter
+	}
+	return unacknowledgedTimeout
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer does not acknowledge data.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.userTimeout().Milliseconds()))
 	})
 	return errors.CombineErrors(err, optErr)
 }
