pkg/endpoint: silent endpoints are avoided, not ejected, and never more than half of them

Callers saw requests wait and be refused after several endpoints had fallen silent once each. Cause: Silent ejected like a death: all endpoints could be ejected at once, for times that double, their cached prefixes were forgotten, and afterwards each took one request at a time until one had finished. The endpoint is avoided from the moment at which a request asks for another place, also if there is none, and until it says anything: an event after the silence (Spoke), a first event, an answer. Of the endpoints that a selector admits at most half is avoided; beyond that none is, but those that speak are preferred. The cache stays. Deaths are as before; shedding counts the endpoints that dispatch uses (toleranceOf replaces allEjected). When all are ejected by deaths, that was so before: ejection is ignored, one request at a time each. Open: other routers are not told that an endpoint is silent.

--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	timer   *time.Timer     // Runs search; nil before the first wait.
 	waits   int             // Number of waits so far, by which a search finds out that its wait has ended.
+	silent  bool            // The endpoint was silent in this wait for so long that a place was looked for.
 	waiting bool            // The reader of the attempt waits for the endpoint.
 	since   time.Time       // Start of the wait.
 	pause   time.Duration   // Time between two searches.
@@ -89,6 +90,7 @@
 	defer w.mu.Unlock()
 	w.waits++
 	w.waiting = true
+	w.silent = false
 	w.since = now
 	w.pause = min(d, maxSearchPause)
 	if w.timer == nil {
@@ -114,11 +116,22 @@
 	return found
 }
 
+// wasSilent reports whether a place was looked for in the last wait.
+func (w *stallWatch) wasSilent() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent
+}
+
 // search looks for a place, and aborts the attempt if there is one and the endpoint is still silent.
 func (w *stallWatch) search() {
 	w.mu.Lock()
 	wait, silence := w.waits, time.Since(w.since)
 	active := w.waiting
+	w.silent = w.silent || active
 	w.mu.Unlock()
 	if !active {
 		return
--- a/internal/request/stall_test.go
+++ b/internal/request/stall_test.go
@@ -269,3 +269,27 @@
 	require.EqualValues(t, 1, first.count.Load())
 	require.EqualValues(t, 1, second.count.Load())
 }
+
+// TestEndpointIsAvoidedUntilItSpeaksAgain lets an endpoint fall silent under a stream that has to stay, until the pool avoids it.
+func TestEndpointIsAvoidedUntilItSpeaksAgain(t *testing.T) {
+	f := newStallForwarder(endpoint.Policy{RetryReserve: 0.5})
+	seen := make(chan struct{})
+	a := startEndpoint(t, "a", func(x *received) {
+		x.head()
+		x.events(1, 3)
+		<-seen
+		x.events(4, testEvents)
+		x.end()
+	})
+	b := startEndpoint(t, "b", (*received).answer)
+	avoided := func() bool { return f.Endpoints.State(time.Now()).Endpoints[0].Down }
+	configure(f, a)
+	stream := f.Forward(newStallRequest("run", streamTerms()))
+	configure(f, a, b)
+	results := make(chan error, 1)
+	go func() { results <- readEvents(stream, func() {}) }()
+	require.Eventually(t, avoided, 10*time.Second, time.Millisecond)
+	close(seen)
+	require.NoError(t, <-results)
+	require.False(t, avoided())
+}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -138,6 +138,9 @@
 	switch err {
 	case nil:
 		s.deliver(e)
+		if s.run.stall.wasSilent() {
+			s.run.f.Endpoints.Handle(time.Now(), endpoint.Spoke{ID: s.run.req.RunID})
+		}
 		return nil
 	case io.EOF:
 		s.complete()
@@ -155,12 +158,9 @@
 		r.reportOutcome(endpoint.Abandoned, 0)
 		return s.abort(refusal.CallerGone.String())
 	}
-	outcome := failureOutcome(err)
-	if s.next != nil {
-		outcome = endpoint.Silent
-	}
+	outcome := s.brokenOutcome(err)
 	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
-		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", outcome == endpoint.Silent), logfile.Error(err))
+		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", s.next != nil || outcome == endpoint.Silent), logfile.Error(err))
 	if s.next != nil {
 		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
 		return s.resume(r.try(s.takeNext()))
@@ -173,6 +173,17 @@
 	return s.resume(nil)
 }
 
+// brokenOutcome maps an error of the stream to the outcome reported for its endpoint.
+func (s *Stream) brokenOutcome(err error) endpoint.Outcome {
+	switch {
+	case errors.Is(err, errMoved):
+		return endpoint.Incomplete // It has spoken after all.
+	case s.next != nil:
+		return endpoint.Silent
+	}
+	return failureOutcome(err)
+}
+
 // takeNext returns the attempt with which the stream goes on.
 func (s *Stream) takeNext() (endpoint.Send, *connection.Conn) {
 	next := s.next
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -42,7 +42,9 @@
 	limit             limit     // What the endpoint says it takes from all routers together.
 	ejectedUntil      time.Time // End of the ejection, if any.
 	downAt            time.Time // When its address last refused connections; zero if it never did.
-	deaths            int       // Deaths and timeouts since the last finished request.
+	deaths            int       // Deaths since the last finished request.
+	silentUntil       time.Time // End of the time for which it is avoided for silence, if any.
+	silences          int       // Times that it was found silent since it last said something.
 	failures          float64   // Smoothed fraction of attempts that failed.
 
 	// prefixes holds the hashes of prompt prefixes that the endpoint has probably cached.
@@ -74,12 +76,15 @@
 
 // usable reports whether the endpoint accepts a new request.
 //
-// After a death, a timeout or a rest, the endpoint gets one request at a time until one finishes.
-func (b *backend) usable(now time.Time, ignoreEjection bool) bool {
-	if b.leaving() || b.rests(now) || (now.Before(b.ejectedUntil) && !ignoreEjection) {
+// After a death or a rest, the endpoint gets one request at a time until one finishes; after a silence, until it speaks.
+func (b *backend) usable(now time.Time, t tolerance) bool {
+	switch {
+	case b.leaving(), b.rests(now), now.Before(b.ejectedUntil) && !t.ejected, now.Before(b.silentUntil) && !t.silent:
 		return false
+	case b.deaths > 0, b.silent() && !t.silent:
+		return len(b.running) == 0
 	}
-	return b.deaths == 0 || len(b.running) == 0
+	return true
 }
 
 // change is the start (+1) or the end (-1) of one of this router's attempts.
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -9,8 +9,9 @@
 
 // availability is the state of the endpoints of one selector.
 type availability struct {
-	open           bool // Some endpoint may have a free slot.
-	ignoreEjection bool // All endpoints that are not leaving are ejected, so ejection is ignored.
+	tolerance
+
+	open bool // Some endpoint may have a free slot.
 }
 
 // dispatch sends each waiting request for which an endpoint has a free slot.
@@ -46,14 +47,14 @@
 	if !state.open {
 		return nil
 	}
-	return p.choose(now, j, state.ignoreEjection)
+	return p.choose(now, j, state.tolerance)
 }
 
 // availabilityOf returns the state of the endpoints that a selector admits.
 func (p *Pool) availabilityOf(now time.Time, s selector) availability {
-	state := availability{ignoreEjection: p.allEjected(now, s)}
+	state := availability{tolerance: p.toleranceOf(now, s)}
 	for _, name := range p.names {
-		if p.canSend(now, p.backends[name], s, state.ignoreEjection) {
+		if p.canSend(now, p.backends[name], s, state.tolerance) {
 			state.open = true
 			return state
 		}
@@ -62,20 +63,8 @@
 }
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
-func (p *Pool) canSend(now time.Time, b *backend, s selector, ignoreEjection bool) bool {
-	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
-}
-
-// allEjected reports whether all endpoints that a selector admits are leaving, resting or ejected.
-// Ejection is then ignored, because an ejected endpoint is better than none.
-func (p *Pool) allEjected(now time.Time, s selector) bool {
-	for _, name := range p.names {
-		b := p.backends[name]
-		if b.fits(s) && !b.leaving() && !b.rests(now) && !now.Before(b.ejectedUntil) {
-			return false
-		}
-	}
-	return true
+func (p *Pool) canSend(now time.Time, b *backend, s selector, t tolerance) bool {
+	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
 }
 
 // refuseSuspects refuses the waiting requests that must not be sent any more.
@@ -115,11 +104,11 @@
 	j.firstTokenAt = time.Time{}
 }
 
-// choose returns the usable endpoint with a free slot and the lowest cost, other than that of an attempt in flight, or nil.
+// choose returns the usable endpoint with a free slot and the lowest cost, or nil.
 //
 // A suspect is not sent while a request with its fingerprint is in flight, nor to an endpoint that runs another suspect. A
 // request with a suspect part is not sent while another one with that part is in flight.
-func (p *Pool) choose(now time.Time, j *job, ignoreEjection bool) *backend {
+func (p *Pool) choose(now time.Time, j *job, t tolerance) *backend {
 	suspect := p.suspects.deaths(now, j.Fingerprint) > 0
 	if suspect && p.duplicateInFlight(j.Fingerprint) {
 		return nil
@@ -127,12 +116,12 @@
 	if part, found := p.suspectPart(now, &j.Request); found && p.partInFlight(part) {
 		return nil
 	}
-	home := p.home(j, func(b *backend) bool { return b.fits(j.selector()) && b.usable(now, false) && !b.limit.active() })
+	home := p.home(j, func(b *backend) bool { return b.fits(j.selector()) && b.usable(now, tolerance{}) && !b.limit.active() })
 	var best *backend
 	var lowest float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if b == j.target || !p.canSend(now, b, j.selector(), ignoreEjection) {
+		if j.staysAwayFrom(b) || !p.canSend(now, b, j.selector(), t) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
@@ -167,6 +156,9 @@
 	const tieBreak = 0.02
 	seconds := b.firstTokenSeconds(now, j, home, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
 	seconds += p.Policy.FailureWeight * b.failures
+	if now.Before(b.silentUntil) {
+		seconds += silencePenalty
+	}
 	seconds += p.Policy.LoadWeight * b.occupied(now, p.peers, p.Policy) / float64(b.Slots)
 	return seconds * (1 + tieBreak*p.random.Float64())
 }
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -63,12 +63,15 @@
 		return p.move(now, ev)
 	case MoveCancelled:
 		return p.cancelMove(now, ev)
+	case Spoke:
+		return p.recordSpoke(now, ev.ID)
 	default:
 		return nil
 	}
 }
 
-// reserve reserves a place at another endpoint for a job in flight, if there is one within all limits.
+// reserve reserves a place at another endpoint for a job in flight, if there is one within all limits. Its own endpoint is
+// avoided until it speaks.
 //
 // The place counts as an attempt in flight there, and takes a retry out of the budget.
 func (p *Pool) reserve(now time.Time, id string) Action {
@@ -76,6 +79,7 @@
 	if !ok || j.target == nil || j.place != nil {
 		return MoveDenied{id, NotInFlight}
 	}
+	j.target.recordSilence(now, p.Policy)
 	switch {
 	case !j.Repeatable:
 		return MoveDenied{id, NotRepeatable}
@@ -104,9 +108,12 @@
 func (p *Pool) chooseOther(now time.Time, j *job) *backend {
 	delete(j.target.running, j.ID)
 	defer func() { j.target.running[j.ID] = j }()
-	return p.choose(now, j, false)
+	return p.choose(now, j, tolerance{})
 }
 
+// staysAwayFrom reports whether a job in flight must not move to an endpoint: its own, or one that is silent itself.
+func (j *job) staysAwayFrom(b *backend) bool { return j.target != nil && (b == j.target || b.silent()) }
+
 // move ends the attempt of a job and starts the next one at its reserved place.
 func (p *Pool) move(now time.Time, ev Moved) []Action {
 	j, ok := p.jobs[ev.ID]
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -17,7 +17,7 @@
 	RetryReserve      float64       // Maximum retry budget of this router, if FleetRetryReserve is zero.
 	FleetRetryReserve float64       // Retries beyond RetryRatio that all routers together may make within RetryWindow, shared equally. Zero means that RetryReserve applies instead.
 	RetryWindow       time.Duration // Period to which FleetRetryReserve applies.
-	BaseEjectionTime  time.Duration // Ejection time after a rejected attempt and after the first death or timeout; doubles with each further death or timeout.
+	BaseEjectionTime  time.Duration // Ejection time after a rejected attempt and after the first death or silence; doubles with each further one.
 	MaxEjectionTime   time.Duration // Limit of the ejection time.
 	SuspicionTTL      time.Duration // How long a request remains a suspect.
 	ReportHalfLife    time.Duration // Age up to which a load report has full weight; its weight halves with each further ReportHalfLife.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -36,7 +36,7 @@
 	Running      int  // This router's requests in flight.
 	Reported     Load // Last load report.
 	Leaving      bool
-	Down         bool    // Whether the endpoint is ejected.
+	Down         bool    // Whether the endpoint is ejected or avoided for silence.
 	TokenSeconds float64 // Measured seconds per output token.
 }
 
@@ -52,8 +52,7 @@
 	case Retried:
 		return p.retry(now, ev.ID)
 	case FirstToken:
-		p.recordFirstToken(now, ev.ID)
-		return nil
+		return p.recordFirstToken(now, ev.ID)
 	case Ended:
 		return p.endAttempt(now, ev)
 	case Withdrawn:
@@ -128,7 +127,7 @@
 			Running:      len(b.running),
 			Reported:     b.report,
 			Leaving:      b.leaving(),
-			Down:         now.Before(b.ejectedUntil),
+			Down:         now.Before(b.ejectedUntil) || now.Before(b.silentUntil),
 			TokenSeconds: b.tokenTime,
 		})
 	}
@@ -244,10 +243,10 @@
 	return []Action{j.refuse(kind, 0)}
 }
 
-func (p *Pool) recordFirstToken(now time.Time, id string) {
+func (p *Pool) recordFirstToken(now time.Time, id string) []Action {
 	j, ok := p.jobs[id]
 	if !ok || j.target == nil || !j.firstTokenAt.IsZero() {
-		return
+		return nil
 	}
 	j.firstTokenAt = now
 	j.bindVersion()
@@ -255,6 +254,7 @@
 		j.target.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
 	}
 	j.target.recordPrompt(j)
+	return p.recordSpoke(now, id)
 }
 
 func (p *Pool) endAttempt(now time.Time, ev Ended) []Action {
@@ -283,7 +283,9 @@
 			actions = append(actions, BroadcastSuspect{suspicion})
 		}
 	case Silent:
-		p.eject(now, b.Name)
+		b.recordSilence(now, p.Policy)
+	case Incomplete:
+		b.recordWord()
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
@@ -295,6 +297,7 @@
 func (p *Pool) finishRequest(now time.Time, j *job, b *backend, tokens int64) {
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
+	b.recordWord()
 	if j.firstTokenAt.IsZero() {
 		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The response was not streamed.
 	} else {
@@ -332,7 +335,7 @@
 	b.leavingByReport = ev.Load.Leaving
 }
 
-// eject ejects an endpoint for a time that doubles with each death or timeout.
+// eject ejects an endpoint for a time that doubles with each death.
 // It does nothing while the endpoint is ejected, so that several attempts that break together count as one death.
 func (p *Pool) eject(now time.Time, name string) {
 	b, ok := p.backends[name]
@@ -342,6 +345,7 @@
 	duration := p.Policy.BaseEjectionTime << min(b.deaths, 10)
 	b.ejectedUntil = now.Add(min(duration, p.Policy.MaxEjectionTime))
 	b.deaths++
+	b.recordWord() // A connection that breaks is no silence.
 	b.prefixes.Purge()
 }
 
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -71,7 +71,7 @@
 }
 
 // throughput is the combined throughput of those endpoints that a selector admits
-// and that are neither leaving nor ejected.
+// and that are neither leaving nor ejected nor avoided for silence.
 type throughput struct {
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
@@ -81,9 +81,10 @@
 
 func (p *Pool) throughput(now time.Time, s selector) throughput {
 	var t throughput
+	tolerated := p.toleranceOf(now, s)
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.fits(s) || b.leaving() || now.Before(b.ejectedUntil) {
+		if !b.fits(s) || b.leaving() || now.Before(b.ejectedUntil) || now.Before(b.silentUntil) && !tolerated.silent {
 			continue
 		}
 		if b.limit.active() {
