internal/gateway: a request is in flight until its answer is written

A router that stops waits until nothing is in flight, plus 50 ms.

Before: TestRequestIsInFlightUntilItsAnswerIsWritten found 0 in flight while most of an answer was unwritten.

Change: the count ends when the connection is read again or closed, which the library does after it has flushed the answer. `foxtaillanding_in_flight`, which was described so already, and the limit of requests by memory now count answers that are being written.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -52,21 +52,42 @@
 	run      string    // Its run ID; empty if it was not admitted.
 	written  int64     // Bytes written since then.
 	failed   bool      // A write failed.
+
+	onWritten func() // Called when the answer is written or can no longer be; nil if there is none.
 }
 
-// beginAnswer records which request the next writes answer, if its connection is a conn.
-func beginAnswer(ctx *fasthttp.RequestCtx, r *request.Request) {
+// beginAnswer records which request the next writes answer. It calls onWritten when the answer is written or can no longer
+// be, or at once if the connection is no conn.
+func beginAnswer(ctx *fasthttp.RequestCtx, r *request.Request, onWritten func()) {
 	c, ok := ctx.Conn().(*conn)
 	if !ok {
+		onWritten()
 		return
 	}
+	c.endAnswer() // Of a pipelined request.
+	c.onWritten = onWritten
 	c.request = r.ID
 	c.run = r.RunID
 	c.written = 0
 }
 
+// endAnswer records that the answer is written, since the next request is read, or that the connection ends.
+func (c *conn) endAnswer() {
+	if c.onWritten != nil {
+		c.onWritten()
+		c.onWritten = nil
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.endAnswer()
+	return c.TCPConn.Close()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.endAnswer()
 	for {
 		if err := c.SetReadDeadline(c.readDeadline()); err != nil {
 			return 0, err
--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -45,8 +45,8 @@
 	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) {
 		r := request.Request{RunID: "run-1"}
 		r.ID = "id-1"
-		beginAnswer(ctx, &r)
-		_, _ = ctx.Conn().Read(make([]byte, 1)) // Returns when the caller has reset the connection.
+		beginAnswer(ctx, &r, func() {})
+		_, _ = ctx.Conn().(*conn).TCPConn.Read(make([]byte, 1)) // Returns when the caller has reset the connection.
 		ctx.SetBodyString("well")
 	})
 	caller, err := net.Dial("tcp4", address)
@@ -177,6 +177,35 @@
 	resp.SetStatusCode(fasthttp.StatusBadRequest)
 }
 
+// longDialect answers each refusal with a long body.
+type longDialect struct{ entryDialect }
+
+const longBody = 64 << 20 // More than the buffers of a connection hold.
+
+// Refuse implements Dialect.
+func (longDialect) Refuse(resp *fasthttp.Response, _ *refusal.Error) {
+	resp.SetBody(make([]byte, longBody))
+}
+
+// TestRequestIsInFlightUntilItsAnswerIsWritten guards against a router that stops, as nothing seems to be in flight, before
+// it has written an answer.
+func TestRequestIsInFlightUntilItsAnswerIsWritten(t *testing.T) {
+	g := newTestGateway(t)
+	g.dialect = longDialect{}
+	g.closing.Store(true)
+	caller := dialTest(t, serveTest(t, g, g.serveFront))
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(caller.in, nil)
+	require.NoError(t, err)
+	require.Equal(t, int64(1), g.inFlight.Load())
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, int64(longBody), n)
+	require.Eventually(t, func() bool { return g.inFlight.Load() == 0 }, eventually, pollInterval)
+}
+
 // testCaller is a caller's connection.
 type testCaller struct {
 	net.Conn
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -114,12 +114,11 @@
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, overloaded)
-	beginAnswer(ctx, &c.req)
+	beginAnswer(ctx, &c.req, func() { g.inFlight.Add(-1) })
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
 		g.dialect.Refuse(&ctx.Response, refusalErr)
-		g.inFlight.Add(-1)
 		return
 	}
 	watch := connection.WatchCaller(ctx.Conn())
@@ -128,7 +127,6 @@
 	reply := g.forward(&c.req)
 	done := func() {
 		watch.Stop()
-		g.inFlight.Add(-1)
 		if reply.Attempts > 0 {
 			end := time.Now()
 			g.durations.record(end, c.route.Name, end.Sub(now))
