internal/request: a stream whose first event crosses its move starts anew, in place of a mix of two versions

What callers saw (in a test only): a stream that began at one software version and went on at another; a stream that must not be resumed was resumed after its first event. Cause: before the first event a place may be reserved at an endpoint of any version. If the first event was read while the stall watch aborted its attempt, the event was delivered (which binds the stream to its version), and the stream went on after it at that place all the same, with neither the version nor Resumable looked at. Ruled out: later events; their places are asked for when the version is bound, and only if the stream is movable. Change: the wait ends as soon as the first event was read. If the attempt was aborted by then for a place at another version, or the stream cannot be resumed after the event, the event is dropped, as the caller has not got it yet, and the request starts anew at the place. Otherwise the stream goes on after the event as before.

--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -100,8 +100,8 @@
 	w.timer.Reset(d)
 }
 
-// end ends the wait. If the attempt was aborted, it returns the place at which the request goes on.
-func (w *stallWatch) end() *place {
+// stop ends the wait. If the attempt was aborted, it returns the place for which it was.
+func (w *stallWatch) stop() *place {
 	if w == nil {
 		return nil
 	}
@@ -111,7 +111,17 @@
 		w.timer.Stop()
 	}
 	w.waiting = false
-	found := w.found
+	return w.found
+}
+
+// end ends the wait and hands over the place at which the request goes on, if the attempt was aborted for one.
+func (w *stallWatch) end() *place {
+	found := w.stop()
+	if found == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.found = nil
 	return found
 }
@@ -126,6 +136,16 @@
 	return w.silent
 }
 
+// startsAnew ends the wait for the first event, and reports whether the attempt was aborted for a place at which the stream
+// cannot go on after that event. The caller has not received the event yet, so the request starts anew there.
+func (r *run) startsAnew(first Event) bool {
+	next := r.stall.stop()
+	if next == nil {
+		return false
+	}
+	return !r.req.Resumable || first.ID == "" || next.send.Version != r.version
+}
+
 // search looks for a place, and aborts the attempt if there is one and the endpoint is still silent.
 func (w *stallWatch) search() {
 	w.mu.Lock()
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -43,6 +43,9 @@
 func (r *run) startStream(a *attempt) (endpoint.Outcome, *Reply) {
 	s := &Stream{run: r, attempt: a, events: r.req.Codec.Events(a.body), release: a.abortOn(r.req.CallerGone)}
 	first, err := s.events.Next()
+	if err == nil && r.startsAnew(first) {
+		err = errMoved
+	}
 	if err != nil && err != io.EOF {
 		s.release()
 		a.abort()
