internal/gateway: a lack of file descriptors no longer ends the listener for good

Read while hypothesis 3 was checked: the HTTP library stops accepting for good at the first error of accept that is no timeout, such as EMFILE; the router would go on and say that it is ready. The limit of 4,096 connections does not come first, since a VM gives a process fewer descriptors than that for sockets.

Before: TestListenerOutlivesALackOfDescriptors got no answer in 5 s after one EMFILE.

Change: the listener retries each 50 ms, with a log line, until it is closed.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -21,9 +21,18 @@
 	timeouts func() timeouts // The ones in force.
 }
 
-// Accept implements net.Listener.
+// acceptRetryDelay is the time between two attempts to accept a connection while that fails.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Accept implements net.Listener. It fails only when the listener is closed, because the HTTP library stops for good at the
+// first error, whereas a lack of file descriptors passes.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warn("connection not accepted", logfile.Error(err))
+		time.Sleep(acceptRetryDelay)
+		accepted, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -40,6 +49,7 @@
 // The timeouts of the HTTP library are not used: they are fixed when it starts,
 // and that of a write covers the whole answer, which would cut long streams. It
 // logs a failed write without the request or not at all.
+//
 // One goroutine serves the connection, so its fields need no lock.
 type conn struct {
 	*net.TCPConn
--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sys/unix"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -31,8 +33,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	server := g.newServer(handler)
-	go func() { _ = server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts}) }()
+	go g.serve("Front", ln, handler)
 	return ln.Addr().String()
 }
 
@@ -177,6 +178,32 @@
 	resp.SetStatusCode(fasthttp.StatusBadRequest)
 }
 
+// exhaustedListener fails a number of times as if the process had no file descriptors left.
+type exhaustedListener struct {
+	net.Listener
+
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", unix.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestListenerOutlivesALackOfDescriptors accepts a connection after several attempts failed.
+func TestListenerOutlivesALackOfDescriptors(t *testing.T) {
+	g := newTestGateway(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	go g.serve("Front", &exhaustedListener{Listener: ln, failures: 3}, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	dialTest(t, ln.Addr().String()).exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
 // longDialect answers each refusal with a long body.
 type longDialect struct{ entryDialect }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,15 +265,18 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s for %s", address, name)
 	}
-	server := g.newServer(handler)
-	go func() {
-		if err := server.Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts}); err != nil {
-			g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
-		}
-	}()
+	go g.serve(name, ln, handler)
 	return nil
 }
 
+// serve answers the requests on the connections that a listener accepts.
+func (g *Gateway) serve(name string, ln net.Listener, handler fasthttp.RequestHandler) {
+	err := g.newServer(handler).Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts})
+	if err != nil {
+		g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
+	}
+}
+
 // newFeeds returns the feeds that the gateway follows.
 func (g *Gateway) newFeeds() map[string]*feedState {
 	feeds := map[string]*feedState{}
