pkg/endpoint: a stream that breaks after its first deadline waits for a slot, in place of being refused at once

What callers saw: with the chat router (StartBy is set), a stream whose endpoint failed later than FirstTokenSeconds after its arrival ended as AnswerBroken unless a slot was free in that instant, minutes before the end of AnswerSeconds. Cause: the pool knew one deadline, that of the first token, and shed the waiting retry by it, although the wait for a decision (Stream.resume) goes by the deadline of the answer. Ruled out: the gateway; it sets no StartBy, so both deadlines are the same. Change: Request.AnswerBy; a request that has begun is shed by it. TestBrokenStreamWaitsForASlotAfterItsFirstDeadline failed before: Should be empty, but was [{1 AnswerBroken 0s}]. It passes now (go test -race ./pkg/endpoint ./internal/request ./internal/router: ok).

--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -97,6 +97,7 @@
 		Prefix:       r.req.Prefix,
 		Parts:        r.req.Parts,
 		Deadline:     r.req.startBy(),
+		AnswerBy:     r.req.Deadline,
 		Fingerprint:  r.req.Fingerprint,
 		Repeatable:   r.req.Repeatable,
 		MaxAttempts:  max(1, r.req.MaxAttempts),
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -55,6 +55,7 @@
 	Prefix       uint64    // Hash of the prompt's prefix; zero if unknown.
 	Parts        []Part    // The parts of the prompt in order, if known. The last one is unique to the request.
 	Deadline     time.Time // Latest time for the first token.
+	AnswerBy     time.Time // Latest time for the next token of a stream that has begun; zero means Deadline.
 	Fingerprint  uint64    // Hash of the account and the content; identical requests share it.
 	Repeatable   bool      // Whether the request may run more than once.
 	VersionBound bool      // Only endpoints with the software version Version may serve it, since one of them began its stream.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -249,6 +249,7 @@
 		return nil
 	}
 	j.firstTokenAt = now
+	j.begun = true
 	j.bindVersion()
 	if j.prefill >= minMeasuredPromptTokens && len(j.target.running) <= j.target.Slots {
 		j.target.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -23,6 +23,15 @@
 	sentAt       time.Time
 	sentVersion  string    // Software version of target when the attempt was sent.
 	firstTokenAt time.Time // Time of the first token of the last attempt; zero before it.
+	begun        bool      // Whether any attempt has brought a token.
+}
+
+// deadline returns the latest time for the next token.
+func (j *job) deadline() time.Time {
+	if j.begun && !j.AnswerBy.IsZero() {
+		return j.AnswerBy
+	}
+	return j.Deadline
 }
 
 // refuse returns the refusal of the job. If the job may have run, it replaces a kind
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -17,7 +17,7 @@
 	b.work += j.work()
 }
 
-// shed refuses the waiting requests whose first token cannot arrive before their deadline.
+// shed refuses the waiting requests whose next token cannot arrive before their deadline.
 func (p *Pool) shed(now time.Time) []Action {
 	var actions []Action
 	throughputs := map[selector]throughput{}
@@ -39,7 +39,7 @@
 	return actions
 }
 
-// shedNew refuses a request that was just queued if its first token would arrive after its deadline.
+// shedNew refuses a request that was just queued if its next token would arrive after its deadline.
 // Unlike shed, it checks only this request.
 func (p *Pool) shedNew(now time.Time, id string) []Action {
 	j, ok := p.jobs[id]
@@ -54,7 +54,7 @@
 
 // shedIfLate refuses a waiting job if wait exceeds the time left until its deadline.
 func (p *Pool) shedIfLate(now time.Time, j *job, wait time.Duration) (Action, bool) {
-	if !now.Add(wait).After(j.Deadline) {
+	if !now.Add(wait).After(j.deadline()) {
 		return nil, false
 	}
 	p.queue.remove(j)
