pkg/endpoint: a stream that broke outlasts a rest of its endpoints, in place of being refused at once

What callers saw: a request that may have run (a stream that broke, waiting for another endpoint) ended as AnswerBroken as soon as all its endpoints rested, however short the rest and however far its deadline. Cause: refuseResting refuses all that waits. That is right for a request that has not run, whose caller can turn to another router at once; one that may have run is told that its answer is broken. Change: a request that may have run waits if the first endpoint returns before its deadline. New requests as before. TestBrokenStreamOutlastsARest failed before: Should be empty, but was [{1 AnswerBroken 0s}]. It passes now (go test -race -run 'Rest|Broken|Pool|Limit' ./pkg/endpoint). TestBrokenStreamDoesNotWaitForARestBeyondItsDeadline guards the opposite.

--- a/pkg/endpoint/broken_stream_test.go
+++ b/pkg/endpoint/broken_stream_test.go
@@ -25,3 +25,30 @@
 	require.Empty(t, p.Handle(now, Tick{}))
 	require.IsType(t, Refuse{}, p.Handle(r.AnswerBy.Add(1), Tick{})[0], "not for longer than its answer may take")
 }
+
+// TestBrokenStreamOutlastsARest lets both endpoints rest while a stream that broke waits for one of them.
+func TestBrokenStreamOutlastsARest(t *testing.T) {
+	p := moving(t, Policy{}, streamRequest(start, "1"))
+	p.Handle(start, FirstToken{"1"})
+	p.Handle(start, RestRequested{"b", time.Second})
+	p.Handle(start, Ended{ID: "1", Outcome: Incomplete})
+	p.Handle(start, RestRequested{"a", time.Second})
+	require.Empty(t, p.Handle(start, Retried{"1"}))
+	require.Empty(t, p.Handle(start, RestRequested{"a", 1500 * time.Millisecond}), "the stream waits")
+	sent := p.Handle(start.Add(time.Second), Tick{})
+	require.Len(t, sent, 1)
+	require.Equal(t, "b", sent[0].(Send).Endpoint)
+}
+
+// TestBrokenStreamDoesNotWaitForARestBeyondItsDeadline is the opposite of the test before.
+func TestBrokenStreamDoesNotWaitForARestBeyondItsDeadline(t *testing.T) {
+	r := streamRequest(start, "1")
+	r.Deadline = start.Add(5 * time.Second)
+	p := moving(t, Policy{}, r)
+	p.Handle(start, FirstToken{"1"})
+	p.Handle(start, RestRequested{"b", 20 * time.Second})
+	p.Handle(start, Ended{ID: "1", Outcome: Incomplete})
+	p.Handle(start, RestRequested{"a", time.Second})
+	require.Empty(t, p.Handle(start, Retried{"1"}))
+	require.IsType(t, Refuse{}, p.Handle(start, RestRequested{"a", 20 * time.Second})[0])
+}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -188,8 +188,8 @@
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
-	if after, resting := p.allRest(now, j.selector()); resting {
-		return []Action{j.refuse(refusal.Overloaded, after)}
+	if until, resting := p.allRest(now, j.selector()); resting {
+		return []Action{j.refuse(refusal.Overloaded, p.returnAfter(now, until))}
 	}
 	p.jobs[r.ID] = j
 	p.queue.add(j)
--- a/pkg/endpoint/rest.go
+++ b/pkg/endpoint/rest.go
@@ -32,38 +32,41 @@
 	b.deaths = max(b.deaths, 1)
 }
 
-// allRest reports whether all endpoints that a selector admits and that are not leaving rest, and after which time a caller
-// should return.
-func (p *Pool) allRest(now time.Time, s selector) (after time.Duration, resting bool) {
-	var earliest time.Time
+// allRest reports whether all endpoints that a selector admits and that are not leaving rest, and when the first of them returns.
+func (p *Pool) allRest(now time.Time, s selector) (until time.Time, resting bool) {
 	for _, name := range p.names {
 		b := p.backends[name]
 		if !b.fits(s) || b.leaving() {
 			continue
 		}
 		if !b.rests(now) {
-			return 0, false
+			return time.Time{}, false
 		}
-		if earliest.IsZero() || b.restsUntil.Before(earliest) {
-			earliest = b.restsUntil
+		if until.IsZero() || b.restsUntil.Before(until) {
+			until = b.restsUntil
 		}
 	}
-	if earliest.IsZero() {
-		return 0, false
-	}
-	left := earliest.Sub(now)
-	return left + time.Duration(restRetryShare*p.random.Float64()*float64(left)), true
+	return until, !until.IsZero()
+}
+
+// returnAfter returns the time after which a caller should return whose endpoints rest until a time.
+func (p *Pool) returnAfter(now, until time.Time) time.Duration {
+	left := until.Sub(now)
+	return left + time.Duration(restRetryShare*p.random.Float64()*float64(left))
 }
 
-// refuseResting refuses the waiting requests whose endpoints all rest.
+// refuseResting refuses the waiting requests whose endpoints all rest, unless they may have run and can wait for the end of
+// the rest: their callers cannot turn to another router.
 func (p *Pool) refuseResting(now time.Time) []Action {
 	var actions []Action
 	for _, j := range slices.Clone(p.queue.waiting) {
-		if after, resting := p.allRest(now, j.selector()); resting {
-			p.queue.remove(j)
-			delete(p.jobs, j.ID)
-			actions = append(actions, j.refuse(refusal.Overloaded, after))
+		until, resting := p.allRest(now, j.selector())
+		if !resting || j.mayHaveRun && until.Before(j.deadline()) {
+			continue
 		}
+		p.queue.remove(j)
+		delete(p.jobs, j.ID)
+		actions = append(actions, j.refuse(refusal.Overloaded, p.returnAfter(now, until)))
 	}
 	return actions
 }
