pkg/endpoint: a stream that broke finds room in a full queue

What callers saw: a request that may have run ended as AnswerBroken if the queue was full of new requests when its endpoint failed; so an overload of new requests cut answers that had begun. Cause: unservable refuses by MaxQueue whatever is added. A new request can turn to another router; one that may have run cannot. Change: MaxQueue bounds new requests only. TestBrokenStreamFindsAFullQueue failed before: Should be empty, but was [{1 AnswerBroken 0s}]. It passes now (go test -race ./pkg/endpoint: ok).

--- a/pkg/endpoint/broken_stream_test.go
+++ b/pkg/endpoint/broken_stream_test.go
@@ -52,3 +52,16 @@
 	require.Empty(t, p.Handle(start, Retried{"1"}))
 	require.IsType(t, Refuse{}, p.Handle(start, RestRequested{"a", 20 * time.Second})[0])
 }
+
+// TestBrokenStreamFindsAFullQueue lets new requests fill the queue before a stream breaks.
+func TestBrokenStreamFindsAFullQueue(t *testing.T) {
+	p := moving(t, Policy{MaxQueue: 1}, streamRequest(start, "1"))
+	p.Handle(start, FirstToken{"1"})
+	p.Handle(start, Configured{twoEndpoints.Endpoints[:1]})
+	submitTo(p, start, "2")
+	require.Empty(t, submitTo(p, start, "3"))
+	require.IsType(t, Refuse{}, submitTo(p, start, "4")[0], "the queue is full")
+	require.Equal(t, "3", p.Handle(start, Ended{ID: "1", Outcome: Incomplete})[0].(Send).ID)
+	require.Empty(t, submitTo(p, start, "5"))
+	require.Empty(t, p.Handle(start, Retried{"1"}), "the stream waits for a slot")
+}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -201,8 +201,8 @@
 	if p.blocked(now, &j.Request) {
 		return refusal.Suspect, true
 	}
-	if len(p.queue.waiting) >= p.Policy.MaxQueue {
-		return refusal.Overloaded, true
+	if len(p.queue.waiting) >= p.Policy.MaxQueue && !j.mayHaveRun {
+		return refusal.Overloaded, true // One that may have run cannot turn to another router.
 	}
 	serving, notLeaving := 0, 0
 	for _, name := range p.names {
