internal/request: the deadline of a stream accuses no endpoint and takes no retry

Callers saw, after streams that were cut by their own deadline, requests avoid a sound endpoint, or not retried. Change: a stream whose last event is more recent than its patience ends as Incomplete; no attempt is asked for after the deadline (run.retry).

--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -73,16 +73,22 @@
 // dispatch submits the request to the endpoint pool and makes the attempts that the pool decides on.
 func (r *run) dispatch() *Reply {
 	r.f.Endpoints.Handle(time.Now(), endpoint.Submitted{Request: r.poolRequest()})
-	for {
-		send, out := r.awaitDecision(r.req.startBy())
-		if out != nil {
-			return out
+	send, out := r.awaitDecision(r.req.startBy())
+	for out == nil {
+		if out = r.try(send, nil); out == nil {
+			send, out = r.retry(r.req.startBy())
 		}
-		if out := r.try(send, nil); out != nil {
-			return out
-		}
-		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
 	}
+	return out
+}
+
+// retry asks the endpoint pool for another attempt, unless it is too late for one. A non-nil reply ends the request.
+func (r *run) retry(until time.Time) (endpoint.Send, *Reply) {
+	if !time.Now().Before(until) {
+		return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
+	}
+	r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
+	return r.awaitDecision(until)
 }
 
 func (r *run) poolRequest() endpoint.Request {
--- a/internal/request/stall_test.go
+++ b/internal/request/stall_test.go
@@ -47,11 +47,14 @@
 }
 
 // events writes the events from first to last, without those that the caller has.
-func (x *received) events(first, last int) {
+func (x *received) events(first, last int) error {
 	for n := max(first, x.after+1); n <= last; n++ {
 		event := fmt.Sprintf("id: %d\ndata: x\n\n", n)
-		_, _ = fmt.Fprintf(x.conn, "%x\r\n%s\r\n", len(event), event)
+		if _, err := fmt.Fprintf(x.conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // end completes the answer.
@@ -60,7 +63,7 @@
 // answer writes a whole answer.
 func (x *received) answer() {
 	x.head()
-	x.events(1, testEvents)
+	_ = x.events(1, testEvents)
 	x.end()
 }
 
@@ -133,9 +136,9 @@
 func pausing(pause time.Duration) func(*received) {
 	return func(x *received) {
 		x.head()
-		x.events(1, 3)
+		_ = x.events(1, 3)
 		time.Sleep(pause)
-		x.events(4, testEvents)
+		_ = x.events(4, testEvents)
 		x.end()
 	}
 }
@@ -252,7 +255,7 @@
 	t.Cleanup(func() { close(ended) })
 	first := startEndpoint(t, "first", func(x *received) {
 		x.head()
-		x.events(1, 3)
+		_ = x.events(1, 3)
 		hung <- x
 		<-ended
 	})
@@ -276,9 +279,9 @@
 	seen := make(chan struct{})
 	a := startEndpoint(t, "a", func(x *received) {
 		x.head()
-		x.events(1, 3)
+		_ = x.events(1, 3)
 		<-seen
-		x.events(4, testEvents)
+		_ = x.events(4, testEvents)
 		x.end()
 	})
 	b := startEndpoint(t, "b", (*received).answer)
--- a/internal/request/stall_unary_test.go
+++ b/internal/request/stall_unary_test.go
@@ -144,9 +144,9 @@
 	var turn atomic.Int64
 	serve := func(x *received) {
 		x.head()
-		x.events(1, 3)
+		_ = x.events(1, 3)
 		time.Sleep(testStall + time.Duration(turn.Add(1)%11-5)*time.Millisecond)
-		x.events(4, testEvents)
+		_ = x.events(4, testEvents)
 		x.end()
 	}
 	configure(f, startEndpoint(t, "a", serve), startEndpoint(t, "b", serve))
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -184,7 +184,11 @@
 	case s.next != nil:
 		return endpoint.Silent
 	}
-	return failureOutcome(err)
+	outcome := failureOutcome(err)
+	if outcome == endpoint.Silent && time.Since(s.lastAt) < s.stallTimeout() {
+		return endpoint.Incomplete // The deadline of the request has passed, not the patience with the endpoint.
+	}
+	return outcome
 }
 
 // takeNext returns the attempt with which the stream goes on.
@@ -231,9 +235,8 @@
 func (s *Stream) resume(out *Reply) error {
 	r := s.run
 	for out == nil {
-		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
 		var send endpoint.Send
-		if send, out = r.awaitDecision(r.req.Deadline); out == nil {
+		if send, out = r.retry(r.req.Deadline); out == nil {
 			out = r.try(send, nil)
 		}
 	}
