internal/placement: an endpoint that restarted is not missing for a moment

When an endpoint had restarted under its name, the pool was told of all others first and then of all, in two steps that requests could come between. If it was the only endpoint of its service, what was submitted then was refused as of an unknown model, and a stream that asked for a place to go on at was ended.

Change: the events of one configuration are applied under one lock. Nothing is refused in between them.

--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -49,23 +49,36 @@
 	addresses := make(map[string]string, len(configs))
 	all := make([]endpoint.Endpoint, 0, len(configs))
 	remaining := make([]endpoint.Endpoint, 0, len(configs))
+	var leaving []endpoint.Event
 	for _, cfg := range configs {
 		addresses[cfg.Name] = cfg.Address
 		all = append(all, cfg.Endpoint)
 		if !restarted[cfg.Name] {
 			remaining = append(remaining, cfg.Endpoint)
 		}
+		leaving = append(leaving, endpoint.LeavingUpdated{Endpoint: cfg.Name, Leaving: cfg.Leaving})
 	}
-	e.mu.Lock()
-	e.addresses = addresses
-	e.mu.Unlock()
+	var events []endpoint.Event
 	if len(remaining) < len(all) {
-		e.Handle(now, endpoint.Configured{Endpoints: remaining})
+		events = append(events, endpoint.Configured{Endpoints: remaining})
 	}
-	e.Handle(now, endpoint.Configured{Endpoints: all})
-	for _, cfg := range configs {
-		e.Handle(now, endpoint.LeavingUpdated{Endpoint: cfg.Name, Leaving: cfg.Leaving})
+	events = append(events, endpoint.Configured{Endpoints: all})
+	for _, action := range e.applyConfiguration(now, addresses, append(events, leaving...)) {
+		e.perform(now, action)
+	}
+}
+
+// applyConfiguration applies the events of one configuration under one lock, so that no request finds its endpoint removed
+// between two of them.
+func (e *Endpoints) applyConfiguration(now time.Time, addresses map[string]string, events []endpoint.Event) []endpoint.Action {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addresses = addresses
+	var actions []endpoint.Action
+	for _, ev := range events {
+		actions = append(actions, e.pool.Handle(now, ev)...)
 	}
+	return actions
 }
 
 // Address returns the address of an endpoint and whether the endpoint is configured.
