gateway: a router that reaches no endpoint hands its requests to a peer

A router had no other way to serve than an attempt of its own.

Such a router (A) now sends the caller's message unchanged, with the API key, the time left, its own name and its configuration version, to the peer listener of another router (B). B serves it as if its caller had sent it there: it alone admits it, reserves and bills tokens, selects endpoints and retries. A passes the answer on, a stream event by event. B marks refusals after which another router may serve the request (no path, stopping, overloaded itself, no or an older configuration); A then asks another peer, at most three. After a hop that may have run a request, only a repeatable one is sent again, and no refusal states that it did not run. B never hands such a request on.

A request is handed over only while no attempt may have run: when it comes, or out of the queue and between attempts; its reservation is then released first. Without a peer to ask, all is as before.

Ruled out: choosing peers by the configuration version that probes tell, since these are seconds old after a change, and no peer would be left; B compares the versions. A adopts B's configuration before it passes on an answer under it.

Before: TestRequestsAreServedThoughTheirRouterReachesNoEndpoint, "Condition never satisfied".

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -79,28 +79,36 @@
 	req     request.Request
 	route   *route.Route
 	version uint64 // Version of the configuration that the request is served under.
+	hop     *hop   // How the request came from another router; nil if its caller sent it to this one.
+
+	peer        string // Incarnation of the router that served the request; empty if this one did.
+	peerRefusal string // Kind of that router's refusal; empty if it answered.
 }
 
 // serveFront answers a caller's request.
-func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) {
+func (g *Gateway) serveFront(ctx *fasthttp.RequestCtx) { g.serveRequest(ctx, nil) }
+
+// serveRequest answers a request that came from a caller or, with a hop, from another router.
+func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx, from *hop) {
 	now := time.Now()
 	g.inFlight.Add(1)
 	overloaded := g.overload.arrived(now, len(ctx.Request.Header.RawHeaders())+len(ctx.Request.Body()))
 	if g.draining() || overloaded {
 		ctx.SetConnectionClose()
 	}
-	c, refusalErr := g.admit(now, ctx, overloaded)
+	c, refusalErr := g.admit(now, ctx, from, overloaded)
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
 		g.dialect.Refuse(&ctx.Response, refusalErr)
+		from.markRefusal(&ctx.Response, c.version, refusalErr.Kind, elsewhereKinds[refusalErr.Kind])
 		g.inFlight.Add(-1)
 		return
 	}
 	watch := connection.WatchCaller(ctx.Conn())
 	c.req.CallerGone = watch.Gone
 	c.req.CallerLeft = watch.Left
-	reply := g.forward(&c.req)
+	reply := g.forward(now, c, &ctx.Request.Header)
 	done := func() {
 		watch.Stop()
 		g.inFlight.Add(-1)
@@ -115,26 +123,28 @@
 	} else {
 		done()
 	}
-	g.writeReply(ctx, reply)
+	g.writeReply(ctx, c, reply)
 }
 
 // forward serves a request unless its caller has left while the request waited to be read.
-func (g *Gateway) forward(r *request.Request) *request.Reply {
-	if r.CallerLeft() {
+func (g *Gateway) forward(now time.Time, c *callerRequest, h *fasthttp.RequestHeader) *request.Reply {
+	if c.req.CallerLeft() {
 		return &request.Reply{Refusal: refusal.New(refusal.CallerGone, "before the request was read")}
 	}
-	return g.forwarder.Forward(r)
+	return g.serve(now, c, h)
 }
 
 // writeReply writes a reply to the caller's response.
-func (g *Gateway) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
+func (g *Gateway) writeReply(ctx *fasthttp.RequestCtx, c *callerRequest, reply *request.Reply) {
 	if reply.Refusal != nil {
 		if reply.Refusal.Kind == refusal.CallerGone {
 			ctx.SetConnectionClose()
 		}
 		g.dialect.Refuse(&ctx.Response, reply.Refusal)
+		c.hop.markRefusal(&ctx.Response, c.version, reply.Refusal.Kind, g.elsewhere(time.Now(), reply))
 		return
 	}
+	c.hop.mark(&ctx.Response, c.version)
 	ctx.SetStatusCode(reply.Status)
 	for _, h := range reply.Headers {
 		ctx.Response.Header.Add(h.Name, h.Value)
@@ -150,8 +160,8 @@
 // admit validates a request and determines its route and terms.
 //
 // If it refuses the request, the callerRequest holds what is known so far, for the log.
-func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx, overloaded bool) (*callerRequest, *refusal.Error) {
-	c := &callerRequest{g: g, req: request.Request{Arrived: now, Codec: g.dialect}}
+func (g *Gateway) admit(now time.Time, ctx *fasthttp.RequestCtx, from *hop, overloaded bool) (*callerRequest, *refusal.Error) {
+	c := &callerRequest{g: g, hop: from, req: request.Request{Arrived: now, Codec: g.dialect}}
 	switch {
 	case g.closing.Load():
 		return c, refusal.New(refusal.Draining, "")
@@ -170,6 +180,9 @@
 		return c, refusal.New(refusal.NotConfigured, "")
 	}
 	c.version = t.Version
+	if from != nil && t.Version < from.Revision {
+		return c, refusal.New(refusal.NotConfigured, "the configuration is older than that of the router that forwarded the request")
+	}
 	head, err := g.dialect.Request(&ctx.Request.Header)
 	c.req.Message = head.Message
 	if err != nil {
@@ -185,6 +198,9 @@
 	c.req.Body = ctx.Request.Body()
 	c.req.Fingerprint = fingerprint(head.Key, &c.req.Message)
 	c.req.Deadline = now.Add(minTimeout(head.Timeout, c.route.Timeout))
+	if from != nil {
+		c.req.Deadline = now.Add(minTimeout(from.TimeLeft, c.req.Deadline.Sub(now)))
+	}
 	return c, c.admitDraining(now)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 
 	workers      *ants.Pool // For background calls to the store and to peers.
 	forwarder    request.Forwarder
+	handover     handover
 	budgets      ledger.Ledger
 	endpoints    placement.Endpoints
 	entries      entries
@@ -181,6 +182,9 @@
 	g.forwarder.Background = g.background
 	g.forwarder.StoreLost = g.reachability.unreachable
 	g.forwarder.Late = g.overload.isLate
+	g.handover.forwarder.Log = g.log
+	g.handover.forwarder.Background = g.background
+	g.handover.forwarder.Connections.ProbeAfter = hopProbeAfter
 }
 
 // logLimit logs that the limit of an endpoint is known to have changed.
@@ -325,6 +329,7 @@
 func (g *Gateway) tick(now time.Time) (busy bool) {
 	g.measureLateness(now)
 	g.budgets.Handle(now, budget.Tick{})
+	g.watchPath(now)
 	missing := g.entries.tick(now)
 	return missing || g.budgets.Waiting() > 0 || g.endpoints.Waiting() > 0
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -208,6 +208,7 @@
 	m.publishSelf(now)
 	m.fetchConfiguration(now)
 	m.g.forwarder.Connections.Expire(now)
+	m.g.handover.expire(now)
 	m.g.drawInitialGrants(now)
 	m.g.origins.Tell(now)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	connections  telemetry.Counter
 	storeCalls   telemetry.Counter
 	tokens       telemetry.Counter
+	forwarded    telemetry.Counter
 	duration     telemetry.Histogram
 	firstEvent   telemetry.Histogram
 }
@@ -42,6 +43,7 @@
 		connections:  r.Counter("endpoint_connections", "Connections taken for attempts, new or kept."),
 		storeCalls:   r.Counter("store_calls", "Calls to the store by call and outcome."),
 		tokens:       r.Counter("billed_tokens", "Tokens billed."),
+		forwarded:    r.Counter("forwarded_requests", "Requests sent to a peer because this router reaches no endpoint, by outcome."),
 		duration:     r.Histogram("request_duration", "Time from a request's arrival to its answer, or to the first event of its stream.", latencyBounds...),
 		firstEvent:   r.Histogram("first_event", "Time from an attempt's start to the first event of its stream.", latencyBounds...),
 	}
@@ -76,6 +78,11 @@
 // StreamStarted records the time from the start of an attempt to the first event of its stream.
 func (m *metrics) StreamStarted(took time.Duration) { m.firstEvent.Record(took.Seconds()) }
 
+// handedOver counts the result of asking a peer to serve a request.
+func (m *metrics) handedOver(result hopResult) {
+	m.forwarded.Add(1, attribute.String("outcome", string(result)))
+}
+
 func (m *metrics) addBilledTokens(b budget.Bill) { m.tokens.Add(b.Tokens) }
 
 func (m *metrics) countStoreCall(call string, err error) {
@@ -96,9 +103,16 @@
 func (c *callerRequest) recordReply(reply *request.Reply) {
 	outcome := "Answered"
 	status := reply.Status
-	if reply.Refusal != nil {
+	switch {
+	case reply.Refusal != nil:
 		outcome = reply.Refusal.Kind.String()
 		status = reply.Refusal.Kind.Answer().Status
+	case c.peerRefusal != "":
+		outcome = c.peerRefusal
+	}
+	forwardedBy := ""
+	if c.hop != nil {
+		forwardedBy = c.hop.By
 	}
 	took := time.Since(c.req.Arrived)
 	c.g.metrics.requestFinished(c.route.Kind.String(), outcome, took)
@@ -106,5 +120,5 @@
 		zap.String("Request", c.req.ID), zap.String("Run", c.req.RunID), zap.String("Route", c.route.Name), zap.Uint64("Version", c.version),
 		zap.String("Outcome", outcome), zap.Int("Status", status), zap.Int("Attempts", reply.Attempts), zap.Bool("Ran", reply.Ran),
 		zap.String("Endpoint", reply.Endpoint), zap.String("EndpointVersion", reply.Version), zap.String("Resumes", c.req.ResumesID),
-		zap.String("Lender", reply.Lender), zap.Duration("Took", took))
+		zap.String("Lender", reply.Lender), zap.String("Peer", c.peer), zap.String("ForwardedBy", forwardedBy), zap.Duration("Took", took))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,8 +12,12 @@
 // configurationPath is the path at which peers fetch this router's configuration.
 const configurationPath = "/Peer/Configuration"
 
-// servePeer answers a message from another router.
+// servePeer answers a message from another router, or a request that it forwarded.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
+	if from := takeHop(&ctx.Request.Header); from != nil {
+		g.serveRequest(ctx, from)
+		return
+	}
 	answer, err := g.answerPeer(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
 		g.log.Warn("peer message not read", zap.ByteString("Path", ctx.Path()), logfile.Error(err))
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -25,6 +25,10 @@
 	CallerGone  <-chan struct{} // Closed when the caller disconnects; nil if the request continues without its caller.
 	CallerLeft  func() bool     // Looks at the caller's connection now, whereas CallerGone may be closed late; nil if it cannot.
 	Codec       Codec
+
+	// PathLost returns a channel that is closed when this router is found to reach no endpoint and another router can
+	// serve the request. It is then refused with NoEndpoint unless an attempt may have run. Nil if none can.
+	PathLost func() <-chan struct{}
 }
 
 // Message is what the caller sent: an opaque body and its metadata.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -80,6 +80,9 @@
 		if out := r.try(send); out != nil {
 			return out
 		}
+		if out := r.refuseWithoutPath(); out != nil {
+			return out
+		}
 		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
 	}
 }
@@ -116,6 +119,8 @@
 		return endpoint.Send{}, refusedReply(refusal.CallerGone, "")
 	case <-timer.C:
 		return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
+	case <-r.pathLost():
+		return endpoint.Send{}, r.giveUp(refusal.NoEndpoint, 0)
 	case action := <-r.decisions:
 		switch action := action.(type) {
 		case endpoint.Send:
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -31,6 +31,7 @@
 	Heartbeat   uint64  `json:"Beat"`       // Increased by the incarnation itself in each period; an update with a higher one has the newer Load and Revision.
 	Load        float64 `json:",omitempty"` // Fraction of the capacity in use, 0 to 1.
 	Revision    uint64  `json:",omitempty"` // Revision of the settings in force at the router.
+	NoPath      bool    `json:",omitempty"` // The router reaches no endpoint.
 
 	// Every router takes these fields from its configuration, so messages do not carry them.
 	Address    string  `json:"-"`
