gateway: a request without time left is not handed to a peer

Callers got 504 in place of a truthful 503.

A peer is asked only if 50 ms are left. Before, TestRequestWithoutTimeLeftIsNotForwarded: expected 503, actual 504 DeadlineExceeded; after: ok.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -16,6 +16,7 @@
 
 const (
 	maxHops       = 3                      // Peers that are asked to serve one request.
+	minHopTime    = 50 * time.Millisecond  // Time left below which no peer is asked: a lost answer would end the proof that the request did not run.
 	hopBackoff    = time.Second            // Time in which a peer that failed or refused is not asked again.
 	hopProbeAfter = 500 * time.Millisecond // Idle time of a connection to a peer after which TCP keep-alive probes are sent.
 )
@@ -126,7 +127,7 @@
 	var broken *request.Reply // The answer of a peer at which the request may have run.
 	for i, p := range g.handoverTargets(time.Now()) {
 		now := time.Now()
-		if i > 0 && !now.Before(c.req.Deadline) {
+		if c.req.Deadline.Sub(now) < minHopTime {
 			break
 		}
 		a := &handoverAttempt{c: c, peer: p, number: i + 1, reason: reason, began: now}
