--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -87,6 +87,9 @@
 	if !time.Now().Before(until) {
 		return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
 	}
+	if out := r.refuseWithoutPath(); out != nil {
+		return endpoint.Send{}, out
+	}
 	r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
 	return r.awaitDecision(until)
 }
@@ -124,6 +127,8 @@
 		return endpoint.Send{}, refusedReply(refusal.CallerGone, "")
 	case <-timer.C:
 		return endpoint.Send{}, r.giveUp(refusal.DeadlineUnreachable, 0)
+	case <-r.pathLost():
+		return endpoint.Send{}, r.giveUp(refusal.NoEndpoint, 0)
 	case action := <-r.decisions:
 		switch action := action.(type) {
 		case endpoint.Send:
