--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -214,8 +214,17 @@
 
 // publishSelf passes this router's own state to the roster.
 func (m *members) publishSelf(now time.Time) {
-	load := m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate())
-	m.Tick(now, fleet.SelfChanged{Load: load, Revision: m.configVersion(), Draining: m.g.draining()})
+	m.Tick(now, m.selfChanged(now))
+}
+
+// selfChanged returns this router's own state.
+func (m *members) selfChanged(now time.Time) fleet.SelfChanged {
+	return fleet.SelfChanged{
+		Load:     m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate()),
+		Revision: m.configVersion(),
+		Draining: m.g.draining(),
+		NoPath:   m.g.pathLost(now),
+	}
 }
 
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -28,9 +28,10 @@
 	Incarnation uint64  // Start time in Unix nanoseconds; a later incarnation of a VM replaces an earlier one.
 	State       State   `json:",omitempty"`
 	Refutations uint64  `json:",omitempty"` // Increased by the incarnation itself when an update reports a worse state than its own.
-	Heartbeat   uint64  `json:"Beat"`       // Increased by the incarnation itself in each period; an update with a higher one has the newer Load and Revision.
+	Heartbeat   uint64  `json:"Beat"`       // Increased by the incarnation itself in each period; an update with a higher one has the newer Load, Revision and NoPath.
 	Load        float64 `json:",omitempty"` // Fraction of the capacity in use, 0 to 1.
 	Revision    uint64  `json:",omitempty"` // Revision of the settings in force at the router.
+	NoPath      bool    `json:",omitempty"` // The router reaches no endpoint.
 
 	// Every router takes these fields from its configuration, so messages do not carry them.
 	Address    string  `json:"-"`
@@ -88,11 +89,12 @@
 // VMListReceived sets the VMs that are leaving according to the platform's list.
 type VMListReceived struct{ Leaving []string }
 
-// SelfChanged sets this router's own load and settings revision, and whether it is draining.
+// SelfChanged sets this router's own load and settings revision, whether it is draining, and whether it reaches no endpoint.
 type SelfChanged struct {
 	Load     float64 // Fraction of the capacity in use.
 	Revision uint64
 	Draining bool
+	NoPath   bool // A change is announced to several VMs at once.
 }
 
 // Tick starts a probe period.
@@ -125,6 +127,7 @@
 const (
 	ProbePeriod       = time.Second
 	ProbesPerPeriod   = 2               // VMs that a router probes in each period.
+	AnnounceFanout    = 5               // VMs that a router tells at once that it has lost or regained its path to the endpoints.
 	UpdatesPerMessage = 9               // Maximum number of updates in a message, the sender's own included.
 	SuspicionTimeout  = 3 * time.Second // Time in which a suspected VM can refute the suspicion.
 	DeadProbeInterval = 5 * time.Second // Shortest time between probes of a dead VM.
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -62,8 +62,7 @@
 		}
 		return nil
 	case SelfChanged:
-		r.handleSelfChanged(ev)
-		return nil
+		return r.handleSelfChanged(now, ev)
 	case Tick:
 		return r.handleTick(now)
 	default:
@@ -199,7 +198,7 @@
 		p.changedAt = now
 		p.transmits = 0
 	}
-	if math.Abs(p.Load-u.Load) >= notableLoadChange {
+	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath {
 		p.transmits = 0
 	}
 	u.Address = p.Address
@@ -225,13 +224,32 @@
 	return []Action{MembersChanged{}}
 }
 
-func (r *Roster) handleSelfChanged(ev SelfChanged) {
+func (r *Roster) handleSelfChanged(now time.Time, ev SelfChanged) []Action {
+	pathChanged := r.Self.NoPath != ev.NoPath
 	r.Self.Load = ev.Load
 	r.Self.Revision = ev.Revision
+	r.Self.NoPath = ev.NoPath
 	r.Self.State = Alive
 	if ev.Draining {
 		r.Self.State = Draining
 	}
+	if !pathChanged {
+		return nil
+	}
+	r.Self.Heartbeat++
+	return r.probeNext(now, AnnounceFanout)
+}
+
+// probeNext returns the probes of the next n VMs that are due.
+func (r *Roster) probeNext(now time.Time, n int) []Action {
+	var actions []Action
+	for range n {
+		if p := r.nextProbe(now); p != nil {
+			p.probedAt = now
+			actions = append(actions, Probe{p.VM, p.Address, r.Updates()})
+		}
+	}
+	return actions
 }
 
 func (r *Roster) handleTick(now time.Time) []Action {
@@ -245,13 +263,7 @@
 			actions = append(actions, MembersChanged{})
 		}
 	}
-	for range ProbesPerPeriod {
-		if p := r.nextProbe(now); p != nil {
-			p.probedAt = now
-			actions = append(actions, Probe{p.VM, p.Address, r.Updates()})
-		}
-	}
-	return actions
+	return append(actions, r.probeNext(now, ProbesPerPeriod)...)
 }
 
 // nextProbe returns the next VM to probe, or nil if none is due.
