pkg/endpoint: what failed while the router had no path is no fault of the endpoints

The pool learns of the path: an attempt that ends as CutOff ejects nothing and records no death, and when the path is restored each endpoint gets back the health, ejection and known prefixes that it had before the first failure of the cut. Ejections from before the cut stay. Nothing sends these events yet.

--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -47,17 +47,23 @@
 
 	// prefixes holds the hashes of prompt prefixes that the endpoint has probably cached.
 	prefixes *simplelru.LRU[uint64, struct{}]
+
+	saved *savedHealth // Health before the failures since the last finished request; nil if there are none.
 }
 
 func newBackend(e Endpoint) *backend {
-	prefixes, _ := simplelru.NewLRU[uint64, struct{}](maxCachedPrefixes, nil)
-	b := &backend{hash: xxhash.Sum64String(e.Name), running: map[string]*job{}, prefixes: prefixes}
+	b := &backend{hash: xxhash.Sum64String(e.Name), running: map[string]*job{}, prefixes: newPrefixes()}
 	b.describe(e)
 	b.tokenTime = 1 / b.TokensPerSecond
 	b.promptTime = 1 / b.PromptTokensPerSecond
 	return b
 }
 
+func newPrefixes() *simplelru.LRU[uint64, struct{}] {
+	prefixes, _ := simplelru.NewLRU[uint64, struct{}](maxCachedPrefixes, nil)
+	return prefixes
+}
+
 // describe sets the endpoint's description, with defaults for missing values.
 func (b *backend) describe(e Endpoint) {
 	b.Endpoint = e
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -79,12 +79,13 @@
 	Incomplete                // The endpoint is alive but its response is incomplete.
 	Abandoned                 // The router or the caller cancelled the attempt.
 	Silent                    // The endpoint did not respond before the timeout.
+	CutOff                    // The connection broke because the router lost its path to the endpoints.
 )
 
-var outcomeNames = [...]string{"Died", "Finished", "Rejected", "Incomplete", "Abandoned", "Silent"}
+var outcomeNames = [...]string{"Died", "Finished", "Rejected", "Incomplete", "Abandoned", "Silent", "CutOff"}
 
 // String returns the name of the outcome as written in logs and metrics.
-func (o Outcome) String() string { return outcomeNames[min(o, Silent)] }
+func (o Outcome) String() string { return outcomeNames[min(o, CutOff)] }
 
 // Load is an endpoint's report of its own load.
 type Load struct {
@@ -186,6 +187,12 @@
 	Part        bool
 }
 
+// PathLost reports that this router reaches no endpoint, so that failures say nothing about single endpoints.
+type PathLost struct{ Since time.Time }
+
+// PathRestored reports that this router reaches endpoints again.
+type PathRestored struct{}
+
 // Tick runs the periodic work: expiry of suspicions, refill of the retry budget,
 // dispatch and load shedding.
 type Tick struct{}
@@ -209,6 +216,8 @@
 func (SuspectReported) isEvent()    {}
 func (SuspectCleared) isEvent()     {}
 func (RetryBudgetChanged) isEvent() {}
+func (PathLost) isEvent()           {}
+func (PathRestored) isEvent()       {}
 func (Tick) isEvent()               {}
 
 // Action is an output of Pool.Handle, for the caller to carry out.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -27,6 +27,7 @@
 	maxPeers          int       // Highest value of peers so far; a router that this one has lost contact with may still send.
 	self              string    // Name of this router; empty if the routers are not listed.
 	routers           []string  // Names of all routers that may send to the same endpoints.
+	pathLost          bool
 	random            *rand.Rand
 }
 
@@ -99,12 +100,6 @@
 	case SuspectReported:
 		p.suspectsOf(ev.Suspect.Part).merge(now, ev.Suspect)
 		return p.dispatch(now)
-	case ConnectionRefused:
-		p.recordDown(now, ev.Endpoint)
-		return nil
-	case Crashed:
-		p.recordDown(now, ev.Endpoint)
-		return p.recordCrash(now, ev)
 	case RetryBudgetChanged:
 		p.Policy.RetryRatio = ev.RetryRatio
 		p.Policy.FleetRetryReserve = ev.FleetRetryReserve
@@ -113,6 +108,26 @@
 	case SuspectCleared:
 		p.suspectsOf(ev.Part).clear(ev.Fingerprint)
 		return p.dispatch(now)
+	default:
+		return p.handleFailure(now, ev)
+	}
+}
+
+// handleFailure applies an event that tells what failed at an endpoint or on the way there.
+func (p *Pool) handleFailure(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case ConnectionRefused:
+		p.recordDown(now, ev.Endpoint)
+		return nil
+	case PathLost:
+		p.losePath(now, ev.Since)
+		return nil
+	case PathRestored:
+		p.restorePath()
+		return p.dispatch(now)
+	case Crashed:
+		p.recordDown(now, ev.Endpoint)
+		return p.recordCrash(now, ev)
 	default:
 		return nil
 	}
@@ -263,6 +278,9 @@
 		return nil
 	}
 	b := j.target
+	if ev.Outcome == Died || ev.Outcome == Silent || ev.Outcome == Rejected {
+		p.saveHealth(now, b)
+	}
 	b.recordOutcome(ev.Outcome)
 	delete(b.running, ev.ID)
 	b.recordChange(now, -1)
@@ -294,6 +312,7 @@
 func (p *Pool) finishRequest(now time.Time, j *job, b *backend, tokens int64) {
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
+	p.forgetHealth(b)
 	if j.firstTokenAt.IsZero() {
 		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The response was not streamed.
 	} else {
@@ -340,7 +359,7 @@
 	duration := p.Policy.BaseEjectionTime << min(b.deaths, 10)
 	b.ejectedUntil = now.Add(min(duration, p.Policy.MaxEjectionTime))
 	b.deaths++
-	b.prefixes.Purge()
+	b.prefixes = newPrefixes()
 }
 
 func (p *Pool) updateLeaving(ev LeavingUpdated) {
--- a/pkg/endpoint/selector.go
+++ b/pkg/endpoint/selector.go
@@ -28,6 +28,7 @@
 
 func (p *Pool) recordDown(now time.Time, name string) {
 	if b, ok := p.backends[name]; ok {
+		p.saveHealth(now, b)
 		b.downAt = now
 	}
 }
--- a/pkg/reach/event.go
+++ b/pkg/reach/event.go
@@ -75,7 +75,7 @@
 
 // Lost reports that the router reaches no endpoint.
 type Lost struct {
-	Since    time.Time // When something was last received or opened; zero if it never was.
+	Since    time.Time // Time of the first failure of the evidence.
 	Evidence []Failure // What the decision rests on.
 }
 
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -378,7 +378,18 @@
 	m.lostAt = now
 	m.cut = m.severalSound(evidence)
 	m.nextProbe = now.Add(m.backoff())
-	return []Action{Judged{}, Lost{Since: m.succeededAt(), Evidence: evidence}}
+	since := now
+	for _, f := range evidence {
+		since = earlier(since, now.Add(-f.Age))
+	}
+	return []Action{Judged{}, Lost{Since: since, Evidence: evidence}}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // severalSound reports whether several endpoints that were not down before are among those that failed.
