internal/gateway: a router knows when it reaches no endpoint, and accuses nobody then

Cause: a break of a connection was judged by the endpoint alone. Ruled out: a peer's announcement as the source of the suspicions, since in the new test there is one router only.

Breaks at several endpoints within 100 ms accuse nobody either if the endpoint accepts connections.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -18,11 +18,16 @@
 // Refused reports whether the host at an address answers that nothing accepts connections there, as after the end of the
 // process.
 func Refused(address string) bool {
-	conn, err := net.DialTimeout("tcp4", address, refusedTimeout)
+	return IsRefused(Probe(address, refusedTimeout))
+}
+
+// Probe opens a connection to an address within a time and closes it at once.
+func Probe(address string, timeout time.Duration) error {
+	conn, err := net.DialTimeout("tcp4", address, timeout)
 	if err == nil {
 		_ = conn.Close()
 	}
-	return IsRefused(err)
+	return err
 }
 
 // ErrNotSent reports that no byte of a request can have reached the endpoint.
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -156,6 +156,7 @@
 	e.restarted = map[string]bool{}
 	e.mu.Unlock()
 	e.g.endpoints.Configure(now, list, restarted)
+	e.g.path.configure(now, list)
 }
 
 // Throughput assumed for a model engine until it has been measured, in tokens per second.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	store        *instrumentedStore
 	budgetStore  *keyvalue.GuardedStore // Store for the budgets, with rate limits and a circuit breaker.
 	reachability storeReachability
+	path         path
 }
 
 // Periods and timeouts of the gateway.
@@ -179,6 +180,8 @@
 	g.forwarder.Log = g.log
 	g.forwarder.Observer = g.metrics
 	g.forwarder.Background = g.background
+	g.path.setup(g)
+	g.forwarder.Path = &g.path
 	g.forwarder.StoreLost = g.reachability.unreachable
 	g.forwarder.Late = g.overload.isLate
 }
@@ -312,6 +315,7 @@
 	go g.members.register()
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go g.ticker.Run(g.stop, g.tick)
+	go g.path.ticker.Run(g.stop, g.path.tick)
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -227,6 +227,9 @@
 	}
 }
 
+// announcePath tells some peers at once whether this router reaches the endpoints.
+func (m *members) announcePath(now time.Time) { m.Handle(now, m.selfChanged(now)) }
+
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
 // in case this router cannot read it from the store.
 func (m *members) fetchConfiguration(now time.Time) {
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/pkg/reach"
 )
 
 // Limits of answers.
@@ -71,6 +72,9 @@
 		return nil, err
 	}
 	r.f.observer().Connected(conn.Reused)
+	if !conn.Reused {
+		r.observe(time.Now(), reach.Connected{Endpoint: r.endpoint})
+	}
 	a := &attempt{conn: conn}
 	if !conn.Reused && r.callerLeft() { // Opening a connection takes time.
 		a.abort()
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -21,6 +21,7 @@
 	Observer   Observer     // Nil discards the counts.
 	Background func(func()) // Runs a function asynchronously.
 	Origins    Origins      // Nil if streams may go on at any endpoint.
+	Path       Path         // Nil if it is not tracked whether this router reaches the endpoints.
 
 	// StoreLost reports whether the store is known to be unreachable from this router; nil if that is not tracked.
 	StoreLost func(now time.Time) bool
--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -35,6 +35,7 @@
 	if r.direct {
 		return
 	}
+	outcome = r.observeEnd(outcome)
 	r.f.Endpoints.Handle(time.Now(), endpoint.Ended{ID: r.req.RunID, Outcome: outcome, Tokens: tokens})
 }
 
@@ -43,7 +44,7 @@
 // The next attempt waits for the result, since it may crash another endpoint.
 func (r *run) checkCrash(outcome endpoint.Outcome) {
 	name := r.endpoint
-	if outcome != endpoint.Died || r.direct {
+	if outcome != endpoint.Died || r.direct || r.cut {
 		return
 	}
 	address, ok := r.f.Endpoints.Address(name)
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -30,6 +30,8 @@
 	ran         bool           // An attempt may have run.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
+	observed    string // Endpoint of an attempt whose end Path was not told yet; empty if there is none.
+	cut         bool   // The last attempt broke because this router lost its path to the endpoints.
 	fallback    *Reply // Server error from an endpoint, returned if no other attempt succeeds.
 }
 
@@ -198,7 +200,10 @@
 	if !ok {
 		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", send.Endpoint)
 	}
-	return r.send(now, address, r.attemptInfo(now, send))
+	r.observeStart(now)
+	a, err := r.send(now, address, r.attemptInfo(now, send))
+	r.observeOpened(time.Now(), err)
+	return a, err
 }
 
 // forwardTo makes the single attempt of a request that is sent to a fixed address.
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/reach"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
@@ -76,6 +77,7 @@
 func (s *Stream) deliver(e Event) {
 	s.pending = e.Raw
 	s.run.events++
+	s.run.observe(time.Now(), reach.Received{Endpoint: s.run.endpoint})
 	if e.ID != "" {
 		s.run.lastEventID = e.ID
 	}
--- a/pkg/reach/event.go
+++ b/pkg/reach/event.go
@@ -23,6 +23,9 @@
 // Broke reports that the connection of an attempt at an endpoint broke.
 type Broke struct{ Endpoint string }
 
+// Judge asks whether the path or the endpoint is to blame for a break that was reported BreakSettleTime ago.
+type Judge struct{}
+
 // Ended reports the end of an attempt at an endpoint, however it ended.
 type Ended struct{ Endpoint string }
 
@@ -42,6 +45,7 @@
 func (Received) isEvent()      {}
 func (ConnectFailed) isEvent() {}
 func (Broke) isEvent()         {}
+func (Judge) isEvent()         {}
 func (Ended) isEvent()         {}
 func (Probed) isEvent()        {}
 func (Tick) isEvent()          {}
@@ -75,7 +79,7 @@
 
 // Lost reports that the router reaches no endpoint.
 type Lost struct {
-	Since    time.Time // Time of the first failure of the evidence.
+	Since    time.Time // Earliest time at which the path may have been lost.
 	Evidence []Failure // What the decision rests on.
 }
 
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -13,6 +13,7 @@
 	ProbeTimeout      = 300 * time.Millisecond // Of the connection that a probe opens.
 	SilenceLimit      = 400 * time.Millisecond // Time in which nothing is received from any endpoint, although attempts are in flight, that is a reason to probe.
 	MinAttemptAge     = 100 * time.Millisecond // Age from which on an attempt without an answer counts as silent.
+	BreakSettleTime   = 50 * time.Millisecond  // From the break of a connection until it is judged, since connections do not all break in the same instant.
 	BreakWindow       = 100 * time.Millisecond // Time within which breaks at several endpoints have one cause.
 	FailureWindow     = 500 * time.Millisecond // Age up to which a failure counts.
 	RoundInterval     = time.Second            // Shortest time between the starts of two rounds of probes that no break of a connection asked for.
@@ -58,7 +59,6 @@
 	failedAt  time.Time // Last failure.
 	kind      FailureKind
 	brokeAt   time.Time // Last break of a connection.
-	judgedAt  time.Time // Start of the last round of probes that judged such a break.
 	down      bool      // It failed before while others did not, and has not answered since.
 }
 
@@ -95,7 +95,13 @@
 		}
 		return m.considerFailures(now)
 	case Broke:
-		return m.judgeBreak(now, ev.Endpoint)
+		if e := m.endpoints[ev.Endpoint]; e != nil {
+			m.fail(now, e, ConnectionBroken)
+			e.brokeAt = now
+		}
+		return m.considerFailures(now)
+	case Judge:
+		return m.judgeBreak(now)
 	case Probed:
 		return m.handleProbed(now, ev)
 	case Tick:
@@ -116,7 +122,7 @@
 
 // Cut reports whether connections that break are put down to the path and not to the endpoints.
 //
-// It is valid once no round is running that began before the break was reported.
+// It is valid when the round of probes has ended that Judge asked for after the break.
 func (m *Monitor) Cut() bool { return m.lost && m.cut }
 
 // SeveralBroke reports whether connections to other endpoints broke at nearly the same time as the last one to this endpoint.
@@ -215,26 +221,19 @@
 	e.kind = kind
 }
 
-// judgeBreak starts a round of probes to find out whether the endpoint or the path is to blame for the break of a connection.
+// judgeBreak starts a round of probes to find out whether an endpoint or the path is to blame for the break of a connection.
 //
-// One round judges all connections to an endpoint that break together.
-func (m *Monitor) judgeBreak(now time.Time, name string) []Action {
-	e := m.endpoints[name]
-	if e == nil {
+// One round judges all connections that broke at nearly the same time.
+func (m *Monitor) judgeBreak(now time.Time) []Action {
+	if now.Sub(m.roundAt) < BreakSettleTime/2 {
 		return nil
 	}
-	m.fail(now, e, ConnectionBroken)
-	e.brokeAt = now
-	if now.Sub(e.judgedAt) <= FailureWindow {
-		return nil
-	}
-	e.judgedAt = now
 	return m.startRound(now)
 }
 
 // knownDown reports whether an endpoint failed before while others did not, and has not answered since.
 func (m *Monitor) knownDown(e *endpoint) bool {
-	return e.down || e.failedAt.After(e.aliveAt) && m.succeededAt().After(e.failedAt)
+	return e.down || e.failedAt.After(e.aliveAt) && m.succeededAt().After(e.failedAt.Add(BreakWindow))
 }
 
 // succeededAt returns the time of the last event that shows that the path was there.
@@ -357,10 +356,14 @@
 // failProbe records the failure of a probe, which does not replace what an attempt showed.
 func (m *Monitor) failProbe(now time.Time, name string) {
 	e := m.endpoints[name]
-	if e == nil || now.Sub(e.failedAt) <= FailureWindow {
+	if e == nil {
 		return
 	}
-	m.fail(now, e, ProbeFailed)
+	kind := ProbeFailed
+	if now.Sub(e.failedAt) <= FailureWindow {
+		kind = e.kind
+	}
+	m.fail(now, e, kind)
 }
 
 // lose declares the path lost, if there is no other explanation.
@@ -382,7 +385,7 @@
 	for _, f := range evidence {
 		since = earlier(since, now.Add(-f.Age))
 	}
-	return []Action{Judged{}, Lost{Since: since, Evidence: evidence}}
+	return []Action{Judged{}, Lost{Since: since.Add(-FailureWindow), Evidence: evidence}}
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -14,10 +14,11 @@
 type cutKind string
 
 const (
-	none    cutKind = "none"
-	reset   cutKind = "reset"   // Open connections are reset, new ones refused.
-	hanging cutKind = "hanging" // Nothing arrives any more.
-	closed  cutKind = "closed"  // Open connections live on, new ones are refused.
+	none      cutKind = "none"
+	reset     cutKind = "reset"     // Open connections are reset, new ones refused.
+	hanging   cutKind = "hanging"   // Nothing arrives any more.
+	staggered cutKind = "staggered" // Likewise, one endpoint every 5 ms.
+	closed    cutKind = "closed"    // Open connections live on, new ones are refused.
 )
 
 const (
@@ -230,7 +231,8 @@
 	for a := range w.active[i] {
 		delete(w.active[i], a)
 		w.handle(Broke{w.name(i)})
-		w.after(roundTrip, func() { w.fail(i, a.retries) })
+		w.after(BreakSettleTime, func() { w.handle(Judge{}) })
+		w.after(BreakSettleTime+roundTrip, func() { w.fail(i, a.retries) })
 	}
 }
 
@@ -241,11 +243,17 @@
 
 func (w *world) setCut(kind cutKind) {
 	w.cut = kind
-	if kind != reset {
-		return
-	}
-	for i := range w.n {
-		w.breakAll(i)
+	switch kind {
+	case reset:
+		for i := range w.n {
+			w.breakAll(i)
+		}
+	case staggered:
+		w.cut = none
+		for i := range w.n {
+			w.kill(i)
+			w.run(5 * time.Millisecond)
+		}
 	}
 }
 
@@ -348,8 +356,10 @@
 	w.dead[0] = true
 	for range 20 {
 		w.handle(Broke{w.name(0)})
-		w.run(5 * time.Millisecond)
+		w.after(BreakSettleTime, func() { w.handle(Judge{}) })
+		w.run(time.Millisecond)
 	}
+	w.run(time.Second)
 	require.False(t, w.monitor.Cut())
 	require.Equal(t, probesPerRound, w.probes)
 }
@@ -367,6 +377,7 @@
 		{"one of several endpoints dies", 3, nil, []int{0}, none, false, false},
 		{"the only endpoint dies", 1, nil, []int{0}, none, false, false},
 		{"the router is cut", 3, nil, nil, reset, true, true},
+		{"the router is cut from one endpoint after the other", 3, nil, nil, staggered, true, true},
 		{"the router with two endpoints is cut", 2, nil, nil, reset, true, true},
 		{"the last of two endpoints dies", 2, []int{1}, []int{0}, none, false, false},
 		{"the last of three endpoints dies", 3, []int{1, 2}, []int{0}, none, false, false},
@@ -393,7 +404,7 @@
 		}
 		w.setCut(test.cut)
 		require.Equal(t, test.several, w.monitor.SeveralBroke(w.name(0)), test.name)
-		w.run(ProbeTimeout)
+		w.run(BreakSettleTime + ProbeTimeout)
 		require.False(t, w.monitor.Judging(), test.name)
 		require.Equal(t, test.blamed, w.monitor.Cut(), test.name)
 	}
@@ -403,8 +414,9 @@
 	m := Monitor{}
 	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	m.Handle(now, Configured{[]string{"a", "b", "c"}})
-	round := m.Handle(now, Broke{"a"})
-	m.Handle(now, Broke{"b"})
+	m.Handle(now, Broke{"a"})
+	round := m.Handle(now, Broke{"b"})
+	require.NotEmpty(t, round)
 	for _, action := range round {
 		probe := action.(Probe)
 		m.Handle(now, Probed{probe.Endpoint, probe.Round, Inconclusive})
