internal/gateway: the directory lists routers that reach endpoints

Cause: the list went by state and load only.

Routers that are known as NoPath are left out as long as any live router has a path: those of the caller's data centre first, and the others too if fewer than two of its own are left, as when routers are down. If none has a path, all are listed as before, since then the endpoints may be to blame. ready stays as it is: a router without a path can still forward.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -18,7 +18,7 @@
 // not change, because it abandons its connections to addresses that are no
 // longer listed. Over all callers a router is listed about in proportion to its size.
 func (m *members) frontAddresses(caller, dataCentre string) []string {
-	var local, all []fleet.Member
+	var serving []fleet.Member
 	fronts := map[string]string{}
 	for _, p := range m.All() {
 		address := m.frontAddress(p.VM)
@@ -26,7 +26,11 @@
 			continue
 		}
 		fronts[p.VM] = address
-		all = append(all, p)
+		serving = append(serving, p)
+	}
+	all := reachingEndpoints(serving)
+	var local []fleet.Member
+	for _, p := range all {
 		if p.DataCentre == dataCentre {
 			local = append(local, p)
 		}
@@ -41,6 +45,20 @@
 	return addresses
 }
 
+// reachingEndpoints returns the routers that reach the endpoints, or all if none does: then the endpoints may be to blame.
+func reachingEndpoints(routers []fleet.Member) []fleet.Member {
+	var reaching []fleet.Member
+	for _, m := range routers {
+		if !m.NoPath {
+			reaching = append(reaching, m)
+		}
+	}
+	if len(reaching) == 0 {
+		return routers
+	}
+	return reaching
+}
+
 // listedRouters selects the routers that a caller should use.
 func listedRouters(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
 	if len(local) >= minLocalRouters && len(local) < maxAddresses {
--- a/internal/gateway/addresses_test.go
+++ b/internal/gateway/addresses_test.go
@@ -109,3 +109,43 @@
 	one := slices.Concat(all[:1], localRouters(all, "dc-2"))
 	require.Len(t, listedRouters(one[:1], one, "caller", "dc-1"), len(one), "a single local router is not enough")
 }
+
+func TestRoutersWithoutAPathAreNotListed(t *testing.T) {
+	fleetWith := func(noPath ...string) []fleet.Member {
+		list := newFleet(5)
+		for i := range list {
+			list[i].NoPath = slices.Contains(noPath, list[i].VM)
+		}
+		return list
+	}
+	listed := func(all []fleet.Member) []fleet.Member {
+		all = reachingEndpoints(all)
+		return listedRouters(localRouters(all, "dc-1"), all, "caller", "dc-1")
+	}
+	list := listed(fleetWith())
+	require.Len(t, list, 6)
+
+	lost := list[0].VM
+	list = listed(fleetWith(lost))
+	require.Len(t, list, 5)
+	for _, m := range list {
+		require.NotEqual(t, lost, m.VM)
+		require.Equal(t, "dc-1", m.DataCentre)
+	}
+
+	var local, all []string
+	for _, m := range newFleet(5) {
+		all = append(all, m.VM)
+		if m.DataCentre == "dc-1" {
+			local = append(local, m.VM)
+		}
+	}
+	list = listed(fleetWith(local[1:]...))
+	require.Len(t, list, 7, "the last one of its data centre and those of the other")
+	list = listed(fleetWith(local...))
+	require.Len(t, list, 6)
+	for _, m := range list {
+		require.Equal(t, "dc-2", m.DataCentre)
+	}
+	require.Equal(t, len(listed(fleetWith())), len(listed(fleetWith(all...))), "as before if no router has a path")
+}
