--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -19,14 +20,39 @@
 
 // Limits of the HTTP servers.
 const (
-	headerBufferBytes = 17 << 10         // Above the largest header that configurations allow.
-	maxBodyBytes      = 16 << 20         // The configuration may set a lower limit.
-	readTimeout       = 30 * time.Second // For reading one request.
-	idleTimeout       = 90 * time.Second // Above the idle timeouts of all callers.
-	writeTimeout      = 20 * time.Second
+	headerBufferBytes = 17 << 10 // Above the largest header that configurations allow.
+	maxBodyBytes      = 16 << 20 // The configuration may set a lower limit.
 	maxConcurrent     = 4096
 )
 
+// timeouts bounds the waits on an accepted connection.
+type timeouts struct {
+	read  time.Duration // For reading one request, from its first byte.
+	idle  time.Duration // Between two requests.
+	write time.Duration // For one write; a stream writes each event.
+}
+
+// defaultTimeouts are the timeouts of the HTTP servers.
+var defaultTimeouts = timeouts{
+	read:  30 * time.Second,
+	idle:  90 * time.Second,
+	write: 20 * time.Second,
+}
+
+// currentTimeouts returns the timeouts in force: those of the gateway, or longer ones where the configuration allows callers
+// more time.
+//
+// Callers reuse a connection until shortly before the idle timeout of the configuration.
+func (g *Gateway) currentTimeouts() timeouts {
+	out := g.timeouts
+	if t := g.table.Load(); t != nil {
+		out.idle = max(out.idle, t.Limits.IdleTimeout)
+		out.read += t.Limits.HeaderTimeout // The rest is for the body.
+	}
+	return out
+}
+
+// newServer returns an HTTP server for connections that a listener accepts; they limit their reads and writes themselves.
 func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                         "foxtaillanding",
@@ -35,9 +61,6 @@
 		Concurrency:                  maxConcurrent,
 		ReadBufferSize:               headerBufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
-		ReadTimeout:                  readTimeout,
-		IdleTimeout:                  idleTimeout,
-		WriteTimeout:                 writeTimeout,
 		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
@@ -54,6 +77,7 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
 		kind = refusal.TooLarge
 	}
+	g.log.Info("request not read", zap.Stringer("Caller", ctx.RemoteAddr()), zap.Stringer("Kind", kind), logfile.Error(err))
 	g.dialect.Refuse(&ctx.Response, refusal.New(kind, err.Error()))
 	ctx.SetConnectionClose()
 }
@@ -90,6 +114,7 @@
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, overloaded)
+	beginAnswer(ctx, &c.req)
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
@@ -115,7 +140,7 @@
 	} else {
 		done()
 	}
-	g.writeReply(ctx, reply)
+	c.writeReply(ctx, reply)
 }
 
 // forward serves a request unless its caller has left while the request waited to be read.
@@ -127,12 +152,12 @@
 }
 
 // writeReply writes a reply to the caller's response.
-func (g *Gateway) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
+func (c *callerRequest) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
 	if reply.Refusal != nil {
 		if reply.Refusal.Kind == refusal.CallerGone {
 			ctx.SetConnectionClose()
 		}
-		g.dialect.Refuse(&ctx.Response, reply.Refusal)
+		c.g.dialect.Refuse(&ctx.Response, reply.Refusal)
 		return
 	}
 	ctx.SetStatusCode(reply.Status)
@@ -144,7 +169,7 @@
 		return
 	}
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(reply.Stream, -1)
+	ctx.SetBodyStream(&answerStream{Stream: reply.Stream, log: c.g.log, req: &c.req}, -1)
 }
 
 // admit validates a request and determines its route and terms.
--- a/internal/request/path.go
+++ b/internal/request/path.go
@@ -34,6 +34,13 @@
 	r.observe(now, reach.Sent{Endpoint: r.endpoint})
 }
 
+// observeConnection reports a connection that was opened for an attempt.
+func (r *run) observeConnection(conn *connection.Conn) {
+	if !conn.Reused {
+		r.observe(time.Now(), reach.Connected{Endpoint: r.endpoint})
+	}
+}
+
 // observeOpened reports what the opening of an attempt showed.
 func (r *run) observeOpened(now time.Time, err error) {
 	switch {
@@ -58,3 +65,14 @@
 	r.observed = ""
 	return outcome
 }
+
+// observeConnect reports the result of connecting to an endpoint before an attempt.
+func (f *Forwarder) observeConnect(now time.Time, name string, conn *connection.Conn, err error) {
+	switch {
+	case f.Path == nil:
+	case err == nil && !conn.Reused:
+		f.Path.Observe(now, reach.Connected{Endpoint: name})
+	case errors.Is(err, connection.ErrNotSent) && !f.late(now):
+		f.Path.Observe(now, reach.ConnectFailed{Endpoint: name})
+	}
+}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/reach"
@@ -31,8 +33,11 @@
 	release func() // Stops the goroutine that aborts the attempt when the caller disconnects.
 
 	pending   []byte // Bytes of the current event that were not yet read.
+	next      *place // Where the stream goes on, as its attempt was aborted; nil while it goes on here.
 	eof       bool
 	completed bool
+	lastAt    time.Time // When the last event arrived.
+	problem   string    // Why the stream ended early, for the log; empty if its caller stopped reading it.
 }
 
 // startStream waits for the first complete event of an answer and returns its stream.
@@ -75,6 +80,7 @@
 
 // deliver makes an event the next one that the caller reads.
 func (s *Stream) deliver(e Event) {
+	s.lastAt = time.Now()
 	s.pending = e.Raw
 	s.run.events++
 	s.run.observe(time.Now(), reach.Received{Endpoint: s.run.endpoint})
@@ -121,45 +127,98 @@
 
 // advance waits for the next event, and resumes the stream at another endpoint if this one fails.
 func (s *Stream) advance() error {
-	s.limitEventWait(time.Now())
+	if s.next != nil {
+		return s.leave(errMoved) // The last event arrived while its attempt was aborted.
+	}
+	now := time.Now()
+	s.limitEventWait(now)
+	if s.movable() {
+		s.run.stall.begin(now, s.stallTimeout())
+	}
 	e, err := s.events.Next()
+	s.next = s.run.stall.end()
 	switch err {
 	case nil:
 		s.deliver(e)
+		if s.run.stall.wasSilent() {
+			s.run.f.Endpoints.Handle(time.Now(), endpoint.Spoke{ID: s.run.req.RunID})
+		}
 		return nil
 	case io.EOF:
 		s.complete()
 		return nil
 	}
+	return s.leave(err)
+}
+
+// leave ends the attempt after an error and resumes the stream, at the place that was found if there is one.
+func (s *Stream) leave(err error) error {
 	s.release()
 	s.attempt.abort()
 	r := s.run
 	if r.callerGone() {
 		r.reportOutcome(endpoint.Abandoned, 0)
-		return errStreamAborted
+		return s.abort(refusal.CallerGone.String())
 	}
+	outcome := s.brokenOutcome(err)
 	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
-		zap.Int64("Events", r.events), logfile.Error(err))
-	outcome := failureOutcome(err)
+		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", s.next != nil || outcome == endpoint.Silent), logfile.Error(err))
+	if s.next != nil {
+		outcome = r.observeEnd(outcome)
+		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
+		return s.resume(r.try(s.takeNext()))
+	}
 	r.reportOutcome(outcome, 0)
 	r.checkCrash(outcome)
-	return s.resume()
+	if !r.req.Resumable || r.lastEventID == "" {
+		return s.abort("not resumable")
+	}
+	return s.resume(nil)
+}
+
+// brokenOutcome maps an error of the stream to the outcome reported for its endpoint.
+func (s *Stream) brokenOutcome(err error) endpoint.Outcome {
+	switch {
+	case errors.Is(err, errMoved):
+		return endpoint.Incomplete // It has spoken after all.
+	case s.next != nil:
+		return endpoint.Silent
+	}
+	return failureOutcome(err)
 }
 
-// minStallTimeout is the shortest silence after which a stream without a StallTimeout is resumed elsewhere.
+// takeNext returns the attempt with which the stream goes on.
+func (s *Stream) takeNext() (endpoint.Send, *connection.Conn) {
+	next := s.next
+	s.next = nil
+	return next.send, next.conn
+}
+
+// minStallTimeout is the shortest silence after which a stream without a StallTimeout may move to another endpoint.
 //
 // It is below the 2 s for which every caller waits at least.
 const minStallTimeout = time.Second
 
+// stallTimeout returns the silence after which the stream may move to another endpoint.
+func (s *Stream) stallTimeout() time.Duration {
+	if s.run.req.StallTimeout > 0 {
+		return s.run.req.StallTimeout
+	}
+	return max(minStallTimeout, 4*s.run.req.Gap)
+}
+
+// movable reports whether the stream may go on at another endpoint although its own has not failed.
+func (s *Stream) movable() bool {
+	r := s.run
+	return r.stall != nil && r.req.Resumable && r.lastEventID != ""
+}
+
 // limitEventWait sets the read deadline for the next event.
 func (s *Stream) limitEventWait(now time.Time) {
 	r := s.run
 	until := r.req.Deadline.Add(answerMargin)
-	switch {
-	case r.req.StallTimeout > 0:
+	if r.req.StallTimeout > 0 && !s.movable() {
 		until = earlier(until, now.Add(r.req.StallTimeout))
-	case r.req.Resumable && r.attempts < r.req.MaxAttempts:
-		until = earlier(until, now.Add(max(minStallTimeout, 4*r.req.Gap)))
 	}
 	if err := s.attempt.conn.SetReadDeadline(until); err != nil {
 		r.f.Log.Debug("no limit for the next event", zap.String("Run", r.req.RunID), logfile.Error(err))
@@ -167,27 +226,33 @@
 }
 
 // resume continues the stream at another endpoint after the last event that was delivered.
-func (s *Stream) resume() error {
+//
+// The parameter is the result of an attempt to do so, or nil.
+func (s *Stream) resume(out *Reply) error {
 	r := s.run
-	if !r.req.Resumable || r.lastEventID == "" {
-		return errStreamAborted
-	}
-	for {
+	for out == nil {
 		r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
-		send, out := r.awaitDecision(r.req.Deadline)
-		if out != nil {
-			return streamError(out.Refusal)
-		}
-		out = r.try(send)
-		switch {
-		case out == nil:
-		case out.Stream != nil:
-			s.continueWith(out.Stream)
-			return nil
-		default:
-			return errStreamAborted
+		var send endpoint.Send
+		if send, out = r.awaitDecision(r.req.Deadline); out == nil {
+			out = r.try(send, nil)
 		}
 	}
+	switch {
+	case out.Stream != nil:
+		s.continueWith(out.Stream)
+		return nil
+	case out.Refusal != nil:
+		s.problem = out.Refusal.Kind.String()
+		return out.Refusal
+	default:
+		return s.abort("status " + strconv.Itoa(out.Status) + " when resumed")
+	}
+}
+
+// abort records why the stream ends early and returns the error for its reader.
+func (s *Stream) abort(problem string) error {
+	s.problem = problem
+	return errStreamAborted
 }
 
 // continueWith takes over the state of another attempt's stream.
@@ -196,30 +261,33 @@
 	s.events = next.events
 	s.release = next.release
 	s.pending = next.pending
+	s.next = next.next
 	s.eof = next.eof
 	s.completed = next.completed
-}
-
-func streamError(e *refusal.Error) error {
-	if e == nil {
-		return errStreamAborted
-	}
-	return e
+	s.lastAt = next.lastAt
 }
 
 // complete marks the stream as ended by the endpoint after a complete event.
 func (s *Stream) complete() {
 	s.release()
+	s.giveBackNext()
 	s.eof = true
 	s.completed = true
 	s.attempt.recycle(time.Now(), &s.run.f.Connections)
 }
 
+// giveBackNext gives the place back at which the stream would have gone on, if there is one.
+func (s *Stream) giveBackNext() {
+	s.run.f.giveBack(s.next, false)
+	s.next = nil
+}
+
 // Close ends the attempt and settles the request.
 //
 // Call it once, when the answer was written or the caller disconnected.
 func (s *Stream) Close() error {
 	s.release()
+	s.giveBackNext()
 	s.attempt.abort()
 	outcome := endpoint.Abandoned
 	if s.completed {
@@ -227,7 +295,7 @@
 	}
 	r := s.run
 	r.f.Log.Info("stream ended",
-		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.Int64("Events", r.events),
+		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.String("Problem", s.problem), zap.Int64("Events", r.events),
 		zap.String("LastEvent", r.lastEventID), zap.String("EndpointVersion", r.version), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
 	r.reportOutcome(outcome, r.events*r.req.TokensPerEvent)
 	r.forgetOrigin()
--- a/pkg/endpoint/path.go
+++ b/pkg/endpoint/path.go
@@ -9,6 +9,8 @@
 // health is what failed attempts change of a backend.
 type health struct {
 	ejectedUntil time.Time
+	silentUntil  time.Time
+	silences     int
 	downAt       time.Time
 	deaths       int
 	failures     float64
@@ -23,11 +25,13 @@
 }
 
 func (b *backend) health() health {
-	return health{ejectedUntil: b.ejectedUntil, downAt: b.downAt, deaths: b.deaths, failures: b.failures, prefixes: b.prefixes}
+	return health{ejectedUntil: b.ejectedUntil, silentUntil: b.silentUntil, silences: b.silences, downAt: b.downAt, deaths: b.deaths, failures: b.failures, prefixes: b.prefixes}
 }
 
 func (b *backend) setHealth(h health) {
 	b.ejectedUntil = h.ejectedUntil
+	b.silentUntil = h.silentUntil
+	b.silences = h.silences
 	b.downAt = h.downAt
 	b.deaths = h.deaths
 	b.failures = h.failures
@@ -58,7 +62,7 @@
 	}
 }
 
-// restorePath takes back the ejections since the path was lost, which say nothing about the endpoints.
+// restorePath takes back the ejections and silences since the path was lost, which say nothing about the endpoints.
 func (p *Pool) restorePath() {
 	if !p.pathLost {
 		return
--- a/pkg/endpoint/path_test.go
+++ b/pkg/endpoint/path_test.go
@@ -50,7 +50,7 @@
 func (p *pathPool) down() map[string]bool {
 	down := map[string]bool{}
 	for _, v := range p.Views(p.now) {
-		if v.Down {
+		if v.Down || p.backends[v.Name].silent() {
 			down[v.Name] = true
 		}
 	}
