--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -154,7 +154,7 @@
 	if c.req.CallerLeft() {
 		return &request.Reply{Refusal: refusal.New(refusal.CallerGone, "before the request was read")}
 	}
-	return g.serve(now, c, h)
+	return g.serveAdmitted(now, c, h)
 }
 
 // writeReply writes a reply to the caller's response.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -92,10 +92,10 @@
 	pathLostSince  handoverReason = "PathLostSince"  // The path was lost while the request waited, or by its attempts.
 )
 
-// serve answers a request that was admitted: with an endpoint, or through a peer if this router reaches no endpoint.
+// serveAdmitted answers a request that was admitted: with an endpoint, or through a peer if this router reaches no endpoint.
 //
 // A request that a peer handed over is never handed over again.
-func (g *Gateway) serve(now time.Time, c *callerRequest, h *fasthttp.RequestHeader) *request.Reply {
+func (g *Gateway) serveAdmitted(now time.Time, c *callerRequest, h *fasthttp.RequestHeader) *request.Reply {
 	lost := g.pathLost(now)
 	if c.hop != nil {
 		if lost {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -215,10 +215,22 @@
 
 // publishSelf passes this router's own state to the roster.
 func (m *members) publishSelf(now time.Time) {
-	load := m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate())
-	m.Tick(now, fleet.SelfChanged{Load: load, Revision: m.configVersion(), Draining: m.g.draining()})
+	m.Tick(now, m.selfChanged(now))
 }
 
+// selfChanged returns this router's own state.
+func (m *members) selfChanged(now time.Time) fleet.SelfChanged {
+	return fleet.SelfChanged{
+		Load:     m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate()),
+		Revision: m.configVersion(),
+		Draining: m.g.draining(),
+		NoPath:   m.g.pathLost(now),
+	}
+}
+
+// announcePath tells some peers at once whether this router reaches the endpoints.
+func (m *members) announcePath(now time.Time) { m.Handle(now, m.selfChanged(now)) }
+
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
 // in case this router cannot read it from the store.
 func (m *members) fetchConfiguration(now time.Time) {
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -70,6 +70,7 @@
 		if conn, err = r.f.Connections.Get(now, address, r.usedSince(now)); err != nil {
 			return nil, err
 		}
+		r.observeConnection(conn)
 	}
 	r.f.observer().Connected(conn.Reused)
 	a := &attempt{conn: conn}
--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -228,6 +228,7 @@
 		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", name)
 	}
 	conn, err := f.Connections.Get(now, address, time.Time{})
+	f.observeConnect(time.Now(), name, conn, err)
 	if connection.IsRefused(err) {
 		f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: name})
 	}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -30,6 +30,8 @@
 	ran         bool           // An attempt may have run.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
+	observed    string      // Endpoint of an attempt whose end Path was not told yet; empty if there is none.
+	cut         bool        // The last attempt broke because this router lost its path to the endpoints.
 	fallback    *Reply      // Server error from an endpoint, returned if no other attempt succeeds.
 	stall       *stallWatch // Of the last attempt; nil if the request cannot move to another endpoint.
 }
@@ -186,6 +188,7 @@
 			r.checkCrash(outcome)
 			return out
 		}
+		outcome = r.observeEnd(outcome)
 		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
 		send, conn = next.send, next.conn
 	}
@@ -218,14 +221,16 @@
 }
 
 func (r *run) open(now time.Time, send endpoint.Send, conn *connection.Conn) (*attempt, error) {
-	if conn != nil {
-		return r.send(now, conn.Address(), conn, r.attemptInfo(now, send))
-	}
 	address, ok := r.f.Endpoints.Address(send.Endpoint)
-	if !ok {
+	if conn != nil {
+		address = conn.Address()
+	} else if !ok {
 		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", send.Endpoint)
 	}
-	return r.send(now, address, nil, r.attemptInfo(now, send))
+	r.observeStart(now)
+	a, err := r.send(now, address, conn, r.attemptInfo(now, send))
+	r.observeOpened(time.Now(), err)
+	return a, err
 }
 
 // forwardTo makes the single attempt of a request that is sent to a fixed address.
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -12,6 +12,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/reach"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
@@ -85,6 +86,7 @@
 	s.lastAt = time.Now()
 	s.pending = e.Raw
 	s.run.events++
+	s.run.observe(time.Now(), reach.Received{Endpoint: s.run.endpoint})
 	if e.ID != "" {
 		s.run.lastEventID = e.ID
 	}
@@ -165,6 +167,7 @@
 	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
 		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", s.next != nil || outcome == endpoint.Silent), logfile.Error(err))
 	if s.next != nil {
+		outcome = r.observeEnd(outcome)
 		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
 		return s.resume(r.try(s.takeNext()))
 	}
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -79,6 +79,7 @@
 	if !ok || j.target == nil || j.place != nil {
 		return MoveDenied{id, NotInFlight}
 	}
+	p.saveHealth(now, j.target)
 	j.target.recordSilence(now, p.Policy)
 	switch {
 	case !j.Repeatable:
