pkg/endpoint: a request waits for an ejected or silent endpoint, in place of being refused beside limits without room

Where some endpoints name a limit of which this router has no share, a request was refused at once (as AnswerBroken if it may have run) while the others were ejected or avoided for a silence, for half a second in the gateway, however far its deadline. A silence of one endpoint was enough. Cause: the estimate of the wait left such endpoints out, so that only the limits counted, whose wait is then 24 h. With no endpoint at all but ejected ones the estimate is 0 and the request waits. Ruled out: endpoints without a limit that may be used; their estimate is not changed. Change: if no endpoint without a limit may be used, the wait ends at the latest when the first of them may be again. TestRequestWaitsForAnAvoidedEndpoint failed before for both, a death and a silence: Should be empty, but was [{1 AnswerBroken 0s}]. It passes now (go test -race -count=1 ./pkg/endpoint: ok, 29 s).

--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -76,7 +76,8 @@
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
 
-	limits []limit // Those of the other endpoints.
+	limits    []limit   // Those of the other endpoints.
+	returnsAt time.Time // When the first ejected or silent endpoint without a limit may be used again; zero if there is none.
 }
 
 func (p *Pool) throughput(now time.Time, s selector) throughput {
@@ -84,7 +85,11 @@
 	tolerated := p.toleranceOf(now, s)
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.fits(s) || b.leaving() || now.Before(b.ejectedUntil) || now.Before(b.silentUntil) && !tolerated.silent {
+		if !b.fits(s) || b.leaving() {
+			continue
+		}
+		if at := b.returnsAt(tolerated); now.Before(at) {
+			t.addAvoided(b, at)
 			continue
 		}
 		if b.limit.active() {
@@ -99,6 +104,21 @@
 	return t
 }
 
+// returnsAt returns the end of the time for which the endpoint is ejected or avoided for silence.
+func (b *backend) returnsAt(t tolerance) time.Time {
+	if t.silent || b.silentUntil.Before(b.ejectedUntil) {
+		return b.ejectedUntil
+	}
+	return b.silentUntil
+}
+
+// addAvoided records when an ejected or silent endpoint may be used again.
+func (t *throughput) addAvoided(b *backend, at time.Time) {
+	if !b.limit.active() && (t.returnsAt.IsZero() || at.Before(t.returnsAt)) {
+		t.returnsAt = at
+	}
+}
+
 // wait estimates the time until the first token of a waiting job with a backlog ahead of it.
 // It returns zero if there is no endpoint.
 func (t throughput) wait(now time.Time, j *job, ahead backlog) time.Duration {
@@ -108,7 +128,11 @@
 	case len(t.limits) == 0:
 		return 0
 	}
-	return t.waitForRoom(now, ahead.requests+1)
+	wait := t.waitForRoom(now, ahead.requests+1)
+	if !t.returnsAt.IsZero() {
+		wait = min(wait, t.returnsAt.Sub(now))
+	}
+	return wait
 }
 
 // waitForRoom returns the time until the limits have had room for n requests.
