pkg/caller: retries go on with the known entries if no new list is to be had

What callers saw: after a broken connection Do gave up at its next attempt with "no router answered" if nothing sent it a new list of entries in that moment, although it knew entries, and one of them served. Cause: a failed call lets the list expire, and Entries returned an error in place of the expired list. Change: an expired list is used as long as no source gives a new one; the next call asks again. TestRetriesGoOnWithTheKnownEntries failed before ("no router answered"). It passes now (go test -race -count=2 ./pkg/caller: ok); the test of ErrNoEntry without any known entry is unchanged.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -67,7 +67,8 @@
 	return c.http
 }
 
-// Entries returns the entry addresses to use at time now. It fetches the list if none is cached or the cached one expired.
+// Entries returns the entry addresses to use at time now. It fetches the list if none is cached or the cached one expired,
+// and returns the expired one if that fails.
 func (c *Client) Entries(now time.Time) ([]fleet.Entry, error) {
 	if now.Before(c.entriesExpireAt) && len(c.entries) > 0 {
 		return c.entries, nil
@@ -85,6 +86,9 @@
 		c.entriesExpireAt = now.Add(time.Duration(list.KeepSeconds) * time.Second)
 		return c.entries, nil
 	}
+	if len(c.entries) > 0 {
+		return c.entries, nil
+	}
 	return nil, ErrNoEntry
 }
 
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -90,3 +90,28 @@
 	_, err = (&Client{}).Entries(now)
 	require.ErrorIs(t, err, ErrNoEntry)
 }
+
+// TestRetriesGoOnWithTheKnownEntries lets all sources of the entry list fail after the first attempt has failed.
+func TestRetriesGoOnWithTheKnownEntries(t *testing.T) {
+	c, keys := fakeFleet(t, resetConnection, succeed)
+	entries, err := c.Entries(time.Now())
+	require.NoError(t, err)
+	down := httptest.NewServer(http.NotFoundHandler()) // Knows no list.
+	t.Cleanup(down.Close)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/work", func(w http.ResponseWriter, r *http.Request) {
+		*keys = append(*keys, r.Header.Get("Idempotency-Key"))
+		if len(*keys) == 1 {
+			resetConnection(w, r)
+			return
+		}
+		succeed(w, r)
+	})
+	router := httptest.NewServer(mux) // Serves, but has no list of entries for now.
+	t.Cleanup(router.Close)
+	entries[0].Address = router.Listener.Addr().String()
+	c.Seeds = []string{down.Listener.Addr().String()}
+	response, err := c.Do(context.Background(), Request{Path: "/work"}, io.Discard)
+	require.NoError(t, err)
+	require.Equal(t, 2, response.Attempts)
+}
