pkg/endpoint: a request that a limit leaves no time to serve is refused at once

What callers saw: while all endpoints name limits, a request whose deadline is just after the time at which a limit has room waited for it, and was then refused as DeadlineUnreachable at its deadline (1.5 s), in place of at once.

Cause: for limits, the pool compared the time until there is room with the deadline, and left none for the send at the next tick and for the first token.

The new TestRequestThatALimitLeavesNoTimeToServeIsRefusedAtOnce (virtual time) failed for a deadline of 1 ms after the room.

Change: a request that waits for room under limits also needs 50 ms, the time of its prompt and of a first token at the fastest of the endpoints. Retry-After stays the time until there is room.

--- a/pkg/endpoint/limit_test.go
+++ b/pkg/endpoint/limit_test.go
@@ -154,6 +154,36 @@
 	require.Equal(t, []Action{Send{ID: "2", Endpoint: "a", Attempt: 1}}, sent)
 }
 
+// TestRequestThatALimitLeavesNoTimeToServeIsRefusedAtOnce submits requests whose deadline is shortly after the time at which
+// the limit has room. One of them waited until its deadline and was then refused.
+func TestRequestThatALimitLeavesNoTimeToServeIsRefusedAtOnce(t *testing.T) {
+	const room = 2 * time.Second // The time until the limit has room.
+	for _, c := range []struct {
+		left   time.Duration // After that.
+		prompt int64
+		refuse bool
+	}{
+		{time.Millisecond, 0, true},
+		{40 * time.Millisecond, 0, true},
+		{100 * time.Millisecond, 0, false},
+		{100 * time.Millisecond, 1000, true}, // It takes half a second to read.
+		{time.Second, 1000, false},
+	} {
+		var p Pool
+		p.Handle(start, Configured{[]Endpoint{{Name: "a", Serves: []string{"m"}, Slots: 8}}})
+		p.Handle(start, LimitReported{Endpoint: "a", Rate: 0.5, At: start})
+		r := Request{ID: "1", Service: "m", OutputTokens: 1, PromptTokens: c.prompt, Deadline: start.Add(room + c.left), Repeatable: true}
+		actions := p.Handle(start, Submitted{r})
+		if !c.refuse {
+			require.Empty(t, actions, c)
+			require.IsType(t, Send{}, p.Handle(start.Add(room), Tick{})[0], c)
+			continue
+		}
+		require.Len(t, actions, 1, c)
+		require.Equal(t, Refuse{"1", refusal.DeadlineUnreachable, room}, actions[0], c)
+	}
+}
+
 // TestLimitEndsWithTheAnswerThatNamesNone also lets other routers tell so, and an earlier answer arrive late.
 func TestLimitEndsWithTheAnswerThatNamesNone(t *testing.T) {
 	var p Pool
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -29,7 +29,7 @@
 			throughputs[j.selector()] = t
 		}
 		before := ahead[j.Service]
-		if action, late := p.shedIfLate(now, j, t.wait(now, j, before)); late {
+		if action, late := p.shedIfLate(now, j, t, before); late {
 			actions = append(actions, action)
 			continue
 		}
@@ -46,15 +46,16 @@
 	if !ok || j.target != nil {
 		return nil
 	}
-	if action, late := p.shedIfLate(now, j, p.throughput(now, j.selector()).wait(now, j, p.queue.ahead(j))); late {
+	if action, late := p.shedIfLate(now, j, p.throughput(now, j.selector()), p.queue.ahead(j)); late {
 		return []Action{action}
 	}
 	return nil
 }
 
-// shedIfLate refuses a waiting job if wait exceeds the time left until its deadline.
-func (p *Pool) shedIfLate(now time.Time, j *job, wait time.Duration) (Action, bool) {
-	if !now.Add(wait).After(j.deadline()) {
+// shedIfLate refuses a waiting job if its first token cannot arrive before its deadline, given what waits ahead of it.
+func (p *Pool) shedIfLate(now time.Time, j *job, t throughput, ahead backlog) (Action, bool) {
+	wait := t.wait(now, j, ahead)
+	if !now.Add(wait + t.afterRoom(j)).After(j.deadline()) {
 		return nil, false
 	}
 	p.queue.remove(j)
@@ -76,8 +77,10 @@
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
 
-	limits    []limit   // Those of the other endpoints.
-	returnsAt time.Time // When the first ejected or silent endpoint without a limit may be used again; zero if there is none.
+	limits            []limit   // Those of the other endpoints.
+	firstToken        float64   // Seconds until the first token at the fastest of them, without the prompt.
+	limitedPromptTime float64   // Seconds per prompt token of the fastest of them.
+	returnsAt         time.Time // When the first ejected or silent endpoint without a limit may be used again; zero if there is none.
 }
 
 func (p *Pool) throughput(now time.Time, s selector) throughput {
@@ -93,7 +96,7 @@
 			continue
 		}
 		if b.limit.active() {
-			t.limits = append(t.limits, b.limit)
+			t.addLimited(b)
 			continue
 		}
 		if t.outputRate == 0 || b.promptTime < t.promptTime {
@@ -119,8 +122,30 @@
 	}
 }
 
+func (t *throughput) addLimited(b *backend) {
+	if len(t.limits) == 0 || b.promptTime < t.limitedPromptTime {
+		t.limitedPromptTime = b.promptTime
+	}
+	if len(t.limits) == 0 || b.tokenTime < t.firstToken {
+		t.firstToken = b.tokenTime
+	}
+	t.limits = append(t.limits, b.limit)
+}
+
+// dispatchDelay is how long a request may wait after there is room for it, until the pool handles the next event.
+const dispatchDelay = 50 * time.Millisecond
+
+// afterRoom estimates the time that a waiting job needs after wait has passed. It is not zero only if the job waits for
+// room under a limit, where wait does not include it.
+func (t throughput) afterRoom(j *job) time.Duration {
+	if t.outputRate > 0 || len(t.limits) == 0 {
+		return 0
+	}
+	return dispatchDelay + seconds(float64(j.PromptTokens)*t.limitedPromptTime+t.firstToken)
+}
+
 // wait estimates the time until the first token of a waiting job with a backlog ahead of it.
-// It returns zero if there is no endpoint.
+// It returns zero if there is no endpoint. If all endpoints name limits, it is the time until there is room for the job.
 func (t throughput) wait(now time.Time, j *job, ahead backlog) time.Duration {
 	switch {
 	case t.outputRate > 0:
