internal/standin: test processes that start one after the other do not take each other's ports

Seen: six processes of platform's tests at a time (trial: TestServerFailures and TestRequestsSucceedWhileStoreIsBusy, 18 runs): 16 tests and subtests failed with "address already in use". FreeAddress began 37 ports further for each PID, but a process of platform's tests takes hundreds; a port that is found free may also be taken before it is used, so that one test's calls reach another's router.

Change: 1,009 ports further.

--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -15,7 +15,7 @@
 // Its port lies below the ephemeral range of the kernel, so that no outgoing
 // connection takes it, and each process starts its search at a different port.
 func FreeAddress() string {
-	const first, ports, stride = 12000, 20000, 37
+	const first, ports, stride = 12000, 20000, 1009
 	for {
 		port := first + (int64(os.Getpid())*stride+portsTried.Add(1))%ports
 		address := "127.0.0.1:" + strconv.FormatInt(port, 10)
