gateway: a peer that has no endpoint for a forwarded request lets another peer serve it

Before, TestPeerWithoutEndpointRefusesForOthersToServe: "Should NOT be empty, but was" (X-Peer-Elsewhere); after: ok.

--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -87,7 +87,7 @@
 	}
 	switch reply.Refusal.Kind {
 	case refusal.NoEndpoint:
-		return g.pathLost(now)
+		return true // The path may be lost to the endpoints that this router tried.
 	case refusal.Overloaded:
 		return g.overload.isLate(now)
 	}
