pkg/endpoint: brittle endpoints are spared by all routers together

Seen: the platform's news says that the endpoints of a service are brittle at times. Their answers of any kind then carry Server-Brittle: N, and an endpoint that turns more than N requests away within a second falls over. Nothing read the header.

Cause: a router sent what it thought an endpoint had room for, retried elsewhere, and knew nothing of what other routers were refused. One fall moved its load to the next endpoint. A death after overload made the requests and parts suspects.

Change: N is decoded from every answer and spread with probes (at most 64 endpoints in one), with the endpoint's load and its latest rejection, as limits are. A router sends a brittle endpoint a request only while a slot is estimated free, and only within its quota of N, into a slot that its own request has just left, or when it is its turn. After a rejection it rests for 2 x routers / N seconds. Other endpoints of the service are presumed brittle until they answer. Requests without a turn before their deadline are refused at once. Brittleness ends with an answer that doesn't name it, after a minute without news, or with a restart. A brittle endpoint that dies within 3 s of a known rejection accuses nobody; without one it accuses as any other does (docs/design/endpoints.md says why).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,7 @@
 	g.endpoints.OnWaiting = g.ticker.Wake
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
 	g.endpoints.OnLimitChanged = g.logLimit
+	g.endpoints.OnBrittleChanged = g.logBrittle
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
 	g.budgets.Store = g.budgetStore
@@ -188,6 +189,15 @@
 	g.log.Info("endpoint limit changed", zap.String("Endpoint", c.Endpoint), zap.Float64("Before", c.Before), zap.Float64("Now", c.Now), zap.Float64("Share", c.Share))
 }
 
+// logBrittle logs that it is known to have changed whether an endpoint is brittle.
+func (g *Gateway) logBrittle(c endpoint.BrittleChanged) {
+	message := "endpoint brittle"
+	if c.Now == 0 {
+		message = "endpoint no longer brittle"
+	}
+	g.log.Info(message, zap.String("Endpoint", c.Endpoint), zap.Int("Before", c.Before), zap.Int("Now", c.Now), zap.Int("Share", c.Share), zap.Duration("Age", c.Age), zap.Bool("Presumed", c.Presumed))
+}
+
 // peerTimeout is the timeout of a call to a peer.
 const peerTimeout = 800 * time.Millisecond
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -111,11 +111,16 @@
 
 // Probe sends updates about members to the router at address and returns the updates that it answers with.
 //
-// Both sides also exchange the suspicions of parts of prompts that they refuse, and the limits of endpoints.
+// Both sides also exchange the suspicions of parts of prompts that they refuse, the limits of endpoints, and which are brittle.
 func (c *Client) Probe(address string, updates []fleet.Member) ([]fleet.Member, error) {
 	var answer probeMessage
 	began := time.Now()
-	message := probeMessage{Updates: updates, Suspects: blockedParts(began, c.Endpoints), Limits: limitMessages(began, c.Endpoints)}
+	message := probeMessage{
+		Updates:  updates,
+		Suspects: blockedParts(began, c.Endpoints),
+		Limits:   limitMessages(began, c.Endpoints),
+		Brittle:  brittleMessages(began, c.Endpoints),
+	}
 	if err := c.Post(address, ProbePath, message, &answer); err != nil {
 		return nil, err
 	}
@@ -123,6 +128,7 @@
 	adoptSuspects(now, c.Endpoints, answer.Suspects)
 	clearSuspects(now, c.Endpoints, answer.Known)
 	adoptLimits(now, c.Endpoints, answer.Limits)
+	adoptBrittle(now, c.Endpoints, answer.Brittle)
 	return answer.Updates, nil
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -48,12 +48,14 @@
 }
 
 // probeMessage is a probe or the answer to one. It spreads the suspicions of parts that are refused to routers that
-// missed their announcement, for example because they started later, and the limits that endpoints name.
+// missed their announcement, for example because they started later, the limits that endpoints name, and which endpoints are
+// brittle.
 type probeMessage struct {
 	Updates  []fleet.Member
 	Suspects []suspectMessage `json:",omitempty"`
 	Known    suspectReply     // Which of the suspects in the probe are known safe; only in an answer.
 	Limits   []limitMessage   `json:",omitempty"`
+	Brittle  []brittleMessage `json:",omitempty"`
 }
 
 // limitMessage tells the limit that an endpoint named in an answer, or that it named none.
@@ -63,6 +65,18 @@
 	AgeMilliseconds   int64   // Time since the answer.
 }
 
+// brittleMessage tells that an endpoint said in an answer that it is brittle, or that it is not.
+type brittleMessage struct {
+	Endpoint        string
+	Tolerated       int   // Rejections that the endpoint bears within a second; zero if it is not brittle.
+	AgeMilliseconds int64 // Time since the answer.
+
+	TurnedAwayMilliseconds int64 // Time since the latest rejection that is known of; negative if there is none.
+	LoadMilliseconds       int64 // Time since the endpoint had this load; negative if none is known.
+	Running                int
+	Waiting                int
+}
+
 // originQuery asks where a stream began that a caller takes up. An origin.Answer answers it.
 type originQuery struct {
 	Stream  string
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -65,15 +65,17 @@
 	return answer, true, err
 }
 
-// answerProbe applies a peer's probe and answers with this router's updates, suspicions and limits of endpoints.
+// answerProbe applies a peer's probe and answers with this router's updates, suspicions, and limits and brittleness of endpoints.
 func (s *Service) answerProbe(now time.Time, m probeMessage) probeMessage {
 	known := s.handleSuspects(now, m.Suspects)
 	adoptLimits(now, s.Endpoints, m.Limits)
+	adoptBrittle(now, s.Endpoints, m.Brittle)
 	return probeMessage{
 		Updates:  s.Members.AnswerProbe(now, m.Updates),
 		Suspects: blockedParts(now, s.Endpoints),
 		Known:    known,
 		Limits:   limitMessages(now, s.Endpoints),
+		Brittle:  brittleMessages(now, s.Endpoints),
 	}
 }
 
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -18,6 +18,8 @@
 
 	OnLimitChanged func(endpoint.LimitChanged) // Called when the limit of an endpoint is known to have changed; may be nil.
 
+	OnBrittleChanged func(endpoint.BrittleChanged) // Called when it is known to have changed whether an endpoint is brittle; may be nil.
+
 	OnWaiting func() // Called when a request begins to wait for an endpoint; may be nil.
 
 	mu        sync.Mutex
@@ -113,6 +115,10 @@
 		if e.OnLimitChanged != nil {
 			e.OnLimitChanged(action)
 		}
+	case endpoint.BrittleChanged:
+		if e.OnBrittleChanged != nil {
+			e.OnBrittleChanged(action)
+		}
 	}
 }
 
@@ -158,6 +164,13 @@
 	return e.pool.LimitReports(now)
 }
 
+// BrittleReports returns the brittle endpoints to tell other routers.
+func (e *Endpoints) BrittleReports(now time.Time) []endpoint.BrittleReported {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.BrittleReports(now)
+}
+
 // State is a snapshot of the endpoint pool of one router.
 type State struct {
 	Endpoints []endpoint.View
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -119,6 +119,9 @@
 	Leaving bool          // The endpoint is leaving.
 	Rest    time.Duration // Time for which the endpoint wants no requests from this router; zero if it does not say so.
 	Limit   float64       // Requests per second that the endpoint takes from all routers together; zero if it names no limit.
+	Brittle int           // Requests that the endpoint may turn away within a second before it falls over; zero if it does not say so.
+
+	TurnedAway bool // The endpoint had no room for the request.
 
 	Misdirected bool // Another endpoint than the intended one answered; the head says nothing about the intended one.
 }
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -40,6 +40,8 @@
 	leavingByAnswer   bool      // Leaving according to an answer.
 	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
 	limit             limit     // What the endpoint says it takes from all routers together.
+	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
+	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
 	ejectedUntil      time.Time // End of the ejection, if any.
 	downAt            time.Time // When its address last refused connections; zero if it never did.
 	deaths            int       // Deaths and timeouts since the last finished request.
--- a/pkg/endpoint/crash.go
+++ b/pkg/endpoint/crash.go
@@ -14,6 +14,9 @@
 //
 // All requests that were in flight there report the same crash, which counts once for a part.
 func (p *Pool) recordCrash(now time.Time, ev Crashed) []Action {
+	if b, ok := p.backends[ev.Endpoint]; ok && b.overloaded(now) {
+		return p.dispatch(now)
+	}
 	var actions []Action
 	for _, part := range sharedParts(ev.Parts) {
 		if p.parts.byID[part.ID].Endpoint == ev.Endpoint {
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -63,7 +63,7 @@
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, s selector, ignoreEjection bool) bool {
-	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
+	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, ignoreEjection) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now)
 }
 
 // allEjected reports whether all endpoints that a selector admits are leaving, resting or ejected.
@@ -105,6 +105,7 @@
 	j.sentVersion = b.Version
 	j.firstTokenAt = time.Time{}
 	b.limit.take(now)
+	b.takeBrittle(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
 	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -155,6 +155,19 @@
 	At       time.Time // Time of the answer that said so, which another router may have received.
 }
 
+// BrittleReported reports how many requests an endpoint may turn away before it falls over.
+type BrittleReported struct {
+	Endpoint     string
+	Tolerated    int       // Rejections within a second, of all routers together; zero if the endpoint is not brittle.
+	At           time.Time // Time of the answer that said so, which another router may have received.
+	TurnedAwayAt time.Time // Latest rejection that is known of; zero if there is none.
+	Load         Load      // Latest load that is known.
+	LoadAt       time.Time // Time of Load; zero if none is known.
+}
+
+// TurnedAway reports that an endpoint has rejected a request of this router because it had no room.
+type TurnedAway struct{ Endpoint string }
+
 // CacheUpdated reports that an endpoint cached a prompt prefix or dropped it.
 type CacheUpdated struct {
 	Endpoint string
@@ -203,6 +216,8 @@
 func (LeavingAnnounced) isEvent()   {}
 func (RestRequested) isEvent()      {}
 func (LimitReported) isEvent()      {}
+func (BrittleReported) isEvent()    {}
+func (TurnedAway) isEvent()         {}
 func (CacheUpdated) isEvent()       {}
 func (ConnectionRefused) isEvent()  {}
 func (Crashed) isEvent()            {}
@@ -240,7 +255,18 @@
 	Share    float64 // Requests per second that this router may send now; zero if there is no limit or others share it.
 }
 
+// BrittleChanged tells that it is known to have changed whether an endpoint is brittle, or how many rejections it bears.
+type BrittleChanged struct {
+	Endpoint string
+	Before   int           // Rejections within a second that the endpoint bore; zero if it was not brittle.
+	Now      int           // Likewise.
+	Share    int           // Rejections that this router may risk now.
+	Age      time.Duration // Time for which the endpoint has been known as brittle.
+	Presumed bool          // Whether only other endpoints of its service have said so.
+}
+
 func (Send) isAction()             {}
 func (Refuse) isAction()           {}
 func (BroadcastSuspect) isAction() {}
 func (LimitChanged) isAction()     {}
+func (BrittleChanged) isAction()   {}
--- a/pkg/endpoint/limit.go
+++ b/pkg/endpoint/limit.go
@@ -129,9 +129,13 @@
 	p.self = ev.Self
 	p.routers = ev.Routers
 	for _, name := range p.names {
-		if b := p.backends[name]; b.limit.active() {
+		b := p.backends[name]
+		if b.limit.active() {
 			b.limit.setShare(now, p.shareOf(b))
 		}
+		if b.brittle.active() {
+			p.shareBrittle(b)
+		}
 	}
 	return p.dispatch(now)
 }
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -16,6 +16,7 @@
 	Policy Policy
 
 	backends          map[string]*backend
+	started           bool     // Whether there have been endpoints; those that are added later have just started.
 	names             []string // Keys of backends, sorted, so that decisions do not depend on map order.
 	jobs              map[string]*job
 	queue             queue
@@ -45,7 +46,7 @@
 	p.init()
 	switch ev := ev.(type) {
 	case Configured:
-		p.configure(ev.Endpoints)
+		p.configure(now, ev.Endpoints)
 		return p.dispatch(now)
 	case Submitted:
 		return p.submit(now, ev.Request)
@@ -68,7 +69,7 @@
 		p.suspects.expire(now)
 		p.parts.expire(now)
 		p.refillRetries(now)
-		return append(p.dispatch(now), p.shed(now)...)
+		return slices.Concat(p.expireBrittle(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
 	}
@@ -83,14 +84,6 @@
 	case LeavingUpdated:
 		p.updateLeaving(ev)
 		return p.dispatch(now)
-	case LeavingAnnounced:
-		p.announceLeaving(ev.Endpoint)
-		return p.dispatch(now)
-	case RestRequested:
-		p.rest(now, ev)
-		return append(p.refuseResting(now), p.dispatch(now)...)
-	case LimitReported:
-		return p.updateLimit(now, ev)
 	case RoutersListed:
 		return p.listRouters(now, ev)
 	case CacheUpdated:
@@ -113,6 +106,27 @@
 	case SuspectCleared:
 		p.suspectsOf(ev.Part).clear(ev.Fingerprint)
 		return p.dispatch(now)
+	default:
+		return p.handleStatement(now, ev)
+	}
+}
+
+// handleStatement applies an event that carries what an endpoint says about itself in an answer.
+func (p *Pool) handleStatement(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case LeavingAnnounced:
+		p.announceLeaving(ev.Endpoint)
+		return p.dispatch(now)
+	case RestRequested:
+		p.rest(now, ev)
+		return append(p.refuseResting(now), p.dispatch(now)...)
+	case LimitReported:
+		return p.updateLimit(now, ev)
+	case BrittleReported:
+		return p.updateBrittle(now, ev)
+	case TurnedAway:
+		p.turnAway(now, ev.Endpoint)
+		return nil
 	default:
 		return nil
 	}
@@ -167,7 +181,7 @@
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
 }
 
-func (p *Pool) configure(endpoints []Endpoint) {
+func (p *Pool) configure(now time.Time, endpoints []Endpoint) {
 	configured := map[string]bool{}
 	for _, e := range endpoints {
 		configured[e.Name] = true
@@ -175,10 +189,16 @@
 			b.describe(e)
 			continue
 		}
-		p.backends[e.Name] = newBackend(e)
+		b := newBackend(e)
+		if p.started {
+			b.addedAt = now
+		}
+		p.presumeNew(now, b)
+		p.backends[e.Name] = b
 	}
 	maps.DeleteFunc(p.backends, func(name string, _ *backend) bool { return !configured[name] })
 	p.names = slices.Sorted(maps.Keys(p.backends))
+	p.started = p.started || len(p.names) > 0
 }
 
 func (p *Pool) submit(now time.Time, r Request) []Action {
@@ -266,6 +286,7 @@
 	b.recordOutcome(ev.Outcome)
 	delete(b.running, ev.ID)
 	b.recordChange(now, -1)
+	b.endBrittleAttempt(now, ev.Outcome)
 	j.target = nil
 	if ev.Outcome != Rejected {
 		j.mayHaveRun = true
@@ -277,6 +298,9 @@
 		p.finishRequest(now, j, b, ev.Tokens)
 	case Died:
 		p.eject(now, b.Name)
+		if b.overloaded(now) {
+			break
+		}
 		next := Suspicion{Fingerprint: j.Fingerprint, Until: now.Add(p.Policy.SuspicionTTL)}
 		if suspicion, recorded := p.suspects.recordDeath(now, next); recorded {
 			actions = append(actions, BroadcastSuspect{suspicion})
@@ -325,6 +349,8 @@
 	if !ok {
 		return
 	}
+	b.brittle.load = ev.Load
+	b.brittle.loadAt = now
 	b.report = ev.Load
 	b.reportAt = now.Add(-p.Policy.ReportLag)
 	b.leavingByReport = ev.Load.Leaving
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -77,6 +78,8 @@
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
 
 	limits []limit // Those of the other endpoints.
+
+	brittleWait time.Duration // Shortest time until a brittle endpoint has room, if all that are not limited are brittle and have none; else zero.
 }
 
 func (p *Pool) throughput(now time.Time, s selector) throughput {
@@ -90,6 +93,10 @@
 			t.limits = append(t.limits, b.limit)
 			continue
 		}
+		if wait := b.brittleWait(now, cmp.Or(t.brittleWait, maxBrittleRest)); wait > 0 {
+			t.brittleWait = wait
+			continue
+		}
 		if t.outputRate == 0 || b.promptTime < t.promptTime {
 			t.promptTime = b.promptTime
 		}
@@ -105,9 +112,13 @@
 	case t.outputRate > 0:
 		return seconds(float64(j.PromptTokens)*t.promptTime + ahead.work/t.outputRate)
 	case len(t.limits) == 0:
-		return 0
+		return t.brittleWait
 	}
-	return t.waitForRoom(now, ahead.requests+1)
+	wait := t.waitForRoom(now, ahead.requests+1)
+	if t.brittleWait > 0 {
+		wait = min(wait, t.brittleWait)
+	}
+	return wait
 }
 
 // waitForRoom returns the time until the limits have had room for n requests.
