internal/peer: probes spread and clear suspicions of requests, not only of parts

Cause: a suspicion of a request was cleared only by the answers to its one announcement; probes carried parts only.

Change: each probe and its answer also carry up to 16 of the requests that the sender refuses, chosen at random, as it was for parts (whose choice is now random on purpose, no longer by map order). The answer names those that finished at the peer, which ends the suspicion and marks them as sound, so that clearing spreads too. A suspicion keeps its end.

Before: suspicion_test.go:64 "Should be true" in TestProbesClearRequestsThatFinishedElsewhere.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -111,13 +111,13 @@
 
 // Probe sends updates about members to the router at address and returns the updates that it answers with.
 //
-// Both sides also exchange the suspicions of parts of prompts that they refuse, the limits of endpoints, and which are brittle.
+// Both sides also exchange the suspicions of requests and of parts of prompts that they refuse, the limits of endpoints, and which are brittle.
 func (c *Client) Probe(address string, updates []fleet.Member) ([]fleet.Member, error) {
 	var answer probeMessage
 	began := time.Now()
 	message := probeMessage{
 		Updates:  updates,
-		Suspects: blockedParts(began, c.Endpoints),
+		Suspects: blockedSuspects(began, c.Endpoints),
 		Limits:   limitMessages(began, c.Endpoints),
 		Brittle:  brittleMessages(began, c.Endpoints),
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -47,7 +47,7 @@
 	KnownSafeParts []uint64 `json:"SoundParts,omitempty"`
 }
 
-// probeMessage is a probe or the answer to one. It spreads the suspicions of parts that are refused to routers that
+// probeMessage is a probe or the answer to one. It spreads the suspicions of what is refused to routers that
 // missed their announcement, for example because they started later, the limits that endpoints name, and which endpoints are
 // brittle.
 type probeMessage struct {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -72,7 +72,7 @@
 	adoptBrittle(now, s.Endpoints, m.Brittle)
 	return probeMessage{
 		Updates:  s.Members.AnswerProbe(now, m.Updates),
-		Suspects: blockedParts(now, s.Endpoints),
+		Suspects: blockedSuspects(now, s.Endpoints),
 		Known:    known,
 		Limits:   limitMessages(now, s.Endpoints),
 		Brittle:  brittleMessages(now, s.Endpoints),
--- a/internal/peer/suspicion.go
+++ b/internal/peer/suspicion.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +16,7 @@
 // When many attempts break at once, their suspicions share one message.
 const suspicionDelay = 100 * time.Millisecond
 
-// maxProbeSuspects limits the suspicions in one probe.
+// maxProbeSuspects limits the suspicions of parts in one probe, and those of requests.
 const maxProbeSuspects = 16
 
 // BroadcastSuspicion sends a suspicion to all other routers after suspicionDelay.
@@ -55,14 +56,16 @@
 	}
 }
 
-// blockedParts returns the suspicions of parts that this router refuses, for a probe.
-func blockedParts(now time.Time, endpoints *placement.Endpoints) []suspectMessage {
+// blockedSuspects returns the suspicions of parts and of requests that this router refuses, for a probe.
+//
+// If there are more than one probe carries, each probe takes others.
+func blockedSuspects(now time.Time, endpoints *placement.Endpoints) []suspectMessage {
 	var messages []suspectMessage
-	for _, s := range endpoints.BlockedParts(now) {
-		if len(messages) == maxProbeSuspects {
-			break
+	for _, blocked := range [][]endpoint.Suspicion{endpoints.BlockedParts(now), endpoints.BlockedRequests(now)} {
+		rand.Shuffle(len(blocked), func(i, j int) { blocked[i], blocked[j] = blocked[j], blocked[i] })
+		for _, s := range blocked[:min(len(blocked), maxProbeSuspects)] {
+			messages = append(messages, newSuspectMessage(now, s))
 		}
-		messages = append(messages, newSuspectMessage(now, s))
 	}
 	return messages
 }
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -148,6 +148,13 @@
 	return e.pool.BlockedParts(now)
 }
 
+// BlockedRequests returns the suspicions of the requests that are refused.
+func (e *Endpoints) BlockedRequests(now time.Time) []endpoint.Suspicion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.BlockedRequests(now)
+}
+
 // HasSeveralVersions reports whether endpoints of several software versions serve a model or service.
 //
 // Those that are gone count as long as they are configured, which is longer than streams last.
--- a/pkg/endpoint/crash.go
+++ b/pkg/endpoint/crash.go
@@ -96,11 +96,10 @@
 
 // BlockedParts returns the suspicions of the parts whose requests are refused, in no particular order.
 func (p *Pool) BlockedParts(now time.Time) []Suspicion {
-	var blocked []Suspicion
-	for id, suspicion := range p.parts.byID {
-		if p.parts.deaths(now, id) > maxPartDeaths {
-			blocked = append(blocked, suspicion)
-		}
-	}
-	return blocked
+	return p.parts.withMoreDeaths(now, maxPartDeaths)
+}
+
+// BlockedRequests returns the suspicions of the requests that are refused, in no particular order.
+func (p *Pool) BlockedRequests(now time.Time) []Suspicion {
+	return p.suspects.withMoreDeaths(now, maxDeaths)
 }
--- a/pkg/endpoint/suspect.go
+++ b/pkg/endpoint/suspect.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// withMoreDeaths returns the unexpired suspicions with more than a number of endpoint deaths, in no particular order.
+func (s *suspects) withMoreDeaths(now time.Time, deaths int) []Suspicion {
+	var found []Suspicion
+	for id, suspicion := range s.byID {
+		if s.deaths(now, id) > deaths {
+			found = append(found, suspicion)
+		}
+	}
+	return found
+}
+
 func (s *suspects) list() []Suspicion {
 	all := make([]Suspicion, 0, len(s.byID))
 	for _, found := range s.byID {
