pkg/endpoint: the model of brittle endpoints has some that tell no load

What they serve has no lower bound in the test. The least share served of the other setups is unchanged.

--- a/pkg/endpoint/brittle_test.go
+++ b/pkg/endpoint/brittle_test.go
@@ -58,11 +58,12 @@
 	tolerated int           // Rejections within a second that an endpoint bears.
 	hot       bool          // One router gets as many requests as all others together.
 	joins     bool          // Routers restart and know nothing then.
+	silent    bool          // The endpoints tell no load.
 	length    time.Duration // Of the load; zero means brittleEnd.
 }
 
 func (c brittleCase) String() string {
-	return fmt.Sprintf("%d routers, %d endpoints x %d slots, %v, N %d, hot %v, joins %v", c.routers, c.endpoints, c.slots, c.service, c.tolerated, c.hot, c.joins)
+	return fmt.Sprintf("%d routers, %d endpoints x %d slots, %v, N %d, hot %v, joins %v, silent %v", c.routers, c.endpoints, c.slots, c.service, c.tolerated, c.hot, c.joins, c.silent)
 }
 
 // Times and sizes of the model.
@@ -219,7 +220,9 @@
 	if turnedAway {
 		f.handle(req.router, TurnedAway{Endpoint: req.at.name})
 	}
-	f.handle(req.router, LoadReported{Endpoint: req.at.name, Load: load})
+	if !f.silent {
+		f.handle(req.router, LoadReported{Endpoint: req.at.name, Load: load})
+	}
 }
 
 // receive lets an endpoint take a request or reject it.
@@ -337,6 +340,9 @@
 	{routers: 6, endpoints: 9, slots: 64, service: 2 * time.Second, tolerated: 10, joins: true},
 	{routers: 73, endpoints: 18, slots: 64, service: 2 * time.Second, tolerated: 2},
 	{routers: 73, endpoints: 18, slots: 64, service: 2 * time.Second, tolerated: 20, joins: true},
+	{routers: 6, endpoints: 9, slots: 64, service: 2 * time.Second, tolerated: 1, silent: true},
+	{routers: 73, endpoints: 18, slots: 64, service: 2 * time.Second, tolerated: 2, silent: true},
+	{routers: 73, endpoints: 18, slots: 64, service: 2 * time.Second, tolerated: 20, silent: true},
 	{routers: 295, endpoints: 3, slots: 64, service: time.Second, tolerated: 1},
 	{routers: 295, endpoints: 32, slots: 16, service: time.Second, tolerated: 2, length: 9 * time.Second},
 	{routers: 73, endpoints: 256, slots: 4, service: time.Second, tolerated: 2, length: 6 * time.Second},
@@ -354,7 +360,7 @@
 			t.Logf("%d falls, %d rejections; served %d of %d offered, refused %d; capacity %.0f",
 				f.falls(), f.rejected, f.served, f.offered, f.refused, f.capacity()*f.length.Seconds())
 			require.LessOrEqual(t, f.falls(), 2+c.endpoints/10)
-			if slots := c.endpoints * c.slots; 2*c.routers <= slots || c.routers < 10 {
+			if slots := c.endpoints * c.slots; !c.silent && (2*c.routers <= slots || c.routers < 10) {
 				require.GreaterOrEqual(t, float64(f.served), minServed*float64(f.offered))
 			}
 		})
