--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -64,7 +64,7 @@
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, s selector, t tolerance) bool {
-	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now)
+	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now)
 }
 
 // refuseSuspects refuses the waiting requests that must not be sent any more.
@@ -85,11 +85,17 @@
 
 func (p *Pool) send(now time.Time, j *job, b *backend) Action {
 	p.queue.remove(j)
+	b.occupy(now, j)
+	p.startAttempt(now, j, b)
+	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
+}
+
+// occupy takes a place at the endpoint for an attempt of a job.
+func (b *backend) occupy(now time.Time, j *job) {
 	b.limit.take(now)
+	b.takeBrittle(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
-	p.startAttempt(now, j, b)
-	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
 }
 
 // startAttempt records the start of an attempt of a job at an endpoint, which counts it as running already.
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -96,9 +96,7 @@
 		return MoveDenied{id, NoPlace}
 	}
 	p.retries--
-	b.limit.take(now)
-	b.running[id] = j
-	b.recordChange(now, 1)
+	b.occupy(now, j)
 	j.place = b
 	return Reserved{Send{ID: id, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts + 1}}
 }
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -81,6 +82,8 @@
 	firstToken        float64   // Seconds until the first token at the fastest of them, without the prompt.
 	limitedPromptTime float64   // Seconds per prompt token of the fastest of them.
 	returnsAt         time.Time // When the first ejected or silent endpoint without a limit may be used again; zero if there is none.
+
+	brittleWait time.Duration // Shortest time until a brittle endpoint has room, if all that are not limited are brittle and have none; else zero.
 }
 
 func (p *Pool) throughput(now time.Time, s selector) throughput {
@@ -99,6 +102,10 @@
 			t.addLimited(b)
 			continue
 		}
+		if wait := b.brittleWait(now, cmp.Or(t.brittleWait, maxBrittleRest)); wait > 0 {
+			t.brittleWait = wait
+			continue
+		}
 		if t.outputRate == 0 || b.promptTime < t.promptTime {
 			t.promptTime = b.promptTime
 		}
@@ -145,15 +152,21 @@
 }
 
 // wait estimates the time until the first token of a waiting job with a backlog ahead of it.
-// It returns zero if there is no endpoint. If all endpoints name limits, it is the time until there is room for the job.
+// It returns zero if there is no endpoint. If all endpoints name limits or are brittle, it is the time until there is room for the job.
 func (t throughput) wait(now time.Time, j *job, ahead backlog) time.Duration {
 	switch {
 	case t.outputRate > 0:
 		return seconds(float64(j.PromptTokens)*t.promptTime + ahead.work/t.outputRate)
-	case len(t.limits) == 0:
+	case len(t.limits) == 0 && t.brittleWait == 0:
 		return 0
 	}
-	wait := t.waitForRoom(now, ahead.requests+1)
+	wait := t.brittleWait
+	if len(t.limits) > 0 {
+		wait = t.waitForRoom(now, ahead.requests+1)
+	}
+	if t.brittleWait > 0 {
+		wait = min(wait, t.brittleWait)
+	}
 	if !t.returnsAt.IsZero() {
 		wait = min(wait, t.returnsAt.Sub(now))
 	}
