pkg/endpoint: one request at a time moves to an endpoint that was silent before

Callers saw 504 from a request at a hung endpoint although the only other one was idle. Cause: no request moved to an endpoint that had not spoken since its own silence, however long ago that was. Change: it is a place again when its time of avoidance has passed, for one request at a time, as for new requests.

--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -104,7 +104,7 @@
 	j.firstTokenAt = time.Time{}
 }
 
-// choose returns the usable endpoint with a free slot and the lowest cost, or nil.
+// choose returns the usable endpoint with a free slot and the lowest cost, other than that of an attempt in flight, or nil.
 //
 // A suspect is not sent while a request with its fingerprint is in flight, nor to an endpoint that runs another suspect. A
 // request with a suspect part is not sent while another one with that part is in flight.
@@ -121,7 +121,7 @@
 	var lowest float64
 	for _, name := range p.names {
 		b := p.backends[name]
-		if j.staysAwayFrom(b) || !p.canSend(now, b, j.selector(), t) {
+		if b == j.target || !p.canSend(now, b, j.selector(), t) {
 			continue
 		}
 		if suspect && b.hasSuspect() {
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -111,9 +111,6 @@
 	return p.choose(now, j, tolerance{})
 }
 
-// staysAwayFrom reports whether a job in flight must not move to an endpoint: its own, or one that is silent itself.
-func (j *job) staysAwayFrom(b *backend) bool { return j.target != nil && (b == j.target || b.silent()) }
-
 // move ends the attempt of a job and starts the next one at its reserved place.
 func (p *Pool) move(now time.Time, ev Moved) []Action {
 	j, ok := p.jobs[ev.ID]
