--- a/internal/request/stall_unary_test.go
+++ b/internal/request/stall_unary_test.go
@@ -152,3 +152,26 @@
 	configure(f, startEndpoint(t, "a", serve), startEndpoint(t, "b", serve))
 	readStreams(t, f, 60)
 }
+
+// TestRequestWithoutAnAlternativeIsWaitedFor lets the answers to a request that must not be repeated, and to one that is sent
+// to a fixed address, begin after several stall periods. Nothing else could answer them.
+func TestRequestWithoutAnAlternativeIsWaitedFor(t *testing.T) {
+	t.Run("not repeatable", func(t *testing.T) {
+		f := newStallForwarder(endpoint.Policy{})
+		e := startEndpoint(t, "e", late(testPause))
+		configure(f, e)
+		terms := stallTerms
+		terms.Repeatable = false
+		out := f.Forward(newStallRequest("run", terms))
+		require.Nil(t, out.Refusal)
+		require.Equal(t, http.StatusOK, out.Status)
+	})
+	t.Run("fixed address", func(t *testing.T) {
+		f := newStallForwarder(endpoint.Policy{})
+		e := startEndpoint(t, "e", pausing(testPause))
+		terms := streamTerms()
+		terms.Repeatable = false
+		terms.Resumable = false
+		readStream(t, f.ForwardTo(newStallRequest("run", terms), e.config.Address), func() {})
+	})
+}
--- a/pkg/endpoint/limit_test.go
+++ b/pkg/endpoint/limit_test.go
@@ -213,3 +213,13 @@
 		require.NotContains(t, submitTo(p, now, "3"), Send{ID: "3", Endpoint: limitedEndpoint, Attempt: 1})
 	}
 }
+
+// TestPlaceGivenBackReturnsItsShareOfALimit reserves a place at an endpoint with a limit and gives it back unused.
+func TestPlaceGivenBackReturnsItsShareOfALimit(t *testing.T) {
+	p := moving(t, Policy{}, streamRequest(start, "1"))
+	p.Handle(start, LimitReported{"b", 0.1, start})
+	now := start.Add(20 * time.Second)
+	require.IsType(t, Reserved{}, p.Handle(now, MoveRequested{"1"})[0])
+	p.Handle(now, MoveCancelled{ID: "1", Attempt: 2})
+	require.IsType(t, Reserved{}, p.Handle(now, MoveRequested{"1"})[0])
+}
