--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,6 +176,11 @@
 	g.budgets.Background = g.background
 	g.budgets.OnBill = g.metrics.addBilledTokens
 	g.budgets.Init(self.Name(), budgetPolicy())
+	g.wireForwarders()
+}
+
+// wireForwarders connects what carries requests to endpoints and to other routers with the other components.
+func (g *Gateway) wireForwarders() {
 	g.forwarder.Endpoints = &g.endpoints
 	g.forwarder.Budgets = &g.budgets
 	g.forwarder.Peers = g.peers
