internal/gateway: a request whose endpoints this router does not reach goes to a peer, also if it reaches others

What callers saw: refusals with NoEndpoint at routers that reached some endpoints, but none that could serve the request, while other routers had room. Cause: only the loss of the whole path led to a peer. Same class as the loss of all paths: paths that the fleet has and one router has not. Ruled out: the detection of path loss, which is right that the path is not lost. Change: NoEndpoint after an attempt for which no connection could be opened, with nothing that may have run, goes to peers as well; if none can serve it, none is asked for a second, since then the endpoints are to blame.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -31,6 +31,7 @@
 
 	mu       sync.Mutex
 	failedAt map[string]time.Time // Time of the last failure or refusal by peer incarnation; guarded by mu.
+	noHelpAt time.Time            // When no peer could serve a request whose endpoints this router did not reach; guarded by mu.
 	due      chan struct{}        // Closed while waiting requests are to be handed over; guarded by mu.
 	isDue    bool                 // Guarded by mu.
 
@@ -67,6 +68,21 @@
 	h.failedAt[peer] = now
 }
 
+// mayHelp reports whether peers are to be asked to serve a request whose endpoints this router does not reach.
+//
+// If no peer could serve one a moment ago, the endpoints are to blame, and each peer would only repeat the attempts.
+func (h *handover) mayHelp(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.noHelpAt) >= hopBackoff
+}
+
+func (h *handover) recordNoHelp(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noHelpAt = now
+}
+
 // expire forgets old failures and closes idle connections.
 func (h *handover) expire(now time.Time) {
 	h.forwarder.Connections.Expire(now)
@@ -90,9 +106,12 @@
 const (
 	pathLostBefore handoverReason = "PathLostBefore" // When the request came, this router reached no endpoint.
 	pathLostSince  handoverReason = "PathLostSince"  // The path was lost while the request waited, or by its attempts.
+
+	endpointsUnreachable handoverReason = "EndpointsUnreachable" // This router reaches some endpoints, but none that could serve the request.
 )
 
-// serveAdmitted answers a request that was admitted: with an endpoint, or through a peer if this router reaches no endpoint.
+// serveAdmitted answers a request that was admitted: with an endpoint, or through a peer if this router reaches no endpoint
+// for it.
 //
 // A request that a peer handed over is never handed over again.
 func (g *Gateway) serveAdmitted(now time.Time, c *callerRequest, h *fasthttp.RequestHeader) *request.Reply {
@@ -111,16 +130,33 @@
 	}
 	c.req.PathLost = func() <-chan struct{} { return g.watchPath(time.Now()) }
 	reply := g.forwarder.Forward(&c.req)
-	if reply.Refusal == nil || reply.Refusal.Kind != refusal.NoEndpoint || reply.Ran || !g.pathLost(time.Now()) {
+	reason := g.handoverReason(time.Now(), reply)
+	if reason == "" {
 		return reply
 	}
 	// The request is withdrawn, and the tokens reserved for it are released.
-	if other := g.handOver(c, h, pathLostSince); other != nil {
+	if other := g.handOver(c, h, reason); other != nil {
 		return other
 	}
+	if reason == endpointsUnreachable {
+		g.handover.recordNoHelp(time.Now())
+	}
 	return reply
 }
 
+// handoverReason returns why a peer may be able to serve a request that this router did not, or an empty string.
+func (g *Gateway) handoverReason(now time.Time, reply *request.Reply) handoverReason {
+	switch {
+	case reply.Refusal == nil, reply.Refusal.Kind != refusal.NoEndpoint, reply.Ran:
+		return ""
+	case g.pathLost(now):
+		return pathLostSince
+	case reply.Unconnected && g.handover.mayHelp(now):
+		return endpointsUnreachable
+	}
+	return ""
+}
+
 // handOver lets a peer serve a request of which no attempt may have run. It returns nil if no peer took it.
 func (g *Gateway) handOver(c *callerRequest, h *fasthttp.RequestHeader, reason handoverReason) *request.Reply {
 	message := callerMessage(c.req.Message, h)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -168,6 +168,8 @@
 	Endpoint string // Endpoint of the last attempt; empty if there was none.
 	Version  string // Software version of Endpoint.
 	Lender   string // Incarnation of the router that reserved the tokens; empty if this router did.
+
+	Unconnected bool // No connection could be opened for an attempt.
 }
 
 func refusedReply(kind refusal.Kind, detail string) *Reply {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -28,6 +28,7 @@
 	origin      *origin.Origin // Where the stream that the caller takes up began; nil if it takes up none or any endpoint may go on with it.
 	sentAt      time.Time      // Start of the last attempt.
 	ran         bool           // An attempt may have run.
+	unconnected bool           // No connection could be opened for an attempt.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
 	observed    string      // Endpoint of an attempt whose end Path was not told yet; empty if there is none.
@@ -43,6 +44,7 @@
 	out.Endpoint = r.endpoint
 	out.Version = r.version
 	out.Lender = r.reservation.lender
+	out.Unconnected = r.unconnected
 	return out
 }
 
@@ -209,6 +211,7 @@
 	}
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
+	r.unconnected = r.unconnected || errors.Is(err, connection.ErrNotSent)
 	if connection.IsRefused(err) {
 		r.f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: send.Endpoint})
 	}
