pkg/endpoint: a place given back unused returns its request to the endpoint's limit

What callers saw: nothing; room under an endpoint's limit was wasted after a move that was dropped. Cause: reserve took a request out of the limit, releasePlace gave back all else. It is given back only if one was taken.

--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -90,12 +90,13 @@
 	return Send{ID: j.ID, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts}
 }
 
-// occupy takes a place at the endpoint for an attempt of a job.
-func (b *backend) occupy(now time.Time, j *job) {
-	b.limit.take(now)
+// occupy takes a place at the endpoint for an attempt of a job, and reports whether it took a request out of the endpoint's limit.
+func (b *backend) occupy(now time.Time, j *job) (limited bool) {
+	limited = b.limit.take(now)
 	b.takeBrittle(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
+	return limited
 }
 
 // startAttempt records the start of an attempt of a job at an endpoint, which counts it as running already.
--- a/pkg/endpoint/limit.go
+++ b/pkg/endpoint/limit.go
@@ -76,12 +76,20 @@
 	l.share = share
 }
 
-// take uses one of the requests that this router may send.
-func (l *limit) take(now time.Time) {
+// take uses one of the requests that this router may send, and reports whether there was one.
+func (l *limit) take(now time.Time) (taken bool) {
 	if !l.active() {
-		return
+		return false
 	}
-	l.tokens = max(0, l.available(now)-1)
+	available := l.available(now)
+	l.tokens = max(0, available-1)
+	l.refilledAt = now
+	return available >= 1
+}
+
+// giveBack returns a request that was taken and not sent.
+func (l *limit) giveBack(now time.Time) {
+	l.tokens = min(l.capacity(), l.available(now)+1)
 	l.refilledAt = now
 }
 
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -96,7 +96,7 @@
 		return MoveDenied{id, NoPlace}
 	}
 	p.retries--
-	b.occupy(now, j)
+	j.placeLimited = b.occupy(now, j)
 	j.place = b
 	return Reserved{Send{ID: id, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts + 1}}
 }
@@ -143,6 +143,9 @@
 	}
 	delete(j.place.running, j.ID)
 	j.place.recordChange(now, -1)
+	if j.placeLimited {
+		j.place.limit.giveBack(now)
+	}
 	j.place = nil
 	p.retries = min(p.retryLimit(), p.retries+1)
 }
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -19,6 +19,7 @@
 	suspect      bool     // Whether the request was a suspect at its last send.
 	mayHaveRun   bool     // Whether any attempt may have run.
 	target       *backend // Endpoint of the attempt in flight; nil if there is none.
+	placeLimited bool     // Whether place took a request out of the endpoint's limit.
 	place        *backend // Endpoint at which a place is reserved for the next attempt; nil if there is none. See MoveRequested.
 	sentAt       time.Time
 	sentVersion  string    // Software version of target when the attempt was sent.
