--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,11 +204,15 @@
 
 // logBrittle logs that it is known to have changed whether an endpoint is brittle.
 func (g *Gateway) logBrittle(c endpoint.BrittleChanged) {
-	message := "endpoint brittle"
+	fields := []zap.Field{
+		zap.String("Endpoint", c.Endpoint), zap.Int("Before", c.Before), zap.Int("Now", c.Now), zap.Int("Share", c.Share),
+		zap.Duration("Age", c.Age), zap.Bool("Presumed", c.Presumed),
+	}
 	if c.Now == 0 {
-		message = "endpoint no longer brittle"
+		g.log.Info("endpoint no longer brittle", fields...)
+		return
 	}
-	g.log.Info(message, zap.String("Endpoint", c.Endpoint), zap.Int("Before", c.Before), zap.Int("Now", c.Now), zap.Int("Share", c.Share), zap.Duration("Age", c.Age), zap.Bool("Presumed", c.Presumed))
+	g.log.Info("endpoint brittle", fields...)
 }
 
 // peerTimeout is the timeout of a call to a peer.
--- a/internal/peer/brittle.go
+++ b/internal/peer/brittle.go
@@ -21,13 +21,13 @@
 	var messages []brittleMessage
 	for _, r := range reports[:min(len(reports), maxProbeBrittle)] {
 		messages = append(messages, brittleMessage{
-			Endpoint:               r.Endpoint,
-			Tolerated:              r.Tolerated,
-			AgeMilliseconds:        now.Sub(r.At).Milliseconds(),
-			TurnedAwayMilliseconds: ageOf(now, r.TurnedAwayAt),
-			LoadMilliseconds:       ageOf(now, r.LoadAt),
-			Running:                r.Load.Running,
-			Waiting:                r.Load.Waiting,
+			Endpoint:             r.Endpoint,
+			Tolerated:            r.Tolerated,
+			AgeMilliseconds:      now.Sub(r.At).Milliseconds(),
+			RejectedMilliseconds: ageOf(now, r.RejectedAt),
+			LoadMilliseconds:     ageOf(now, r.LoadAt),
+			Running:              r.Load.Running,
+			Waiting:              r.Load.Waiting,
 		})
 	}
 	return messages
@@ -41,12 +41,12 @@
 	for _, m := range messages {
 		age := time.Duration(max(0, m.AgeMilliseconds))*time.Millisecond + messageDelay
 		endpoints.Handle(now, endpoint.BrittleReported{
-			Endpoint:     m.Endpoint,
-			Tolerated:    max(0, m.Tolerated),
-			At:           now.Add(-age),
-			TurnedAwayAt: timeOf(now, m.TurnedAwayMilliseconds),
-			Load:         endpoint.Load{Running: max(0, m.Running), Waiting: max(0, m.Waiting)},
-			LoadAt:       timeOf(now, m.LoadMilliseconds),
+			Endpoint:   m.Endpoint,
+			Tolerated:  max(0, m.Tolerated),
+			At:         now.Add(-age),
+			RejectedAt: timeOf(now, m.RejectedMilliseconds),
+			Load:       endpoint.Load{Running: max(0, m.Running), Waiting: max(0, m.Waiting)},
+			LoadAt:     timeOf(now, m.LoadMilliseconds),
 		})
 	}
 }
--- a/internal/peer/brittle_test.go
+++ b/internal/peer/brittle_test.go
@@ -27,7 +27,7 @@
 	}
 	now := time.Now()
 	s.Endpoints.Handle(now, endpoint.BrittleReported{Endpoint: "a", Tolerated: 3, At: now})
-	s.Endpoints.Handle(now, endpoint.TurnedAway{Endpoint: "a"})
+	s.Endpoints.Handle(now, endpoint.CapacityRejected{Endpoint: "a"})
 	s.Endpoints.Handle(now, endpoint.LoadReported{Endpoint: "a", Load: endpoint.Load{Running: 7, Waiting: 1}})
 	probe()
 	probe()
@@ -36,7 +36,7 @@
 	reports := c.Endpoints.BrittleReports(now)
 	require.Len(t, reports, 1)
 	require.Equal(t, endpoint.Load{Running: 7, Waiting: 1}, reports[0].Load)
-	require.WithinDuration(t, now, reports[0].TurnedAwayAt, time.Second)
+	require.WithinDuration(t, now, reports[0].RejectedAt, time.Second)
 	require.WithinDuration(t, now, reports[0].LoadAt, time.Second)
 	later := now.Add(time.Second)
 	s.Endpoints.Handle(later, endpoint.BrittleReported{Endpoint: "a", At: later})
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -71,10 +71,10 @@
 	Tolerated       int   // Rejections that the endpoint bears within a second; zero if it is not brittle.
 	AgeMilliseconds int64 // Time since the answer.
 
-	TurnedAwayMilliseconds int64 // Time since the latest rejection that is known of; negative if there is none.
-	LoadMilliseconds       int64 // Time since the endpoint had this load; negative if none is known.
-	Running                int
-	Waiting                int
+	RejectedMilliseconds int64 // Time since the latest rejection that is known of; negative if there is none.
+	LoadMilliseconds     int64 // Time since the endpoint had this load; negative if none is known.
+	Running              int
+	Waiting              int
 }
 
 // originQuery asks where a stream began that a caller takes up. An origin.Answer answers it.
--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -16,8 +16,8 @@
 	}
 	r.f.Endpoints.Handle(now, endpoint.LimitReported{Endpoint: name, Rate: a.head.Limit, At: now})
 	r.f.Endpoints.Handle(now, endpoint.BrittleReported{Endpoint: name, Tolerated: a.head.Brittle, At: now})
-	if a.head.TurnedAway {
-		r.f.Endpoints.Handle(now, endpoint.TurnedAway{Endpoint: name})
+	if a.head.NoRoom {
+		r.f.Endpoints.Handle(now, endpoint.CapacityRejected{Endpoint: name})
 	}
 	if a.head.Leaving {
 		r.f.Log.Info("endpoint announces its leave", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", name))
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -125,7 +125,7 @@
 	Limit   float64       // Requests per second that the endpoint takes from all routers together; zero if it names no limit.
 	Brittle int           // Requests that the endpoint may turn away within a second before it falls over; zero if it does not say so.
 
-	TurnedAway bool // The endpoint had no room for the request.
+	NoRoom bool // The endpoint had no room for the request.
 
 	Misdirected bool // Another endpoint than the intended one answered; the head says nothing about the intended one.
 }
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -144,7 +144,7 @@
 	case nil:
 		s.deliver(e)
 		if s.run.stall.wasSilent() {
-			s.run.f.Endpoints.Handle(time.Now(), endpoint.Spoke{ID: s.run.req.RunID})
+			s.run.f.Endpoints.Handle(time.Now(), endpoint.Responded{ID: s.run.req.RunID})
 		}
 		return nil
 	case io.EOF:
--- a/pkg/endpoint/brittle.go
+++ b/pkg/endpoint/brittle.go
@@ -20,9 +20,9 @@
 	quotaReserve       = 4                      // Inverse of the share of the bearable rejections that is left to turns.
 	maxLoadAge         = 2 * time.Second        // A load that is older says nothing.
 
-	rejectionPause = time.Second      // Time without turns after another router was turned away.
-	minBrittleRest = time.Second      // Shortest rest of a router that was turned away; no shorter than the period of bearable rejections.
-	maxBrittleRest = 30 * time.Second // Longest rest of a router that was turned away.
+	rejectionPause = time.Second      // Time without turns after a rejection at another router.
+	minBrittleRest = time.Second      // Shortest rest of a router after a rejection; no shorter than the period of bearable rejections.
+	maxBrittleRest = 30 * time.Second // Longest rest of a router after a rejection.
 	restFactor     = 2                // Rests are so long that all routers together bring half of the bearable rejections.
 
 	brittleTTL       = time.Minute      // An endpoint that no answer has confirmed as brittle for this long is taken to be sound.
@@ -30,7 +30,7 @@
 	overloadMemory   = 3 * time.Second  // Time after a rejection in which the death of a brittle endpoint is put down to overload.
 )
 
-// brittle is what is known about an endpoint that falls over when it turns too many requests away.
+// brittle is what is known about an endpoint that crashes when it rejects too many requests.
 //
 // A router sends such an endpoint a request for one of three reasons, and only
 // while a slot is estimated to be free:
@@ -52,9 +52,9 @@
 	routers int    // Routers that share the endpoint.
 	seed    uint64 // Of the router's turns at this endpoint.
 
-	turnedAwayAt time.Time   // Latest rejection by the endpoint that is known of, at any router.
-	rejections   []time.Time // This router's rejections within maxBrittleRest, oldest first.
-	restsUntil   time.Time   // End of the time without turns after a rejection.
+	rejectedAt time.Time   // Latest rejection by the endpoint that is known of, at any router.
+	rejections []time.Time // This router's rejections within maxBrittleRest, oldest first.
+	restsUntil time.Time   // End of the time without turns after a rejection.
 
 	load   Load // Latest load that is known, also from other routers.
 	loadAt time.Time
@@ -185,7 +185,7 @@
 
 // paused reports whether turns pause after a rejection.
 func (s *brittle) paused(now time.Time) bool {
-	return now.Before(s.restsUntil) || now.Sub(s.turnedAwayAt) < rejectionPause
+	return now.Before(s.restsUntil) || now.Sub(s.rejectedAt) < rejectionPause
 }
 
 // usable returns the slots to use in turns, given the estimate of the free ones.
@@ -220,7 +220,7 @@
 		return 0
 	}
 	first := now
-	for _, until := range []time.Time{s.restsUntil, s.turnedAwayAt.Add(rejectionPause)} {
+	for _, until := range []time.Time{s.restsUntil, s.rejectedAt.Add(rejectionPause)} {
 		if until.After(first) {
 			first = until
 		}
@@ -243,8 +243,8 @@
 		return nil
 	}
 	s := &b.brittle
-	if ev.TurnedAwayAt.After(s.turnedAwayAt) {
-		s.turnedAwayAt = ev.TurnedAwayAt
+	if ev.RejectedAt.After(s.rejectedAt) {
+		s.rejectedAt = ev.RejectedAt
 	}
 	if ev.LoadAt.After(s.loadAt) {
 		s.load = ev.Load
@@ -299,7 +299,7 @@
 }
 
 // presumeNew takes a new endpoint to be as brittle as those of the same models or services, until an answer says what it is.
-// One that fell over and starts again would else get a request of each router at once.
+// One that crashed and starts again would else get a request of each router at once.
 func (p *Pool) presumeNew(now time.Time, b *backend) {
 	s := &b.brittle
 	for _, name := range p.names {
@@ -358,14 +358,14 @@
 	}
 }
 
-// turnAway records that an endpoint had no room for a request of this router.
-func (p *Pool) turnAway(now time.Time, name string) {
+// recordRejection records that an endpoint had no room for a request of this router.
+func (p *Pool) recordRejection(now time.Time, name string) {
 	b, ok := p.backends[name]
 	if !ok {
 		return
 	}
 	s := &b.brittle
-	s.turnedAwayAt = now
+	s.rejectedAt = now
 	s.rejections = addTime(s.rejections, now, maxBrittleRest)
 	s.freed = nil
 	if !s.active() {
@@ -394,11 +394,11 @@
 	}
 }
 
-// overloaded reports whether the death of an endpoint is put down to the requests that it turned away.
+// overloaded reports whether the death of an endpoint is put down to the requests that it rejected.
 //
-// A brittle endpoint that is not known to have turned requests away dies of what it ran, like any other.
+// A brittle endpoint that is not known to have rejected requests dies of what it ran, like any other.
 func (b *backend) overloaded(now time.Time) bool {
-	return b.brittle.active() && now.Sub(b.brittle.turnedAwayAt) < overloadMemory
+	return b.brittle.active() && now.Sub(b.brittle.rejectedAt) < overloadMemory
 }
 
 // BrittleReports returns the brittle endpoints to tell other routers, also those that have recovered lately.
@@ -411,7 +411,7 @@
 		}
 		if s.active() || s.endedAt.After(now.Add(-brittleRetention)) {
 			reports = append(reports, BrittleReported{
-				Endpoint: name, Tolerated: s.tolerated, At: s.observedAt, TurnedAwayAt: s.turnedAwayAt, Load: s.load, LoadAt: s.loadAt})
+				Endpoint: name, Tolerated: s.tolerated, At: s.observedAt, RejectedAt: s.rejectedAt, Load: s.load, LoadAt: s.loadAt})
 		}
 	}
 	return reports
--- a/pkg/endpoint/brittle_test.go
+++ b/pkg/endpoint/brittle_test.go
@@ -218,7 +218,7 @@
 func (f *brittleFleet) head(req *brittleRequest, load Load, turnedAway bool) {
 	f.handle(req.router, BrittleReported{Endpoint: req.at.name, Tolerated: f.tolerated, At: f.now})
 	if turnedAway {
-		f.handle(req.router, TurnedAway{Endpoint: req.at.name})
+		f.handle(req.router, CapacityRejected{Endpoint: req.at.name})
 	}
 	if !f.silent {
 		f.handle(req.router, LoadReported{Endpoint: req.at.name, Load: load})
@@ -417,7 +417,7 @@
 						continue
 					}
 					rejections = append(rejections, now)
-					p.Handle(now, TurnedAway{Endpoint: "e-000"})
+					p.Handle(now, CapacityRejected{Endpoint: "e-000"})
 					p.Handle(now, LoadReported{Endpoint: "e-000", Load: Load{Running: 64}})
 					p.Handle(now, Ended{ID: id, Outcome: Rejected})
 				}
@@ -480,7 +480,7 @@
 func TestRequestsWithoutRoomAtBrittleEndpointsAreRefusedAtOnce(t *testing.T) {
 	p := oneBrittle(295, 1)
 	require.Zero(t, p.backends["a"].brittle.quota)
-	p.Handle(start, TurnedAway{Endpoint: "a"})
+	p.Handle(start, CapacityRejected{Endpoint: "a"})
 	now := start.Add(time.Second)
 	r := Request{ID: "1", Service: "m", OutputTokens: 1, Deadline: now.Add(time.Second), Repeatable: true}
 	refused := p.Handle(now, Submitted{r})[0].(Refuse)
@@ -495,15 +495,15 @@
 		turned    BrittleReported
 		accused   bool
 	}{
-		"after a rejection here":           {3, BrittleReported{TurnedAwayAt: start}, false},
-		"after a rejection long ago":       {3, BrittleReported{TurnedAwayAt: start.Add(-time.Minute)}, true},
+		"after a rejection here":           {3, BrittleReported{RejectedAt: start}, false},
+		"after a rejection long ago":       {3, BrittleReported{RejectedAt: start.Add(-time.Minute)}, true},
 		"without rejections":               {3, BrittleReported{}, true},
-		"sound endpoint after a rejection": {0, BrittleReported{TurnedAwayAt: start}, true},
+		"sound endpoint after a rejection": {0, BrittleReported{RejectedAt: start}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := oneBrittle(6, c.tolerated)
 			parts := []Part{{ID: 1, Tokens: 1}, {ID: 2, Tokens: 1}}
-			p.Handle(start, BrittleReported{Endpoint: "a", Tolerated: c.tolerated, At: start, TurnedAwayAt: c.turned.TurnedAwayAt})
+			p.Handle(start, BrittleReported{Endpoint: "a", Tolerated: c.tolerated, At: start, RejectedAt: c.turned.RejectedAt})
 			p.jobs["1"] = &job{Request: Request{ID: "1", Service: "m", Fingerprint: 9, Parts: parts, Repeatable: true}, prefixHashes: prefixHashesOf(parts)}
 			p.send(start, p.jobs["1"], p.backends["a"])
 			now := start.Add(time.Second)
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -159,16 +159,16 @@
 
 // BrittleReported reports how many requests an endpoint may turn away before it falls over.
 type BrittleReported struct {
-	Endpoint     string
-	Tolerated    int       // Rejections within a second, of all routers together; zero if the endpoint is not brittle.
-	At           time.Time // Time of the answer that said so, which another router may have received.
-	TurnedAwayAt time.Time // Latest rejection that is known of; zero if there is none.
-	Load         Load      // Latest load that is known.
-	LoadAt       time.Time // Time of Load; zero if none is known.
+	Endpoint   string
+	Tolerated  int       // Rejections within a second, of all routers together; zero if the endpoint is not brittle.
+	At         time.Time // Time of the answer that said so, which another router may have received.
+	RejectedAt time.Time // Latest rejection that is known of; zero if there is none.
+	Load       Load      // Latest load that is known.
+	LoadAt     time.Time // Time of Load; zero if none is known.
 }
 
-// TurnedAway reports that an endpoint has rejected a request of this router because it had no room.
-type TurnedAway struct{ Endpoint string }
+// CapacityRejected reports that an endpoint has rejected a request of this router because it had no room.
+type CapacityRejected struct{ Endpoint string }
 
 // CacheUpdated reports that an endpoint cached a prompt prefix or dropped it.
 type CacheUpdated struct {
@@ -225,7 +225,7 @@
 func (RestRequested) isEvent()      {}
 func (LimitReported) isEvent()      {}
 func (BrittleReported) isEvent()    {}
-func (TurnedAway) isEvent()         {}
+func (CapacityRejected) isEvent()   {}
 func (CacheUpdated) isEvent()       {}
 func (ConnectionRefused) isEvent()  {}
 func (Crashed) isEvent()            {}
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -63,8 +63,8 @@
 		return p.move(now, ev)
 	case MoveCancelled:
 		return p.cancelMove(now, ev)
-	case Spoke:
-		return p.recordSpoke(now, ev.ID)
+	case Responded:
+		return p.recordResponded(now, ev.ID)
 	default:
 		return nil
 	}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -118,8 +118,8 @@
 		return p.updateLimit(now, ev)
 	case BrittleReported:
 		return p.updateBrittle(now, ev)
-	case TurnedAway:
-		p.turnAway(now, ev.Endpoint)
+	case CapacityRejected:
+		p.recordRejection(now, ev.Endpoint)
 		return nil
 	default:
 		return p.handleFailure(now, ev)
@@ -290,7 +290,7 @@
 		j.target.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
 	}
 	j.target.recordPrompt(j)
-	return p.recordSpoke(now, id)
+	return p.recordResponded(now, id)
 }
 
 func (p *Pool) endAttempt(now time.Time, ev Ended) []Action {
@@ -328,7 +328,7 @@
 	case Silent:
 		b.recordSilence(now, p.Policy)
 	case Incomplete:
-		b.recordWord()
+		b.endSilence()
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
@@ -341,7 +341,7 @@
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
 	p.forgetHealth(b)
-	b.recordWord()
+	b.endSilence()
 	if j.firstTokenAt.IsZero() {
 		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The response was not streamed.
 	} else {
@@ -391,7 +391,7 @@
 	duration := p.Policy.BaseEjectionTime << min(b.deaths, 10)
 	b.ejectedUntil = now.Add(min(duration, p.Policy.MaxEjectionTime))
 	b.deaths++
-	b.recordWord() // A connection that breaks is no silence.
+	b.endSilence() // A connection that breaks is no silence.
 	b.prefixes = newPrefixes()
 }
 
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -8,10 +8,10 @@
 	silencePenalty     = 1.0 // Seconds by which a silent endpoint that is not avoided costs more than another one.
 )
 
-// Spoke reports that an endpoint went on with the answer to a request after a silence.
-type Spoke struct{ ID string }
+// Responded reports that an endpoint went on with the answer to a request after a silence.
+type Responded struct{ ID string }
 
-func (Spoke) isEvent() {}
+func (Responded) isEvent() {}
 
 // tolerance says which endpoints get requests although they are better avoided.
 type tolerance struct {
@@ -56,17 +56,17 @@
 	b.silences++
 }
 
-// recordWord ends the silence of an endpoint.
-func (b *backend) recordWord() {
+// endSilence ends the silence of an endpoint.
+func (b *backend) endSilence() {
 	b.silentUntil = time.Time{}
 	b.silences = 0
 }
 
-func (p *Pool) recordSpoke(now time.Time, id string) []Action {
+func (p *Pool) recordResponded(now time.Time, id string) []Action {
 	j, ok := p.jobs[id]
 	if !ok || j.target == nil || !j.target.silent() {
 		return nil
 	}
-	j.target.recordWord()
+	j.target.endSilence()
 	return p.dispatch(now)
 }
--- a/pkg/endpoint/silence_test.go
+++ b/pkg/endpoint/silence_test.go
@@ -86,7 +86,7 @@
 // TestEndpointThatSpeaksAgainIsUsedAsBefore lets an endpoint speak in each way after a silence.
 func TestEndpointThatSpeaksAgainIsUsedAsBefore(t *testing.T) {
 	for name, word := range map[string]func(id string) Event{
-		"event":       func(id string) Event { return Spoke{id} },
+		"event":       func(id string) Event { return Responded{id} },
 		"first event": func(id string) Event { return FirstToken{id} },
 		"answer":      func(id string) Event { return Ended{ID: id, Outcome: Finished, Tokens: 1} },
 	} {
@@ -128,7 +128,7 @@
 	id := occupy(t, p, start, "a")
 	require.Equal(t, []Action{MoveDenied{id, RetryBudgetEmpty}}, p.Handle(start, MoveRequested{id}))
 	require.Zero(t, sendMany(p, start, 6)["a"])
-	p.Handle(start, Spoke{id})
+	p.Handle(start, Responded{id})
 	require.NotZero(t, sendMany(p, start.Add(time.Millisecond), 8)["a"])
 }
 
