pkg/endpoint: one order of routers at an endpoint, for limits and for brittle endpoints

shareOf sorted all routers, hashing each name in every comparison; shareBrittle counted those that come first. Both ask for the rank now. An order is as before: go test ./pkg/endpoint passes unchanged.

--- a/pkg/endpoint/brittle.go
+++ b/pkg/endpoint/brittle.go
@@ -80,8 +80,7 @@
 	if s.loadAt.IsZero() || age > maxLoadAge {
 		return 0
 	}
-	others := float64(max(0, s.load.Running+s.load.Waiting-own))
-	return others
+	return float64(max(0, s.load.Running+s.load.Waiting-own))
 }
 
 // headroom estimates the number of free slots of a brittle endpoint.
@@ -337,8 +336,7 @@
 func (p *Pool) shareBrittle(b *backend) {
 	s := &b.brittle
 	s.routers = max(1, len(p.routers), p.peers+1)
-	self := xxhash.Sum64String(p.self)
-	s.seed = hashPair(self, b.hash)
+	s.seed = hashPair(xxhash.Sum64String(p.self), b.hash)
 	shared := s.tolerated
 	if s.tolerated > 1 && s.routers > 1 {
 		shared -= (s.tolerated + quotaReserve - 1) / quotaReserve
@@ -347,13 +345,7 @@
 	if len(p.routers) < s.routers {
 		return
 	}
-	rank := 0
-	for _, router := range p.routers {
-		if score := hashPair(xxhash.Sum64String(router), b.hash); score > s.seed || score == s.seed && router < p.self {
-			rank++
-		}
-	}
-	if rank < shared%s.routers {
+	if p.rankAt(b) < shared%s.routers {
 		s.quota++
 	}
 }
--- a/pkg/endpoint/limit.go
+++ b/pkg/endpoint/limit.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -157,15 +156,25 @@
 		return b.limit.rate
 	}
 	senders := min(senderCount(b.limit.rate), len(p.routers))
-	ranked := slices.Clone(p.routers)
-	score := func(router string) uint64 { return hashPair(xxhash.Sum64String(router), b.hash) }
-	slices.SortFunc(ranked, func(x, y string) int { return cmp.Or(cmp.Compare(score(y), score(x)), cmp.Compare(x, y)) })
-	if !slices.Contains(ranked[:senders], p.self) {
+	if p.rankAt(b) >= senders {
 		return 0
 	}
 	return b.limit.rate / float64(senders)
 }
 
+// rankAt returns the number of listed routers that come before this one at an endpoint, in the order of rendezvous hashing.
+func (p *Pool) rankAt(b *backend) int {
+	score := func(router string) uint64 { return hashPair(xxhash.Sum64String(router), b.hash) }
+	own := score(p.self)
+	rank := 0
+	for _, router := range p.routers {
+		if other := score(router); other > own || other == own && router < p.self {
+			rank++
+		}
+	}
+	return rank
+}
+
 // LimitReports returns the limits to tell other routers, also those that have ended lately.
 func (p *Pool) LimitReports(now time.Time) []LimitReported {
 	var reports []LimitReported
