--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -42,21 +42,26 @@
 	limit             limit     // What the endpoint says it takes from all routers together.
 	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
 	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
-	ejectedUntil      time.Time // End of the ejection, if any.
-	downAt            time.Time // When its address last refused connections; zero if it never did.
-	deaths            int       // Deaths since the last finished request.
-	silentUntil       time.Time // End of the time for which it is avoided for silence, if any.
-	silences          int       // Times that it was found silent since it last said something.
-	failures          float64   // Smoothed fraction of attempts that failed.
+
+	health
+	saved *savedHealth // Health before the failures since the last finished request; nil if there are none.
+}
+
+// health is the part of the state of an endpoint that failed attempts change.
+type health struct {
+	ejectedUntil time.Time // End of the ejection, if any.
+	downAt       time.Time // When its address last refused connections; zero if it never did.
+	deaths       int       // Deaths since the last finished request.
+	silentUntil  time.Time // End of the time for which it is avoided for silence, if any.
+	silences     int       // Times that it was found silent since it last said something.
+	failures     float64   // Smoothed fraction of attempts that failed.
 
 	// prefixes holds the hashes of prompt prefixes that the endpoint has probably cached.
 	prefixes *simplelru.LRU[uint64, struct{}]
-
-	saved *savedHealth // Health before the failures since the last finished request; nil if there are none.
 }
 
 func newBackend(e Endpoint) *backend {
-	b := &backend{hash: xxhash.Sum64String(e.Name), running: map[string]*job{}, prefixes: newPrefixes()}
+	b := &backend{hash: xxhash.Sum64String(e.Name), running: map[string]*job{}, health: health{prefixes: newPrefixes()}}
 	b.describe(e)
 	b.tokenTime = 1 / b.TokensPerSecond
 	b.promptTime = 1 / b.PromptTokensPerSecond
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -381,18 +381,11 @@
 	m.lostAt = now
 	m.cut = m.severalSound(evidence)
 	m.nextProbe = now.Add(m.backoff())
-	since := now
+	var oldest time.Duration
 	for _, f := range evidence {
-		since = earlier(since, now.Add(-f.Age))
+		oldest = max(oldest, f.Age)
 	}
-	return []Action{Judged{}, Lost{Since: since.Add(-FailureWindow), Evidence: evidence}}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	return []Action{Judged{}, Lost{Since: now.Add(-oldest - FailureWindow), Evidence: evidence}}
 }
 
 // severalSound reports whether several endpoints that were not down before are among those that failed.
