--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -25,7 +25,8 @@
 	dir     string // Temporary folder.
 	store   string // Address of the platform's store.
 	routers []*router
-	procs   []*process
+	mu      sync.Mutex
+	procs   []*process // Guarded by mu.
 	record  *record
 }
 
@@ -38,9 +39,11 @@
 
 // router is one gateway process.
 type router struct {
-	vm, front, ready, directory, peer string
-	settings                          string // Path of the settings file.
-	proc                              *process
+	vm, zone                      string
+	front, ready, directory, peer string // Addresses.
+	memoryMB                      int
+	settings                      string // Path of the settings file.
+	proc                          *process
 }
 
 // record writes record.txt.
@@ -99,6 +102,8 @@
 		_ = log.Close()
 		close(p.done)
 	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.procs = append(f.procs, p)
 	return p
 }
@@ -136,9 +141,16 @@
 
 // addRouter starts a gateway with the command and the settings template of the deploy file.
 func (f *fleet) addRouter(n int, memoryMB int) {
-	a := freeAddresses(5)
 	zone := zones[n%len(zones)]
-	r := &router{vm: fmt.Sprintf("front-%s-%d", zone, n/len(zones)+1), front: a[0], ready: a[1], directory: a[2], peer: a[3]}
+	r := &router{vm: fmt.Sprintf("front-%s-%d", zone, n/len(zones)+1), zone: zone, memoryMB: memoryMB}
+	f.launch(r)
+	f.routers = append(f.routers, r)
+}
+
+// launch starts the process of a router at addresses that are free.
+func (f *fleet) launch(r *router) {
+	a := freeAddresses(5)
+	r.front, r.ready, r.directory, r.peer = a[0], a[1], a[2], a[3]
 	r.settings = filepath.Join(f.dir, r.vm+".toml")
 	text := fmt.Sprintf(`VM = %q
 DataCentre = %q
@@ -169,12 +181,16 @@
 CoreShare = 0.4
 CoreSpeed = 1
 LinkMegabits = 1000.0
-`, r.vm, zone, r.front, r.ready, r.directory, r.peer, a[4], f.store, memoryMB)
+`, r.vm, r.zone, r.front, r.ready, r.directory, r.peer, a[4], f.store, r.memoryMB)
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		cannot(err)
 	}
+	f.restart(r)
+}
+
+// restart starts the process of a router with its settings.
+func (f *fleet) restart(r *router) {
 	r.proc = f.start(r.vm, []string{"FOXTAILLANDING_CONFIG=" + r.settings}, nil, gatewayPath, "gateway")
-	f.routers = append(f.routers, r)
 }
 
 // awaitReady waits until all routers say that they are ready, and then for the 10 s that pass before traffic starts.
@@ -190,9 +206,15 @@
 				}
 			}
 			if time.Since(begun) > 20*time.Second {
-				cannot(fmt.Errorf("router %s did not become ready", r.vm))
+				text, _ := os.ReadFile(filepath.Join(f.dir, r.vm+".log"))
+				cannot(fmt.Errorf("router %s did not become ready: %s", r.vm, text[max(0, len(text)-500):]))
+			}
+			select {
+			case <-r.proc.done: // Another process has taken one of its addresses.
+				f.record.line("router %s ended while it started, and is started again", r.vm)
+				f.launch(r)
+			case <-time.After(50 * time.Millisecond):
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	time.Sleep(lead - time.Since(begun))
