--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -33,7 +33,7 @@
 
 func (c call) encode() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nCredential: %s\r\n", c.method, c.path, host, c.id, c.deadline.Milliseconds(), key)
+	fmt.Fprintf(&b, wire("%s %s HTTP/1.1\r\nHost: %s\r\n{request-id}: %s\r\n{timeout}: %d\r\n{api-key}: %s\r\n"), c.method, c.path, host, c.id, c.deadline.Milliseconds(), key)
 	for _, h := range c.headers {
 		b.WriteString(h + "\r\n")
 	}
@@ -113,6 +113,6 @@
 // draft returns a request for a stream. The prompt is read before, so that only its last part is the request's own.
 func draft(id, path string, promptTokens, outputTokens int) call {
 	return call{id: id, method: http.MethodPost, path: path, body: "engraving", deadline: 15 * time.Second, headers: []string{
-		"Model: m", fmt.Sprintf("Token-Counts: %d,%d", promptTokens, outputTokens), fmt.Sprintf("Prompt-Prefix: %s:%d", id, promptTokens),
+		"Model: m", fmt.Sprintf(wire("{tokens}: %d,%d"), promptTokens, outputTokens), fmt.Sprintf(wire("{prompt-parts}: %s:%d"), id, promptTokens),
 	}}
 }
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -198,7 +198,7 @@
 	begun := time.Now()
 	for _, r := range f.routers {
 		for {
-			resp, err := http.Get("http://" + r.ready + "/-/readiness")
+			resp, err := http.Get("http://" + r.ready + wire("{ready}"))
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -222,7 +222,7 @@
 
 // resolve asks a router's directory for the addresses of a host.
 func (f *fleet) resolve(r *router, host, zone string) []string {
-	resp, err := http.Get("http://" + r.directory + "/-/resolve?name=" + host + "&region=wa-goldfields&zone=" + zone)
+	resp, err := http.Get("http://" + r.directory + wire("{directory}?name=") + host + "&region=wa-goldfields&zone=" + zone)
 	if err != nil {
 		return nil
 	}
--- a/review/rig/large_bodies.go
+++ b/review/rig/large_bodies.go
@@ -32,7 +32,7 @@
 // router that exceeds its memory, and starts it again.
 func largeBodies(f *fleet) (broken bool) {
 	f.startStore()
-	f.write("op/config", configuration(3, []map[string]any{draftRoute("drafting-models")}, []map[string]any{modelService("drafting-models", 5)}, 0))
+	f.write(wire("{configuration}"), configuration(3, []map[string]any{draftRoute("drafting-models")}, []map[string]any{modelService("drafting-models", 5)}, 0))
 	for i := range 9 {
 		newServer(fmt.Sprintf("i-7f3a91c%d", i), "drafting-models", zones[i%len(zones)], 64, serveDraft).beat(f)
 	}
--- a/review/rig/late_rejection.go
+++ b/review/rig/late_rejection.go
@@ -23,7 +23,7 @@
 
 // serveOrder runs an order or rejects it. Now and then it sends an answer again where the next one is expected.
 func serveOrder(s *server, ch *channel, r *http.Request) bool {
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire("{request-id}"))
 	if _, err := ch.Write(ch.late); err != nil {
 		return false
 	}
@@ -46,7 +46,7 @@
 // lateRejection places orders at a server that rejects part of them and sends a few of its answers twice.
 func lateRejection(f *fleet) (broken bool) {
 	f.startStore()
-	f.write("op/config", configuration(3, []map[string]any{orderRoute("counter-app")}, []map[string]any{plainService("counter-app")}, 0))
+	f.write(wire("{configuration}"), configuration(3, []map[string]any{orderRoute("counter-app")}, []map[string]any{plainService("counter-app")}, 0))
 	s := newServer("i-7f3a91c2", "counter-app", zones[0], orderSlots, serveOrder)
 	s.beat(f)
 	for n := range 3 {
--- a/review/rig/late_stream.go
+++ b/review/rig/late_stream.go
@@ -29,7 +29,7 @@
 
 // serveDraft streams a draft with an event in each pause.
 func serveDraft(s *server, ch *channel, r *http.Request) bool {
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire("{request-id}"))
 	s.run(id)
 	events, pause := shortEvents, shortPause
 	switch r.URL.Path {
@@ -42,7 +42,7 @@
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, seal(id, "draft"))
+	head := fmt.Sprintf(wire("HTTP/1.1 200 OK\r\n{request-id}: %s\r\n{seal}: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"), id, seal(id, "draft"))
 	if _, err := ch.Write([]byte(head)); err != nil {
 		return false
 	}
@@ -60,7 +60,7 @@
 // lateStream sends a few longer streams to a router that was told to stop 3.2 s before.
 func lateStream(f *fleet) (broken bool) {
 	f.startStore()
-	f.write("op/config", configuration(3, []map[string]any{draftRoute("foxtail-writers")}, []map[string]any{modelService("foxtail-writers", 4)}, 0))
+	f.write(wire("{configuration}"), configuration(3, []map[string]any{draftRoute("foxtail-writers")}, []map[string]any{modelService("foxtail-writers", 4)}, 0))
 	for i := range 3 {
 		newServer(fmt.Sprintf("i-7f3a91c%d", i), "foxtail-writers", zones[i], 64, serveDraft).beat(f)
 	}
--- a/review/rig/settings_change.go
+++ b/review/rig/settings_change.go
@@ -21,7 +21,7 @@
 // settingsChange changes the settings of all routers, and tells them so, while one of them is stopping.
 func settingsChange(f *fleet) (broken bool) {
 	f.startStore()
-	f.write("op/config", configuration(3, []map[string]any{draftRoute("foxtail-writers")}, []map[string]any{modelService("foxtail-writers", 4)}, 0))
+	f.write(wire("{configuration}"), configuration(3, []map[string]any{draftRoute("foxtail-writers")}, []map[string]any{modelService("foxtail-writers", 4)}, 0))
 	for i := range 3 {
 		newServer(fmt.Sprintf("i-7f3a91c%d", i), "foxtail-writers", zones[i], 64, serveDraft).beat(f)
 	}
