internal/gateway: an endpoint whose entry another writer has made unreadable is not used for ever

Callers could be sent to an endpoint long after it had left: its entry, once replaced by one that cannot be read, was kept as it was before until the key disappeared, and the other writer's key need not disappear with the endpoint.

Cause: an unreadable entry was logged and otherwise ignored. Now it counts as missing after 1.7 s, in which a live endpoint writes its entry again; a deleted one is not used any more at once. Several unreadable entries do not prolong the use.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -28,13 +28,14 @@
 type trackedEndpoint struct {
 	Entry
 
-	missingSince time.Time // When its entry was found to be missing; zero while it exists.
+	missingSince time.Time // When its entry was found to be missing or unreadable; zero while it exists.
+	unreadable   bool      // The entry exists, but another writer has made it unreadable.
 }
 
 // Timeouts for endpoints whose entries are missing.
 const (
 	rewriteGrace     = 2100 * time.Millisecond // Period after the store recovers in which live endpoints rewrite their entries.
-	missingGrace     = 1700 * time.Millisecond // Longest use without an entry; an endpoint that leaves keeps serving for only 2 s.
+	missingGrace     = 1700 * time.Millisecond // Longest use without a readable entry; an endpoint that leaves keeps serving for only 2 s.
 	expiryWindow     = 600 * time.Millisecond  // Period after the store recovers in which it reports entries that expired during the outage.
 	missingRetention = 30 * time.Second        // Time in the pool without an entry, for requests that are still running.
 )
@@ -52,7 +53,7 @@
 	present := map[string]bool{}
 	for _, entry := range entries {
 		present[e.g.dialect.EntryName(entry.Key)] = true
-		e.update(entry.Key, entry.Value)
+		e.update(now, entry.Key, entry.Value)
 	}
 	for name, ep := range e.tracked {
 		if !present[name] {
@@ -71,17 +72,18 @@
 			e.markMissing(now, ep)
 		}
 	} else {
-		e.update(c.Key, c.Value)
+		e.update(now, c.Key, c.Value)
 	}
 	e.mu.Unlock()
 	e.updatePool(now)
 }
 
 // update parses an entry and updates its endpoint; mu must be held.
-func (e *entries) update(key string, value []byte) {
+func (e *entries) update(now time.Time, key string, value []byte) {
 	entry, err := e.g.dialect.Entry(key, value)
 	if err != nil {
-		e.g.log.Warn("endpoint entry not read", zap.String("Key", key), logfile.Error(err))
+		e.g.log.Warn("endpoint entry not read", logfile.Error(err))
+		e.markUnreadable(now, e.g.dialect.EntryName(key))
 		return
 	}
 	ep, ok := e.tracked[entry.Name]
@@ -101,29 +103,44 @@
 	}
 	ep.Entry = entry
 	ep.missingSince = time.Time{}
+	ep.unreadable = false
+}
+
+// markUnreadable records that an entry cannot be read any more; mu must be held.
+func (e *entries) markUnreadable(now time.Time, name string) {
+	ep, ok := e.tracked[name]
+	if !ok || !ep.missingSince.IsZero() {
+		return
+	}
+	ep.missingSince = now
+	ep.unreadable = true
 }
 
 // markMissing records that an entry is missing; mu must be held.
 func (e *entries) markMissing(now time.Time, ep *trackedEndpoint) {
-	if !ep.missingSince.IsZero() {
+	if !ep.missingSince.IsZero() && !ep.unreadable {
 		return
 	}
 	ep.missingSince = now
+	ep.unreadable = false
 	e.g.log.Info("endpoint entry gone", zap.String("Endpoint", ep.Name), zap.Bool("MayReturn", e.mayHaveExpired(ep)))
 }
 
 // usable reports whether an endpoint may get new requests; mu must be held.
 //
-// An entry that may have expired during an outage of the store counts as present
-// until its endpoint has had time to rewrite it.
+// An entry that may have expired during an outage of the store, or that another
+// writer has made unreadable, counts as present until its endpoint has had time to
+// rewrite it.
 func (e *entries) usable(now time.Time, ep *trackedEndpoint) bool {
 	switch {
 	case ep.Leaving:
 		return false
 	case ep.missingSince.IsZero():
 		return true
+	case now.Sub(ep.missingSince) >= missingGrace:
+		return false
 	}
-	return e.mayHaveExpired(ep) && now.Sub(e.storeRecoveredAt) < rewriteGrace && now.Sub(ep.missingSince) < missingGrace
+	return ep.unreadable || e.mayHaveExpired(ep) && now.Sub(e.storeRecoveredAt) < rewriteGrace
 }
 
 // mayHaveExpired reports whether an entry may be missing only because of an outage of the store; mu must be held.
