internal/gateway: registrations with addresses or sizes that cannot be used are not read

Callers would have been given an address that nobody can connect to, or nearly all callers one router (Size 1e300), if another writer left an odd registration: only the VM's name and that Peer is set were checked.

Change: Peer and Front are IP:PORT, Size is bounded, texts too; a router whose own settings name such an address does not start, since its peers would not read its registration.

--- a/internal/connection/address.go
+++ b/internal/connection/address.go
@@ -6,10 +6,15 @@
 	"github.com/cockroachdb/errors"
 )
 
+const maxAddress = 64 // Bytes of an IP address and a port.
+
 // CheckAddress returns an error unless address is an IP address and a port that a connection can be opened to.
 //
 // Host names are errors, because looking one up may block.
 func CheckAddress(address string) error {
+	if len(address) > maxAddress {
+		return errors.Newf("address is longer than %d bytes", maxAddress)
+	}
 	a, err := netip.ParseAddrPort(address)
 	switch {
 	case err != nil:
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
@@ -43,6 +44,28 @@
 	Size        float64 `json:",omitempty"` // Relative capacity; zero if the router does not state it.
 }
 
+// Limits of registrations. Those beyond them come from other writers.
+const (
+	maxRegistrationText = 256 // Bytes of each text.
+	maxSize             = 1e9 // Keeps sums over the fleet in range.
+)
+
+// check returns an error unless the registration of a VM can be used.
+func (r *registration) check(vm string) error {
+	switch {
+	case r.VM != vm || vm == "":
+		return errors.New("the key does not name the VM")
+	case max(len(r.VM), len(r.DataCentre)) > maxRegistrationText:
+		return errors.Newf("VM or DataCentre is longer than %d bytes", maxRegistrationText)
+	case r.Size < 0 || r.Size > maxSize:
+		return errors.Newf("Size %g is not between 0 and %g", r.Size, maxSize)
+	}
+	if err := connection.CheckAddress(r.Peer); err != nil {
+		return errors.Wrap(err, "Peer")
+	}
+	return errors.Wrap(connection.CheckAddress(r.Front), "Front")
+}
+
 // members tracks the registrations of the routers in the store and updates the roster from them.
 type members struct {
 	membership.Members
@@ -168,7 +191,11 @@
 // addRegistration parses and stores one registration.
 func (m *members) addRegistration(key string, value []byte) {
 	var r registration
-	if err := json.Unmarshal(value, &r); err != nil || r.VM != strings.TrimPrefix(key, memberPrefix) || r.Peer == "" {
+	err := json.Unmarshal(value, &r)
+	if err == nil {
+		err = r.check(strings.TrimPrefix(key, memberPrefix))
+	}
+	if err != nil {
 		m.g.log.Warn("registration not read", zap.String("Key", key), logfile.Error(err))
 		return
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 )
 
 // Settings holds the settings of one gateway process.
@@ -145,6 +147,7 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not HOST:PORT", field.name, field.address))
 		}
 	}
+	problems = append(problems, s.checkPublished()...)
 	if s.Capacity.CoreShare < 0 || s.Capacity.CoreSpeed < 0 || s.Capacity.LinkMegabits < 0 {
 		problems = append(problems, "Capacity: CoreShare, CoreSpeed and LinkMegabits must not be negative")
 	}
@@ -154,6 +157,20 @@
 	return problems
 }
 
+// checkPublished returns the problems of the addresses that callers and the other routers are given.
+func (s *Settings) checkPublished() []string {
+	var problems []string
+	for _, field := range []struct{ name, address string }{{"Listen.Front", s.Listen.Front}, {"Listen.Peer", s.Listen.Peer}} {
+		if _, _, err := net.SplitHostPort(field.address); err != nil {
+			continue // Reported by check.
+		}
+		if err := connection.CheckAddress(field.address); err != nil {
+			problems = append(problems, field.name+": "+err.Error())
+		}
+	}
+	return problems
+}
+
 // grace returns the time from the stop request until the process is killed.
 func (s *Settings) grace() time.Duration {
 	if s.Drain.GraceMilliseconds <= 0 {
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -14,6 +14,8 @@
 	for text, place := range map[string]string{
 		strings.Replace(valid, "VM", "Vm2", 1):          "Vm2",
 		strings.Replace(valid, "1.2.3.4:2", "here", 1):  "Listen.Peer",
+		strings.Replace(valid, "1.2.3.4:1", ":1", 1):    "Listen.Front",
+		strings.Replace(valid, "1.2.3.4", "0.0.0.0", 2): "Listen.Peer",
 		strings.Replace(valid, "[Store]", "[Store", 1):  "f:5",
 		strings.Replace(valid, "\"v\"", "\"\"", 1):      "VM",
 		valid + "[Retry]\nRatio = -1.0\n":               "Retry",
