internal/connection: a connection carries no request whose ID it has carried before

An endpoint rejects an order and sends the rejection a second time, where the next answer is expected.

Cause: after a rejection that was read whole, the connection went back to the pool, and the next attempt of the same order took it. The ID of the late second rejection is that of the new attempt too, so it was read as its answer: the router counted an attempt that ran as rejected, and refused the order or sent it once more. The same holds for a caller that uses an ID twice: it got the first answer again.

Why it works: an ID tells answers apart only if no request with it was sent on the connection before. Connections are per router and address, and both ways to get one (an attempt, and a place that a silent request moves to) pass the ID now. Only hashes are kept, at most 1,024, after which the connection is replaced. A collision costs a new connection.

TestConnectionWithUnreadAnswerIsNotReused gave its three requests one ID and required the third to reuse a connection of the second; that is what must not happen now. They have IDs of their own; what it requires is unchanged.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
@@ -49,6 +51,9 @@
 	// acknowledges in time.
 	unacknowledgedTimeout = 5 * time.Second
 
+	// maxCarried bounds the memory for the IDs of requests, and the time to search them.
+	maxCarried = 1024
+
 	// NonRepeatableMaxIdle is the longest idle time after which a pooled
 	// connection may carry a request that must not be repeated.
 	NonRepeatableMaxIdle = 300 * time.Millisecond
@@ -76,6 +81,7 @@
 
 	address  string
 	limit    readLimit
+	carried  []uint64 // Hashes of the IDs of the requests that were sent.
 	lastUsed time.Time
 	expires  time.Time // Not reused after this time, since the endpoint may close it.
 }
@@ -111,14 +117,29 @@
 // Address returns the address that the connection was opened to.
 func (c *Conn) Address() string { return c.address }
 
-// Get returns a pooled connection to address that was last used at or after usedSince, or opens a new one.
-func (p *Pool) Get(now time.Time, address string, usedSince time.Time) (*Conn, error) {
+// Carry records that a request with an ID is sent.
+func (c *Conn) Carry(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether a request with an ID may have been sent.
+func (c *Conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
+
+// Terms are what a pooled connection must meet to carry a request. The zero value permits every connection.
+type Terms struct {
+	UsedSince time.Time // The connection was last used at or after this time.
+
+	// NewTo is the ID of a request that the connection has not carried, so that
+	// an answer with this ID answers no earlier one. Empty permits every connection.
+	NewTo string
+}
+
+// Get returns a pooled connection to address that meets the terms, or opens a new one.
+func (p *Pool) Get(now time.Time, address string, terms Terms) (*Conn, error) {
 	for {
-		conn := p.pop(address)
+		conn := p.pop(address, terms.NewTo)
 		if conn == nil {
 			return p.dial(address)
 		}
-		if now.After(conn.expires) || conn.lastUsed.Before(usedSince) || !conn.reusable() {
+		if now.After(conn.expires) || conn.lastUsed.Before(terms.UsedSince) || !conn.reusable() {
 			_ = conn.Close()
 			continue
 		}
@@ -127,16 +148,19 @@
 	}
 }
 
-func (p *Pool) pop(address string) *Conn {
+// pop removes and returns the connection that was used last, of those that have not carried a request with an ID; nil if
+// there is none.
+func (p *Pool) pop(address, newTo string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, conn := range slices.Backward(list) {
+		if newTo == "" || !conn.hasCarried(newTo) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return conn
+		}
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // Put returns a connection to the pool after its response was read to the end.
@@ -149,7 +173,7 @@
 	}
 	conn.lastUsed = now
 	conn.expires = now.Add(idle * 3 / 4) // The margin covers requests that are in transit when the endpoint closes the connection.
-	if conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
+	if len(conn.carried) >= maxCarried || conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
 		_ = conn.Close()
 		return
 	}
--- /dev/null
+++ b/internal/connection/pool_test.go
@@ -0,0 +1,54 @@
+package connection
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestConnectionIsNewToItsRequest returns connections to the pool that have carried requests, and obtains one for requests
+// with the same and with other IDs.
+func TestConnectionIsNewToItsRequest(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	var pool Pool
+	now := time.Now()
+	get := func(id string) *Conn {
+		conn, err := pool.Get(now, ln.Addr().String(), Terms{NewTo: id})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		conn.Carry(id)
+		return conn
+	}
+	first := get("a")
+	pool.Put(now, first, 0)
+	second := get("a")
+	require.NotSame(t, first, second)
+	pool.Put(now, second, 0)
+	require.Same(t, second, get("b"), "the one used last")
+	require.Same(t, first, get("b"), "second carries b now")
+	pool.Put(now, first, 0)
+	require.NotSame(t, first, get("b"))
+	require.Same(t, first, get("c"))
+}
+
+// TestConnectionIsReplacedWhenItHasCarriedManyRequests limits the IDs that a connection remembers.
+func TestConnectionIsReplacedWhenItHasCarriedManyRequests(t *testing.T) {
+	var pool Pool
+	conn, _ := connect(t, &pool)
+	now := time.Now()
+	for n := range maxCarried {
+		pool.Put(now, conn, 0)
+		id := fmt.Sprint(n)
+		again, err := pool.Get(now, conn.Address(), Terms{NewTo: id})
+		require.NoError(t, err)
+		require.Same(t, conn, again)
+		conn.Carry(id)
+	}
+	pool.Put(now, conn, 0)
+	require.Empty(t, pool.idle[conn.Address()])
+}
--- a/internal/connection/silence_test.go
+++ b/internal/connection/silence_test.go
@@ -34,7 +34,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
-	conn, err = pool.Get(time.Now(), ln.Addr().String(), time.Time{})
+	conn, err = pool.Get(time.Now(), ln.Addr().String(), Terms{})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	peer, err = ln.Accept()
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -67,7 +67,7 @@
 	}
 	if conn == nil {
 		var err error
-		if conn, err = r.f.Connections.Get(now, address, r.usedSince(now)); err != nil {
+		if conn, err = r.f.Connections.Get(now, address, connection.Terms{UsedSince: r.usedSince(now), NewTo: r.req.ID}); err != nil {
 			return nil, err
 		}
 		r.observeConnection(conn)
@@ -86,6 +86,7 @@
 		return nil, errors.Wrap(connection.ErrNotSent, err.Error())
 	}
 	r.stall.begin(now, r.firstStallTimeout(now))
+	conn.Carry(r.req.ID)
 	message := net.Buffers{encodeHead(&r.req.Message, r.req.Codec.AttemptHeaders(&r.req.Message, info), address), r.req.Body}
 	if _, err := message.WriteTo(conn.Conn); err != nil {
 		a.abort()
--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -194,7 +194,7 @@
 		return nil
 	}
 	next := &place{send: reserved.Place}
-	conn, err := w.f.connect(now, next.send.Endpoint)
+	conn, err := w.f.connect(now, next.send.Endpoint, w.req.ID)
 	if err != nil {
 		w.log("NotConnected", next.send.Endpoint, silence, err)
 		w.f.giveBack(next, true)
@@ -221,13 +221,13 @@
 		zap.Duration("Silence", silence), zap.String("Outcome", outcome), zap.String("To", to), logfile.Error(err))
 }
 
-// connect returns a connection to an endpoint for a request that is repeatable.
-func (f *Forwarder) connect(now time.Time, name string) (*connection.Conn, error) {
+// connect returns a connection to an endpoint for the request with an ID, which is repeatable.
+func (f *Forwarder) connect(now time.Time, name, id string) (*connection.Conn, error) {
 	address, ok := f.Endpoints.Address(name)
 	if !ok {
 		return nil, errors.Wrapf(connection.ErrNotSent, "no address known for endpoint %s", name)
 	}
-	conn, err := f.Connections.Get(now, address, time.Time{})
+	conn, err := f.Connections.Get(now, address, connection.Terms{NewTo: id})
 	f.observeConnect(time.Now(), name, conn, err)
 	if connection.IsRefused(err) {
 		f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: name})
--- a/internal/request/run_test.go
+++ b/internal/request/run_test.go
@@ -120,7 +120,7 @@
 	f.Endpoints.Configure(time.Now(), []placement.EndpointConfig{{Endpoint: config, Address: ln.Addr().String()}}, nil)
 	forward := func(run string, codec Codec) {
 		out := f.Forward(&Request{
-			Message:  Message{ID: "id", Method: http.MethodPost, Target: "/", Host: "h"},
+			Message:  Message{ID: run, Method: http.MethodPost, Target: "/", Host: "h"},
 			Terms:    Terms{Service: "s", Streams: true, Repeatable: true},
 			RunID:    run,
 			Deadline: time.Now().Add(5 * time.Second),
