internal/request: a rejection without an ID counts only on a new connection

Callers saw: an order that ran twice (TWICE), or is answered 503 though it ran.

Cause: on a connection that had carried an earlier request, an answer without an ID and without a length was taken for the rejection of the current request if it had the mark of one. It may be a late answer to the earlier request. With a length it was skipped already.

Why it works: only on a new connection such an answer can be to no other request. On a used one it ends the attempt as one that may have run.

--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -111,7 +111,8 @@
 //
 // A reused connection may still deliver answers to earlier requests, which are
 // skipped if their length is known. Otherwise an answer with a different ID is
-// an error, unless it has no ID and states that the request did not run.
+// an error. Only on a new connection, an answer without an ID that states that
+// the request did not run can be to no other one.
 func (a *attempt) readHead(r *Request) error {
 	defer a.conn.LimitReads(-1)
 	for range 1 + maxStaleAnswers {
@@ -128,11 +129,11 @@
 			a.setAnswer(resp, head)
 			return nil
 		}
+		if !a.conn.Reused && head.ID == "" && head.NotRun {
+			a.setAnswer(resp, head)
+			return nil
+		}
 		if !a.conn.Reused || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			if head.ID == "" && head.NotRun {
-				a.setAnswer(resp, head)
-				return nil
-			}
 			return errOtherRequest
 		}
 		a.conn.LimitReads(maxStaleBytes)
