platform: a status that means "not run" is not passed on from an endpoint that may have run the request

Callers saw: a sealed 408, 429 or 503 of the endpoint in answer to an order that it ran; and an order that ran twice, if the endpoint answered 421 with its seal.

Cause: the status of a sealed answer was passed on whatever it says to callers.

Why it works: such an answer to a request that must not be repeated ends the attempt as one that may have run, so the caller gets 502 without a seal, which says nothing. Requests that may be repeated keep the endpoint's answer.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -118,6 +118,7 @@
 	ID      string        // ID of the request that is answered.
 	Sealed  bool          // The endpoint itself produced the answer.
 	NotRun  bool          // The endpoint states that it did not run the request.
+	Denied  bool          // The status tells callers that the request did not run, but the endpoint does not state it.
 	Encoded bool          // The body has a content encoding, so it is not the one that the endpoint sealed.
 	Load    *Load         // Nil if the endpoint reported none.
 	Leaving bool          // The endpoint is leaving.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -307,6 +307,9 @@
 	case !a.head.Sealed || a.head.Encoded:
 		a.abort()
 		return endpoint.Incomplete, nil
+	case a.head.Denied && !r.req.Repeatable:
+		r.discard(a)
+		return endpoint.Incomplete, nil
 	case r.req.Streams && status < 300:
 		return r.startStream(a)
 	}
