internal/soak: servers pause or send responses twice beside the other faults; streams that cannot be resumed are checked too

The soak had no fault of a server process that stands still, none of late second responses, and reloaded settings only beside them by chance. It checked orders only, the statuses 429 and 503 only, and excused a refusal that bears a seal.

Every request that must not be repeated (orders, streams that cannot be resumed) must run at most once, and not at all if it was answered 408, 421, 429 or 503, sealed or not.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "routers", Usage: "number of gateways", Value: 4},
 			&cli.IntFlag{Name: "servers", Usage: "number of servers of the service", Value: 3},
 			&cli.IntFlag{Name: "callers", Usage: "number of concurrent callers", Value: 12},
+			&cli.BoolFlag{Name: "pauses", Usage: "beside the other faults, pause servers, let them send responses twice, and reload the settings of routers"},
 		},
 		Action: runSoak,
 	}
@@ -69,7 +70,7 @@
 	defer func() { _ = log.Close() }()
 	report, err := soak.Run(ctx, soak.Config{
 		Binaries: c.String("binaries"), Dir: dir, Seed: seed, Cycles: c.Int("cycles"),
-		Routers: c.Int("routers"), Servers: c.Int("servers"), Callers: c.Int("callers"), Log: log,
+		Routers: c.Int("routers"), Servers: c.Int("servers"), Callers: c.Int("callers"), Pauses: c.Bool("pauses"), Log: log,
 	})
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d, logs in %s", seed, dir)
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -97,6 +97,7 @@
 				Handler:           &platformstandin.Server{ID: c.String("id"), Version: c.String("software"), Events: c.Int("events")},
 				ReadHeaderTimeout: time.Minute,
 				ErrorLog:          log.New(io.Discard, "", 0),
+				ConnContext:       platformstandin.WithConn,
 			}
 			if _, err := fmt.Fprintln(c.Root().Writer, "serving on "+ln.Addr().String()); err != nil {
 				return err
@@ -105,7 +106,7 @@
 				<-ctx.Done()
 				_ = server.Close()
 			}()
-			if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(platformstandin.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -39,6 +39,9 @@
 // streams reports whether the answer is a stream.
 func (k kind) streams() bool { return k == stream || k == streamOnce }
 
+// repeatable reports whether the request may run more than once.
+func (k kind) repeatable() bool { return k != order && k != streamOnce }
+
 // callRecord is one request with the response that its caller received.
 type callRecord struct {
 	id      string
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -91,16 +91,12 @@
 	restartFault("router killed", syscall.SIGKILL),
 	restartFault("router stopped", syscall.SIGTERM),
 	routerFault("router paused", func(_ *fleet, r *router, _ *rand.Rand) func() {
-		r.mu.Lock()
-		p := r.proc
-		r.mu.Unlock()
+		p := r.process()
 		p.signal(syscall.SIGSTOP)
 		return func() { p.signal(syscall.SIGCONT) }
 	}),
 	routerFault("settings reloaded", func(_ *fleet, r *router, _ *rand.Rand) func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.proc.signal(syscall.SIGHUP)
+		r.signal(syscall.SIGHUP)
 		return noop
 	}),
 	{"all routers killed", func(f *fleet, _ *rand.Rand) func() {
@@ -137,11 +133,11 @@
 	}},
 }
 
-// injectFaults injects overlapping faults in a random schedule until ctx ends, then clears all of them.
-func injectFaults(ctx context.Context, f *fleet, random *rand.Rand) {
+// injectFaults injects overlapping faults of a list in a random schedule until ctx ends.
+func injectFaults(ctx context.Context, f *fleet, list []fault, random *rand.Rand) {
 	var active sync.WaitGroup
 	for ctx.Err() == nil {
-		chosen := pick(random, faults)
+		chosen := pick(random, list)
 		duration := time.Duration(200+random.IntN(3000)) * time.Millisecond
 		f.logf("%s for %v", chosen.name, duration)
 		end := chosen.begin(f, random)
@@ -152,6 +148,36 @@
 		sleep(ctx, time.Duration(100+random.IntN(900))*time.Millisecond)
 	}
 	active.Wait()
+}
+
+// pauses lists the faults of the schedule that runs beside the first one on request.
+//
+// A paused server has accepted its connections and what was sent on them, and
+// runs it when it goes on, though the routers have given up.
+var pauses = []fault{
+	{"server paused", func(f *fleet, random *rand.Rand) func() {
+		s := pick(random, f.servers)
+		s.proc.signal(syscall.SIGSTOP)
+		return func() { s.proc.signal(syscall.SIGCONT) }
+	}},
+	serverFault("server full, repeats responses", platformstandin.ServerFaults{Full: 40, Repeat: 20}),
+	routerFault("settings of a ready router reloaded", func(_ *fleet, r *router, _ *rand.Rand) func() {
+		if isReady(r) {
+			r.signal(syscall.SIGHUP)
+		}
+		return noop
+	}),
+}
+
+// injectAll injects faults until ctx ends, then clears all of them.
+func injectAll(ctx context.Context, f *fleet, random *rand.Rand) {
+	var beside sync.WaitGroup
+	if f.cfg.Pauses {
+		own := rand.New(rand.NewPCG(f.cfg.Seed, random.Uint64())) // The two schedules draw at the same time.
+		beside.Go(func() { injectFaults(ctx, f, pauses, own) })
+	}
+	injectFaults(ctx, f, faults, random)
+	beside.Wait()
 	f.clearFaults()
 }
 
@@ -159,14 +185,13 @@
 func (f *fleet) clearFaults() {
 	putJSON(f.store.address, standin.FaultsPath, platformstandin.StoreFaults{})
 	for _, s := range f.servers {
+		s.proc.signal(syscall.SIGCONT)
 		putJSON(s.proc.address, standin.FaultsPath, platformstandin.ServerFaults{})
 		restoreLink(s.link)
 	}
 	for _, r := range f.routers {
 		restoreLink(r.store)
-		r.mu.Lock()
-		r.proc.signal(syscall.SIGCONT)
-		r.mu.Unlock()
+		r.signal(syscall.SIGCONT)
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -89,12 +89,23 @@
 	proc *process // Guarded by mu.
 }
 
+// process returns the process that runs now.
+func (r *router) process() *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proc
+}
+
+func (r *router) signal(s os.Signal) { r.process().signal(s) }
+
 // server is a server of the service.
 type server struct {
 	id      string
 	version string // Version of its software.
 	proc    *process
 	link    *standin.Link // Link from the routers.
+
+	startedAt int64 // Start time in its entry.
 }
 
 // fleet holds the processes of a run.
@@ -144,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	s := &server{id: id, version: version, proc: p, link: link}
+	s := &server{id: id, version: version, proc: p, link: link, startedAt: 1}
 	f.servers = append(f.servers, s)
 	f.register(s, false)
 	return nil
@@ -153,7 +164,7 @@
 // register writes the entry of a server to the store.
 func (f *fleet) register(s *server, leaving bool) {
 	const slots = 64
-	value, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: s.link.Address, DataCentre: "dc", Version: s.version, Slots: slots, Leaving: leaving, StartedAt: 1})
+	value, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: s.link.Address, DataCentre: "dc", Version: s.version, Slots: slots, Leaving: leaving, StartedAt: s.startedAt})
 	if err != nil {
 		panic(err) // The types of this module can always be encoded.
 	}
@@ -189,9 +200,7 @@
 func (f *fleet) restart(r *router, s os.Signal, pause time.Duration) error {
 	r.restarting.Lock()
 	defer r.restarting.Unlock()
-	r.mu.Lock()
-	p := r.proc
-	r.mu.Unlock()
+	p := r.process()
 	p.signal(syscall.SIGCONT)
 	p.signal(s)
 	<-p.done
@@ -228,10 +237,7 @@
 // stop kills all processes of the run and closes the links.
 func (f *fleet) stop() {
 	for _, r := range f.routers {
-		r.mu.Lock()
-		p := r.proc
-		r.mu.Unlock()
-		if p != nil {
+		if p := r.process(); p != nil {
 			p.signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
 			<-p.done
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,6 +25,7 @@
 	Routers  int
 	Servers  int
 	Callers  int       // Concurrent callers.
+	Pauses   bool      // Servers are paused, or full and send responses twice, beside the other faults.
 	Log      io.Writer // Log of the injected faults and of errors of the run; nil discards it.
 }
 
@@ -80,7 +81,7 @@
 func runCycle(ctx context.Context, f *fleet, c *callers, random *rand.Rand) []string {
 	faultCtx, cancel := context.WithTimeout(ctx, faultTime)
 	defer cancel()
-	injectFaults(faultCtx, f, random)
+	injectAll(faultCtx, f, random)
 	if err := f.awaitReady(); err != nil {
 		return []string{err.Error()}
 	}
@@ -102,6 +103,7 @@
 			problems = append(problems, fmt.Sprintf("%s ran at %s %v after the server began to drain", id, leaving.id, time.UnixMilli(run.Last).Sub(from)))
 		}
 	}
+	leaving.startedAt++ // It comes back as after a restart, since an endpoint does not take its leave back.
 	f.register(leaving, false)
 	return problems
 }
@@ -198,6 +200,9 @@
 	return problems
 }
 
+// statusesNotRun are the statuses that tell a caller that its request did not run and never will.
+var statusesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // check checks one call, which the servers ran runCount times.
 func (c *callRecord) check(runCount int) []string {
 	var problems []string
@@ -207,11 +212,10 @@
 	if c.problem != "" {
 		add("%s", c.problem)
 	}
-	if c.kind == order && runCount > 1 {
+	if !c.kind.repeatable() && runCount > 1 {
 		add("ran %d times", runCount)
 	}
-	claimsNotRun := c.status == http.StatusTooManyRequests || c.status == http.StatusServiceUnavailable
-	if claimsNotRun && !c.sealed && runCount > 0 && c.kind == order {
+	if !c.kind.repeatable() && runCount > 0 && slices.Contains(statusesNotRun, c.status) {
 		add("refused with status %d but ran", c.status)
 	}
 	if c.status == http.StatusOK && runCount == 0 {
