--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -72,6 +72,16 @@
 	return p, nil
 }
 
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // router is one gateway of the run; it remains the same router when its process is restarted.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -175,6 +175,9 @@
 	runCounts := map[string]int{}
 	var problems []string
 	for _, s := range f.servers {
+		if s.proc.ended() {
+			problems = append(problems, fmt.Sprintf("%s has ended: %v", s.id, s.proc.cmd.ProcessState))
+		}
 		runs, err := readRuns(s)
 		if err != nil {
 			problems = append(problems, err.Error())
