--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -67,7 +67,7 @@
 	}
 	if conn == nil {
 		var err error
-		if conn, err = r.f.Connections.Get(now, address, r.usedSince(now)); err != nil {
+		if conn, err = r.f.Connections.Get(now, address, connection.Terms{UsedSince: r.usedSince(now), NewTo: r.req.ID}); err != nil {
 			return nil, err
 		}
 		r.observeConnection(conn)
@@ -86,6 +86,7 @@
 		return nil, errors.Wrap(connection.ErrNotSent, err.Error())
 	}
 	r.stall.begin(now, r.firstStallTimeout(now))
+	conn.Carry(r.req.ID)
 	message := net.Buffers{encodeHead(&r.req.Message, r.req.Codec.AttemptHeaders(&r.req.Message, info), address), r.req.Body}
 	if _, err := message.WriteTo(conn.Conn); err != nil {
 		a.abort()
@@ -110,7 +111,8 @@
 //
 // A reused connection may still deliver answers to earlier requests, which are
 // skipped if their length is known. Otherwise an answer with a different ID is
-// an error, unless it has no ID and states that the request did not run.
+// an error. Only on a new connection, an answer without an ID that states that
+// the request did not run can be to no other one.
 func (a *attempt) readHead(r *Request) error {
 	defer a.conn.LimitReads(-1)
 	for range 1 + maxStaleAnswers {
@@ -127,11 +129,11 @@
 			a.setAnswer(resp, head)
 			return nil
 		}
+		if !a.conn.Reused && head.ID == "" && head.NotRun {
+			a.setAnswer(resp, head)
+			return nil
+		}
 		if !a.conn.Reused || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			if head.ID == "" && head.NotRun {
-				a.setAnswer(resp, head)
-				return nil
-			}
 			return errOtherRequest
 		}
 		a.conn.LimitReads(maxStaleBytes)
