internal/command: a settings change while a router stops, or at its start, ends no process

Cause: watchSettings returned at the SIGTERM, and its deferred signal.Stop gave SIGHUP its default action back, which ends the process while Shutdown still drains. Before watchSettings ran the signal was not caught either. Same class: the chat router never caught SIGHUP. Ruled out: a second SIGTERM or SIGINT (stay caught until the command has returned), SIGUSR1, SIGUSR2 and SIGALRM (ignored by the Go runtime unless asked for). SIGQUIT is left: it prints the goroutines for a person.

Change: main catches SIGHUP before anything else and until the exit; the gateway goes on taking settings over while it drains; the chat router logs `hangup ignored`. Other commands get the default action back, so that they end with their terminal. What is left is the 7 ms in which the runtime initialises its packages (GODEBUG=inittrace=1).

--- a/cmd/foxtaillanding/main.go
+++ b/cmd/foxtaillanding/main.go
@@ -8,5 +8,6 @@
 )
 
 func main() {
-	os.Exit(command.Main(command.Foxtaillanding(os.Stdout, os.Stderr), os.Args))
+	hangup := command.CatchHangup()
+	os.Exit(command.Main(command.Foxtaillanding(os.Stdout, os.Stderr, hangup), os.Args))
 }
--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -22,8 +22,8 @@
 	return 0
 }
 
-// Foxtaillanding returns the command line for the routers, their operators and their callers.
-func Foxtaillanding(out, errOut io.Writer) *cli.Command {
+// Foxtaillanding returns the command line for the routers, their operators and their callers; hangup is from CatchHangup.
+func Foxtaillanding(out, errOut io.Writer, hangup <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:            "foxtaillanding",
 		Usage:           "route requests to model engines and services within prepaid token budgets",
@@ -31,9 +31,10 @@
 		ErrWriter:       errOut,
 		HideHelpCommand: true,
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Before:          releaseHangup,
 		Commands: []*cli.Command{
-			routerCommand(),
-			gatewayCommand(),
+			routerCommand(hangup),
+			gatewayCommand(hangup),
 			devCommand(),
 			checkCommand(),
 			entryCommand(),
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -27,7 +27,7 @@
 {"Time":"2026-12-04T00:00:02.600Z","Event":"billed","Request":"vm-1-7/2"}
 `), 0o600))
 	var out, errOut bytes.Buffer
-	app := Foxtaillanding(&out, &errOut)
+	app := Foxtaillanding(&out, &errOut, nil)
 	require.NoError(t, app.Run(context.Background(), []string{"foxtaillanding", "explain", "r1", first, second}))
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	require.Len(t, lines, 5)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +15,7 @@
 	"github.com/foxtaillanding/foxtaillanding/platform"
 )
 
-func gatewayCommand() *cli.Command {
+func gatewayCommand(hangup <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
 		Usage: "run the gateway of one entry VM on the platform until a signal stops it",
@@ -30,7 +28,7 @@
 			},
 			&cli.BoolFlag{Name: "check", Usage: "validate the settings, print the place of each error, and exit"},
 		},
-		Action: runGateway,
+		Action: func(ctx context.Context, c *cli.Command) error { return runGateway(ctx, c, hangup) },
 	}
 }
 
@@ -42,7 +40,7 @@
 	return gateway.ReadSettings(file, text)
 }
 
-func runGateway(ctx context.Context, c *cli.Command) error {
+func runGateway(ctx context.Context, c *cli.Command, hangup <-chan os.Signal) error {
 	file := c.String("settings")
 	lastModified := modTime(file)
 	settings, err := readGatewaySettings(file)
@@ -65,7 +63,8 @@
 	if err := g.Start(); err != nil {
 		return err
 	}
-	watchSettings(ctx, file, lastModified, g, log)
+	go watchSettings(hangup, file, lastModified, g, log)
+	<-ctx.Done()
 	g.Shutdown(time.Now())
 	return nil
 }
@@ -75,17 +74,12 @@
 const settingsPollInterval = time.Second
 
 // watchSettings reloads the settings on SIGHUP and when the modification time of the file changes from lastModified, until
-// ctx is done. If the new settings cannot be read or are invalid, it logs the error and the old ones stay in force.
-func watchSettings(ctx context.Context, file string, lastModified time.Time, g *gateway.Gateway, log *zap.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// the process exits. If the new settings cannot be read or are invalid, it logs the error and the old ones stay in force.
+func watchSettings(hangup <-chan os.Signal, file string, lastModified time.Time, g *gateway.Gateway, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case <-hangup:
 		case <-ticker.C:
 			if current := modTime(file); current.Equal(lastModified) {
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -37,7 +37,7 @@
 	return settings.ParseTree(file, text)
 }
 
-func routerCommand() *cli.Command {
+func routerCommand(hangup <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "router",
 		Usage: "run the router of one entry VM until a signal stops it",
@@ -47,11 +47,11 @@
 			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on, if it differs from the address of the VM in the settings"},
 			&cli.DurationFlag{Name: "drain", Usage: "maximum `TIME` of a graceful shutdown", Value: 10 * time.Minute},
 		},
-		Action: runRouter,
+		Action: func(ctx context.Context, c *cli.Command) error { return runRouter(ctx, c, hangup) },
 	}
 }
 
-func runRouter(ctx context.Context, c *cli.Command) error {
+func runRouter(ctx context.Context, c *cli.Command, hangup <-chan os.Signal) error {
 	tree, err := readSettings(c)
 	if err != nil {
 		return err
@@ -76,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(hangup, log)
 	if err := r.Start(ctx); err != nil {
 		return err
 	}
@@ -88,6 +89,13 @@
 	return r.Shutdown(shutdownCtx)
 }
 
+// logHangups logs each SIGHUP, which changes nothing: the router follows its settings in the store.
+func logHangups(hangup <-chan os.Signal, log *zap.Logger) {
+	for range hangup {
+		log.Info("hangup ignored")
+	}
+}
+
 // listen opens a listener on address. It returns nil if address is empty; the router then listens on the address of its VM in
 // the settings.
 func listen(address string) (net.Listener, error) {
