internal/gateway: a stopping router admits no stream that may outlast it

Cause: after the first 2.8 s of a shutdown a request was admitted if 1.25 times the longest recent duration of its route ended before the stop. Recent durations do not bound the next stream. Ruled out: a bound from the announced tokens and the pause of the route (a slow endpoint exceeds it), and handing over to a peer (the stream ends with this process).

Change: for streams and for requests that may run once only, the deadline has to fit into what is left; idempotent requests go on by recent durations, since their callers repeat them. The others are refused with 503, not run, and the connection is closed in order.

--- a/internal/gateway/durations.go
+++ b/internal/gateway/durations.go
@@ -47,8 +47,12 @@
 
 // estimate returns how long a request of a route may take, which is at most left.
 //
-// Without a measurement, a stream may take all of it, since the objective of its route covers only the first event.
+// Recent durations do not bound the next one. An idempotent request that outlasts them is repeated by its caller; a stream
+// or a request that may run once only is lost, so that nothing but its deadline counts.
 func (d *durations) estimate(now time.Time, r *route.Route, left time.Duration) time.Duration {
+	if r.Kind != route.Idempotent {
+		return left
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, known := d.peaks[r.Name]
@@ -56,7 +60,7 @@
 	case known:
 		const margin = 1.25
 		return min(left, time.Duration(margin*float64(p.value(now))))
-	case r.Kind == route.Stream || r.Objective <= 0:
+	case r.Objective <= 0:
 		return left
 	}
 	return min(left, r.Objective)
