internal/gateway: bodies of requests are bounded in bytes, before they are read

Cause: admission counted requests, after the HTTP library had read the whole body; the library allocates the announced length of a body or chunk with its head, and its limit was 16 MB whatever the configuration allows. Bodies within maxBodyBytes exceeded the memory of every router. Ruled out: streamed bodies of the library (each idle connection would keep a buffer of 17 KB), counting bytes as they come (the library allocates before), a note on the head (the library empties it before it reports an unread body).

Change: when the head has been read, the announced length of a body above 16 KB is reserved out of a fifth of the memory limit (the configuration's longest body, if it comes in chunks); key, route and length are looked up first. What is refused is answered at once, not run, with Connection: close, and the connection reads on for at most 2 s or 1 MB so that a reset does not take the answer. The memory counts until the answer is written. The same holds for a body that waits for "100 Continue" and for one that another router forwards, whose refusal says that another router may serve it. The limit of the library follows the configuration. A connection that ends within a request is reported as an error.

--- /dev/null
+++ b/internal/command/memory_test.go
@@ -0,0 +1,85 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtaillanding/foxtaillanding/platform/wire"
+)
+
+// residentMegabytes returns the largest resident memory that a process has had.
+func residentMegabytes(t *testing.T, pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err, "the process has ended")
+	_, rest, ok := strings.Cut(string(text), "VmHWM:")
+	require.True(t, ok)
+	kilobytes := 0
+	_, err = fmt.Sscan(rest, &kilobytes)
+	require.NoError(t, err)
+	return kilobytes >> 10
+}
+
+// TestLongBodiesDoNotExceedTheMemoryOfTheVM sends many long bodies slowly to a gateway, each of which the configuration
+// allows, while streams of other callers go on. The process used 210 MB and more of the 134 MB of its VM and was killed.
+func TestLongBodiesDoNotExceedTheMemoryOfTheVM(t *testing.T) {
+	const (
+		vmMegabytes = 134
+		callers     = 60
+		bodyBytes   = 4<<20 - 4<<10
+		pieces      = 40
+		pause       = 50 * time.Millisecond
+	)
+	f := newGatewayFixture(t, "300")
+	text, err := os.ReadFile(f.settings)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(f.settings, fmt.Appendf(text, "[Memory]\nLimitMegabytes = %d\n", vmMegabytes), 0o600))
+	cmd := f.command()
+	ended := f.start(t, cmd)
+	f.awaitReady(t, ended)
+	in := f.openStream(t)
+	before := residentMegabytes(t, cmd.Process.Pid)
+	var sending sync.WaitGroup
+	for range callers {
+		sending.Go(func() { sendSlowly(f.front, bodyBytes, pieces, pause) })
+	}
+	for range pieces {
+		time.Sleep(pause)
+		rest := f.tryStream(t)
+		require.NotNil(t, rest, "a stream of another caller was refused")
+	}
+	_, err = io.ReadAll(in)
+	require.NoError(t, err, "a stream of another caller was cut")
+	sending.Wait()
+	used := residentMegabytes(t, cmd.Process.Pid)
+	t.Logf("%d MB before, %d MB at most", before, used)
+	require.Less(t, used, raceMemoryFactor*vmMegabytes)
+}
+
+// sendSlowly sends a request with a body in pieces, until the gateway closes the connection.
+func sendSlowly(address string, size, pieces int, pause time.Duration) {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := fmt.Sprintf("%s /stream/x HTTP/1.1\r\nHost: h\r\n%s: id-2\r\nContent-Length: %d\r\n\r\n", http.MethodPost, wire.HeaderRequestID, size)
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	piece := strings.Repeat("x", size/pieces)
+	for range pieces {
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"os"
 	"time"
@@ -19,6 +20,7 @@
 
 	log      *zap.Logger
 	timeouts func() timeouts // The ones in force.
+	bodies   *byteBudget
 }
 
 // acceptRetryDelay is the time between two attempts to accept a connection while that fails.
@@ -40,7 +42,7 @@
 	if !ok {
 		return accepted, nil
 	}
-	return &conn{TCPConn: tcp, log: l.log, timeouts: l.timeouts, idle: true, since: time.Now()}, nil
+	return &conn{TCPConn: tcp, log: l.log, timeouts: l.timeouts, bodies: l.bodies, idle: true, since: time.Now()}, nil
 }
 
 // conn is an accepted connection. It limits how long the gateway waits for a request and for each write, and logs which
@@ -56,6 +58,9 @@
 
 	log      *zap.Logger
 	timeouts func() timeouts
+	bodies   *byteBudget
+	reserved int64     // Bytes of bodies for a body whose caller was told to send it.
+	lingers  bool      // When the connection is closed, the caller may still be sending a body.
 	idle     bool      // No byte of the next request has been read.
 	since    time.Time // When the connection became idle or, unless it is, when the first byte of a request was read.
 	request  string    // ID of the request that was last read, as its caller chose it.
@@ -92,9 +97,36 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.endAnswer()
+	c.bodies.release(c.reserved)
+	c.reserved = 0
+	if c.lingers {
+		c.linger()
+	}
 	return c.TCPConn.Close()
 }
 
+// Limits of reading on after the refusal of a request whose body was not read.
+const (
+	lingerTime  = 2 * time.Second
+	lingerBytes = 1 << 20
+)
+
+// lingerOnClose makes the connection of a request read on for a while before it is closed.
+func lingerOnClose(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.lingers = true
+	}
+}
+
+// linger discards what the caller still sends. A connection that is closed with unread bytes is reset, which may take the
+// answer from a caller that has not read it yet.
+func (c *conn) linger() {
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return // The caller has left.
+	}
+	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes) // Ends with an error when the caller closes the connection or lingerTime is over.
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.endAnswer()
@@ -106,6 +138,9 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.readDeadline()) {
 			continue // The timeouts in force have become longer.
 		}
+		if errors.Is(err, io.EOF) && !c.idle {
+			err = io.ErrUnexpectedEOF // The HTTP library reports no other end of a request as an error.
+		}
 		if n > 0 && c.idle {
 			c.idle = false
 			c.since = time.Now()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -6,12 +6,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
-	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -53,11 +51,13 @@
 }
 
 // newServer returns an HTTP server for connections that a listener accepts; they limit their reads and writes themselves.
-func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (g *Gateway) newServer(handler fasthttp.RequestHandler, fromPeer bool) *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                         "foxtaillanding",
-		Handler:                      handler,
-		ErrorHandler:                 g.refuseUnreadable,
+		Handler:                      g.releaseBodies(handler),
+		HeaderReceived:               func(h *fasthttp.RequestHeader) fasthttp.RequestConfig { return g.headReceived(h, fromPeer) },
+		ExpectHandler:                func(ctx *fasthttp.RequestCtx) int { return g.expectContinue(ctx, fromPeer) },
+		ErrorHandler:                 g.refuseUnread,
 		Concurrency:                  maxConcurrent,
 		ReadBufferSize:               headerBufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
@@ -70,18 +70,6 @@
 	}
 }
 
-// refuseUnreadable answers a request that the HTTP library could not parse.
-func (g *Gateway) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	kind := refusal.BadRequest
-	var headerTooLarge *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
-		kind = refusal.TooLarge
-	}
-	g.log.Info("request not read", zap.Stringer("Caller", ctx.RemoteAddr()), zap.Stringer("Kind", kind), logfile.Error(err))
-	g.dialect.Refuse(&ctx.Response, refusal.New(kind, err.Error()))
-	ctx.SetConnectionClose()
-}
-
 // Limits of the memory that requests in flight may use.
 const (
 	bytesPerRequest    = 160 << 10 // For a request with its body, connections and goroutines.
@@ -116,12 +104,16 @@
 func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx, from *hop) {
 	now := time.Now()
 	g.inFlight.Add(1)
+	releaseBody := g.bodies.hold(ctx)
 	overloaded := g.overload.arrived(now, len(ctx.Request.Header.RawHeaders())+len(ctx.Request.Body()))
 	if g.draining() || overloaded {
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, from, overloaded)
-	beginAnswer(ctx, &c.req, func() { g.inFlight.Add(-1) })
+	beginAnswer(ctx, &c.req, func() {
+		releaseBody()
+		g.inFlight.Add(-1)
+	})
 	if refusalErr != nil {
 		g.log.Info("refused", zap.String("Request", c.req.ID), zap.Stringer("Kind", refusalErr.Kind), zap.String("Detail", refusalErr.Detail), zap.Uint64("Version", c.version))
 		g.metrics.requestFinished("", refusalErr.Kind.String(), time.Since(now))
@@ -198,20 +190,8 @@
 		ctx.SetConnectionClose()
 		return c, refusal.New(refusal.BadRequest, problem)
 	}
-	t := g.table.Load()
-	if t == nil {
-		return c, refusal.New(refusal.NotConfigured, "")
-	}
-	c.version = t.Version
-	if from != nil && t.Version < from.Revision {
-		return c, refusal.New(refusal.NotConfigured, "the configuration is older than that of the router that forwarded the request")
-	}
-	head, err := g.dialect.Request(&ctx.Request.Header)
-	c.req.Message = head.Message
-	if err != nil {
-		return c, refusal.New(refusal.BadRequest, err.Error())
-	}
-	if refusalErr := c.resolve(t, &head); refusalErr != nil {
+	t, head, refusalErr := c.readHead(&ctx.Request.Header)
+	if refusalErr != nil {
 		return c, refusalErr
 	}
 	if t.Limits.BodyBytes > 0 && len(ctx.Request.Body()) > t.Limits.BodyBytes {
@@ -227,6 +207,24 @@
 	return c, c.admitDraining(now)
 }
 
+// readHead parses the head of a request and determines its route and terms.
+func (c *callerRequest) readHead(h *fasthttp.RequestHeader) (*route.Table, *RequestHead, *refusal.Error) {
+	t := c.g.table.Load()
+	if t == nil {
+		return nil, nil, refusal.New(refusal.NotConfigured, "")
+	}
+	c.version = t.Version
+	if c.hop != nil && t.Version < c.hop.Revision {
+		return nil, nil, refusal.New(refusal.NotConfigured, "the configuration is older than that of the router that forwarded the request")
+	}
+	head, err := c.g.dialect.Request(h)
+	c.req.Message = head.Message
+	if err != nil {
+		return nil, nil, refusal.New(refusal.BadRequest, err.Error())
+	}
+	return t, &head, c.resolve(t, &head)
+}
+
 // fingerprint returns a hash of a request and its API key, which identifies repetitions of the request.
 func fingerprint(key string, m *request.Message) uint64 {
 	h := xxhash.New()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,8 @@
 	initialGrantsDrawn bool                        // Accessed only in members.tick, which one goroutine calls.
 	sequence           atomic.Uint64               // Number of run IDs issued.
 	inFlight           atomic.Int64
-	maxInFlight        atomic.Int64          // Limit of inFlight.
+	maxInFlight        atomic.Int64 // Limit of inFlight.
+	bodies             bodies
 	grace              atomic.Int64          // Nanoseconds from the stop request until the process is killed.
 	drain              atomic.Pointer[drain] // Nil until a stop is requested.
 	closing            atomic.Bool           // New requests are refused.
@@ -116,6 +117,7 @@
 		return nil, errors.Wrap(err, "creating the worker pool")
 	}
 	g.maxInFlight.Store(inFlightLimit(cfg.Settings.Memory))
+	g.bodies.limit.Store(bodyMemory(cfg.Settings.Memory))
 	g.grace.Store(int64(cfg.Settings.grace()))
 	g.store = &instrumentedStore{Store: cfg.Store}
 	if g.metrics, err = newMetrics(g); err != nil {
@@ -266,7 +268,7 @@
 		name, address string
 		handler       fasthttp.RequestHandler
 	}{
-		{"Peer", g.cfg.Settings.Listen.Peer, g.servePeer},
+		{peerListener, g.cfg.Settings.Listen.Peer, g.servePeer},
 		{"Ready", g.cfg.Settings.Listen.Ready, g.serveReady},
 		{"Directory", g.cfg.Settings.Listen.Directory, g.serveDirectory},
 		{"Metrics", g.cfg.Settings.Listen.Metrics, g.metrics.Handler()},
@@ -286,6 +288,9 @@
 	return nil
 }
 
+// peerListener is the name of the listener for other routers.
+const peerListener = "Peer"
+
 func (g *Gateway) listen(name, address string, handler fasthttp.RequestHandler) error {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -297,7 +302,7 @@
 
 // serve answers the requests on the connections that a listener accepts.
 func (g *Gateway) serve(name string, ln net.Listener, handler fasthttp.RequestHandler) {
-	err := g.newServer(handler).Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts})
+	err := g.newServer(handler, name == peerListener).Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts, bodies: &g.bodies.byteBudget})
 	if err != nil {
 		g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
 	}
