internal/command: the end of the log's reader ends no router

Cause: a write to a pipe on standard output or error whose reader has gone raises SIGPIPE, whose default action in a Go program ends the process, with all requests in flight; a restart of the collector of logs is enough. Found while looking for other signals of the class of the SIGHUP case. Ruled out: connections, whose broken writes return errors.

Change: the router and the gateway ignore SIGPIPE. The lines of the log are lost from then on.

TestLostReaderOfTheLogEndsNoProcess failed before ("the stream was cut after 733 bytes") and passes.

--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -31,7 +31,7 @@
 		ErrWriter:       errOut,
 		HideHelpCommand: true,
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
-		Before:          releaseHangup,
+		Before:          setSignals,
 		Commands: []*cli.Command{
 			routerCommand(hangup),
 			gatewayCommand(hangup),
--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -22,9 +22,14 @@
 // daemons are the commands that serve callers.
 var daemons = []string{"router", "gateway"}
 
-// releaseHangup gives SIGHUP its default action back for a command that is no daemon, so that it ends with its terminal.
-func releaseHangup(ctx context.Context, c *cli.Command) (context.Context, error) {
-	if !slices.Contains(daemons, c.Args().First()) {
+// setSignals sets which signals end a command.
+//
+// A daemon serves on when the reader of its log has gone, so that SIGPIPE must not end it. Any other command ends with its
+// terminal, so that SIGHUP gets its default action back.
+func setSignals(ctx context.Context, c *cli.Command) (context.Context, error) {
+	if slices.Contains(daemons, c.Args().First()) {
+		signal.Ignore(syscall.SIGPIPE)
+	} else {
 		signal.Reset(syscall.SIGHUP)
 	}
 	return ctx, nil
--- a/internal/command/signals_test.go
+++ b/internal/command/signals_test.go
@@ -179,3 +179,25 @@
 	require.Equal(t, http.StatusOK, <-result)
 	require.NoError(t, r.cmd.Wait(), "the router did not stop in order")
 }
+
+// TestLostReaderOfTheLogEndsNoProcess closes the pipe to which a gateway writes its log, as a collector of logs that ends,
+// while a stream is in flight. The next line that was written ended the process with SIGPIPE.
+func TestLostReaderOfTheLogEndsNoProcess(t *testing.T) {
+	const events = 400 // Of 2 s in all.
+	f := newGatewayFixture(t, "400")
+	cmd := f.command()
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	cmd.Stdout, cmd.Stderr = writer, writer
+	ended := f.start(t, cmd)
+	require.NoError(t, writer.Close())
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	f.awaitReady(t, ended)
+	in := f.openStream(t)
+	require.NoError(t, reader.Close())
+	rest, err := io.ReadAll(in)
+	require.NoError(t, err, "the stream was cut after %d bytes", len(rest))
+	require.Equal(t, events, bytes.Count(rest, []byte("data:")))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-ended, "the gateway did not stop in order")
+}
