pkg/endpoint: a retry budget for each service, earned by the requests of its window

What callers saw: nothing; endpoints in trouble got up to four times the retries that they have to bear.

Cause: a router had one bucket of retries for all services. Each finished request of any service earned a share, and any service could spend it, whereas the limit is one of each service. What was earned counted when a request finished, so that long requests earned for a time in which there was little traffic.

Fix: retryLog counts the requests and the retries of each service in a sliding window. A retry is made only if the retries of the window, those decided on and not sent included, stay within the share of the window's requests and this router's part of the reserve. A window has no capacity and refill beside each other, so that the part need not be halved: a burst may use all of it. Settings that lower the limits apply to the retries of the window that have been made, as nothing is saved up.

Tests that changed: move_test.go and silence_test.go read or set the number of retries left, which is no field any more; they read RetryBudget, and set only the policy that they set beside it.

--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -75,8 +75,7 @@
 	var actions []Action
 	for _, j := range slices.Clone(p.queue.waiting) {
 		if p.blocked(now, &j.Request) {
-			p.queue.remove(j)
-			delete(p.jobs, j.ID)
+			p.remove(j)
 			actions = append(actions, j.refuse(refusal.Suspect, 0))
 		}
 	}
@@ -102,6 +101,7 @@
 // startAttempt records the start of an attempt of a job at an endpoint, which counts it as running already.
 func (p *Pool) startAttempt(now time.Time, j *job, b *backend) {
 	p.queue.charge(j)
+	p.sendRetry(now, j)
 	j.attempts++
 	j.suspect = p.suspects.deaths(now, j.Fingerprint) > 0
 	j.target = b
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -88,14 +88,14 @@
 		return MoveDenied{id, AttemptsExhausted}
 	case p.blocked(now, &j.Request):
 		return MoveDenied{id, SuspectBlocked}
-	case p.retries < 1:
+	case p.RetryBudget(now, j.Service).Exhausted():
 		return MoveDenied{id, RetryBudgetEmpty}
 	}
 	b := p.chooseOther(now, j)
 	if b == nil {
 		return MoveDenied{id, NoPlace}
 	}
-	p.retries--
+	p.decideRetry(j)
 	j.placeLimited = b.occupy(now, j)
 	j.place = b
 	return Reserved{Send{ID: id, Endpoint: b.Name, Version: b.Version, Attempt: j.attempts + 1}}
@@ -147,5 +147,5 @@
 		j.place.limit.giveBack(now)
 	}
 	j.place = nil
-	p.retries = min(p.retryLimit(), p.retries+1)
+	p.giveRetryBack(j)
 }
--- a/pkg/endpoint/move_test.go
+++ b/pkg/endpoint/move_test.go
@@ -62,10 +62,10 @@
 			tc.change(&r)
 			p := moving(t, tc.policy, r)
 			tc.prepare(p)
-			before, retries := running(p), p.retries
+			before, retries := running(p), p.RetryBudget(start, "m")
 			require.Equal(t, []Action{MoveDenied{"1", tc.denial}}, p.Handle(start, MoveRequested{"1"}))
 			require.Equal(t, before, running(p))
-			require.Equal(t, retries, p.retries)
+			require.Equal(t, retries, p.RetryBudget(start, "m"))
 		})
 	}
 }
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -13,10 +13,10 @@
 	LoadWeight        float64       // Penalty in seconds of a fully loaded endpoint over an idle one.
 	FailureWeight     float64       // Penalty in seconds of an endpoint whose attempts all fail over one without failures.
 	MaxAttempts       int           // Maximum number of attempts of one request, not counting rejected ones.
-	RetryRatio        float64       // Retries added to the budget by each finished request.
-	RetryReserve      float64       // Maximum retry budget of this router, if FleetRetryReserve is zero.
-	FleetRetryReserve float64       // Retries beyond RetryRatio that all routers together may make within RetryWindow, shared equally. Zero means that RetryReserve applies instead.
-	RetryWindow       time.Duration // Period to which FleetRetryReserve applies.
+	RetryRatio        float64       // Retries that each request earns within RetryWindow, for its service.
+	RetryReserve      float64       // Retries for each service beyond RetryRatio that this router may make within RetryWindow, if FleetRetryReserve is zero.
+	FleetRetryReserve float64       // Retries for each service beyond RetryRatio that all routers together may make within RetryWindow, shared equally. Zero means that RetryReserve applies instead.
+	RetryWindow       time.Duration // Period to which RetryRatio and the reserves apply; any span of that length counts.
 	BaseEjectionTime  time.Duration // Ejection time after a rejected attempt and after the first death or silence; doubles with each further one.
 	MaxEjectionTime   time.Duration // Limit of the ejection time.
 	SuspicionTTL      time.Duration // How long a request remains a suspect.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -15,21 +15,20 @@
 type Pool struct {
 	Policy Policy
 
-	backends          map[string]*backend
-	started           bool     // Whether there have been endpoints; those that are added later have just started.
-	names             []string // Keys of backends, sorted, so that decisions do not depend on map order.
-	jobs              map[string]*job
-	queue             queue
-	suspects          suspects  // Requests.
-	parts             suspects  // Parts of prompts.
-	retries           float64   // Retry budget: the number of retries that may be made now.
-	retriesRefilledAt time.Time // Last time-based refill of retries.
-	peers             int       // Number of other routers that send to the same endpoints.
-	maxPeers          int       // Highest value of peers so far; a router that this one has lost contact with may still send.
-	self              string    // Name of this router; empty if the routers are not listed.
-	routers           []string  // Names of all routers that may send to the same endpoints.
-	pathLost          bool
-	random            *rand.Rand
+	backends map[string]*backend
+	started  bool     // Whether there have been endpoints; those that are added later have just started.
+	names    []string // Keys of backends, sorted, so that decisions do not depend on map order.
+	jobs     map[string]*job
+	queue    queue
+	suspects suspects             // Requests.
+	parts    suspects             // Parts of prompts.
+	retries  map[string]*retryLog // By model or service.
+	peers    int                  // Number of other routers that send to the same endpoints.
+	maxPeers int                  // Highest value of peers so far; a router that this one has lost contact with may still send.
+	self     string               // Name of this router; empty if the routers are not listed.
+	routers  []string             // Names of all routers that may send to the same endpoints.
+	pathLost bool
+	random   *rand.Rand
 }
 
 // View is the state of one endpoint in a Pool.
@@ -63,12 +62,11 @@
 	case RoutersCounted:
 		p.peers = max(0, ev.Routers-1)
 		p.maxPeers = max(p.maxPeers, p.peers)
-		p.retries = min(p.retries, p.retryLimit())
 		return nil
 	case Tick:
 		p.suspects.expire(now)
 		p.parts.expire(now)
-		p.refillRetries(now)
+		p.expireRetries(now)
 		return slices.Concat(p.expireBrittle(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
@@ -95,7 +93,6 @@
 	case RetryBudgetChanged:
 		p.Policy.RetryRatio = ev.RetryRatio
 		p.Policy.FleetRetryReserve = ev.FleetRetryReserve
-		p.retries = min(p.retries, p.retryLimit())
 		return nil
 	case SuspectCleared:
 		p.suspectsOf(ev.Part).clear(ev.Fingerprint)
@@ -188,10 +185,7 @@
 	p.parts.limit = maxKnownGoodParts
 	p.backends = map[string]*backend{}
 	p.jobs = map[string]*job{}
-	p.retries = p.Policy.RetryReserve
-	if p.Policy.FleetRetryReserve > 0 {
-		p.retries = 1 // This router's share is unknown until the other routers are counted.
-	}
+	p.retries = map[string]*retryLog{}
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
 }
 
@@ -227,6 +221,7 @@
 		return []Action{j.refuse(refusal.Overloaded, p.returnAfter(now, until))}
 	}
 	p.jobs[r.ID] = j
+	p.retriesOf(r.Service).requests.add(now)
 	p.queue.add(j)
 	return append(p.dispatch(now), p.shedNew(now, r.ID)...)
 }
@@ -267,14 +262,14 @@
 	kind, refused := p.unservable(now, j)
 	switch {
 	case refused:
-	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy, j.runs), p.retries < 1:
+	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy, j.runs), p.RetryBudget(now, j.Service).Exhausted():
 		kind = refusal.NoEndpoint
 	default:
-		p.retries--
+		p.decideRetry(j)
 		p.queue.add(j)
 		return append(p.dispatch(now), p.shedNew(now, id)...)
 	}
-	delete(p.jobs, id)
+	p.remove(j)
 	return []Action{j.refuse(kind, 0)}
 }
 
@@ -332,7 +327,7 @@
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
-		delete(p.jobs, j.ID)
+		p.remove(j)
 	}
 	return append(actions, p.dispatch(now)...)
 }
@@ -347,12 +342,11 @@
 	} else {
 		b.measureOutput(now.Sub(j.firstTokenAt).Seconds(), tokens)
 	}
-	p.retries = min(p.retryLimit(), p.retries+p.Policy.RetryRatio)
 	p.suspects.clear(j.Fingerprint)
 	if tokens > 0 {
 		p.clearParts(&j.Request)
 	}
-	delete(p.jobs, j.ID)
+	p.remove(j)
 }
 
 func (p *Pool) withdraw(now time.Time, id string) {
@@ -365,8 +359,14 @@
 		delete(j.target.running, id)
 		j.target.recordChange(now, -1)
 	}
+	p.remove(j)
+}
+
+// remove removes a job that is not in flight.
+func (p *Pool) remove(j *job) {
 	p.queue.remove(j)
-	delete(p.jobs, id)
+	p.giveRetryBack(j)
+	delete(p.jobs, j.ID)
 }
 
 func (p *Pool) updateLoad(now time.Time, ev LoadReported) {
--- a/pkg/endpoint/rest.go
+++ b/pkg/endpoint/rest.go
@@ -64,8 +64,7 @@
 		if !resting || j.mayHaveRun && until.Before(j.deadline()) {
 			continue
 		}
-		p.queue.remove(j)
-		delete(p.jobs, j.ID)
+		p.remove(j)
 		actions = append(actions, j.refuse(refusal.Overloaded, p.returnAfter(now, until)))
 	}
 	return actions
--- a/pkg/endpoint/retry.go
+++ b/pkg/endpoint/retry.go
@@ -2,26 +2,130 @@
 
 import "time"
 
-// retryLimit returns the maximum of this router's retry budget.
+// retryLog counts the requests for one service and their retries, as far as this router sends them.
 //
-// Half of the router's share of FleetRetryReserve is the budget's capacity, and
-// the same amount is refilled over each RetryWindow. Within one window, a router
-// thus spends at most its share, besides what RetryRatio adds.
-func (p *Pool) retryLimit() float64 {
+// All routers together must not retry more than a share of the requests that
+// came within RetryWindow, and FleetRetryReserve beyond that, in any such
+// window. So that they need not agree, each of them keeps to the share of its
+// own requests and to an equal part of the reserve.
+type retryLog struct {
+	requests counts
+	sent     counts // Retries.
+	decided  int    // Retries that are decided on and not sent yet.
+}
+
+// RetryBudget is what a router may retry for a service, and how much of that is in use.
+type RetryBudget struct {
+	Allowed float64 // Retries in the current window.
+	Sent    int     // Of them, those that were sent.
+	Decided int     // Those that are decided on and not sent yet.
+}
+
+// Exhausted reports whether one more retry would exceed the budget.
+func (b RetryBudget) Exhausted() bool { return float64(b.Sent+b.Decided+1) > b.Allowed }
+
+// RetryBudget returns the state of the retry budget for a model or service.
+func (p *Pool) RetryBudget(now time.Time, service string) RetryBudget {
+	p.init()
+	out := RetryBudget{Allowed: p.retryReserve()}
+	if l, ok := p.retries[service]; ok {
+		since := now.Add(-p.Policy.RetryWindow)
+		out.Allowed += p.Policy.RetryRatio * float64(l.requests.since(since))
+		out.Sent = l.sent.since(since.Add(-countResolution))
+		out.Decided = l.decided
+	}
+	return out
+}
+
+// retryReserve returns the retries that this router may send for each service within RetryWindow besides those that requests earn.
+func (p *Pool) retryReserve() float64 {
 	if p.Policy.FleetRetryReserve <= 0 {
 		return p.Policy.RetryReserve
 	}
-	const halves = 2 // Capacity and refill.
-	return p.Policy.FleetRetryReserve / halves / float64(p.maxPeers+1)
+	return p.Policy.FleetRetryReserve / float64(p.maxPeers+1)
 }
 
-// refillRetries refills the retry budget for the time since the last call.
-func (p *Pool) refillRetries(now time.Time) {
-	elapsed := now.Sub(p.retriesRefilledAt)
-	first := p.retriesRefilledAt.IsZero()
-	p.retriesRefilledAt = now
-	if first || elapsed <= 0 || p.Policy.FleetRetryReserve <= 0 {
+// retriesOf returns the log of a service.
+func (p *Pool) retriesOf(service string) *retryLog {
+	l, ok := p.retries[service]
+	if !ok {
+		l = &retryLog{}
+		p.retries[service] = l
+	}
+	return l
+}
+
+// expireRetries drops what no window contains any more.
+func (p *Pool) expireRetries(now time.Time) {
+	since := now.Add(-p.Policy.RetryWindow - countResolution)
+	for service, l := range p.retries {
+		l.requests.dropBefore(since)
+		l.sent.dropBefore(since)
+		if l.decided == 0 && len(l.requests) == 0 && len(l.sent) == 0 {
+			delete(p.retries, service)
+		}
+	}
+}
+
+// decideRetry takes a retry of a job out of the budget, which is sent or given back later.
+func (p *Pool) decideRetry(j *job) {
+	j.retryDecided = true
+	p.retriesOf(j.Service).decided++
+}
+
+// sendRetry records that the retry that was decided on, if any, is sent.
+func (p *Pool) sendRetry(now time.Time, j *job) {
+	if !j.retryDecided {
 		return
 	}
-	p.retries = min(p.retryLimit(), p.retries+p.retryLimit()*elapsed.Seconds()/p.Policy.RetryWindow.Seconds())
+	j.retryDecided = false
+	l := p.retriesOf(j.Service)
+	l.decided--
+	l.sent.add(now)
+}
+
+// giveRetryBack gives the retry back that was decided on and is not sent, if any.
+func (p *Pool) giveRetryBack(j *job) {
+	if j.retryDecided {
+		j.retryDecided = false
+		p.retriesOf(j.Service).decided--
+	}
+}
+
+// countResolution is the time within which events are counted together.
+const countResolution = 100 * time.Millisecond
+
+// counts holds numbers of events by time, oldest first.
+type counts []count
+
+// count is a number of events within countResolution of a time.
+type count struct {
+	from time.Time
+	n    int
+}
+
+func (c *counts) add(now time.Time) {
+	if last := len(*c) - 1; last >= 0 && now.Sub((*c)[last].from) < countResolution {
+		(*c)[last].n++
+		return
+	}
+	*c = append(*c, count{now, 1})
+}
+
+// since returns the number of events since a time, without those that were counted together with an earlier one.
+func (c counts) since(t time.Time) int {
+	n := 0
+	for i := len(c) - 1; i >= 0 && !c[i].from.Before(t); i-- {
+		n += c[i].n
+	}
+	return n
+}
+
+// dropBefore drops the events before a time.
+func (c *counts) dropBefore(t time.Time) {
+	old := 0
+	for old < len(*c) && (*c)[old].from.Before(t) {
+		old++
+	}
+	*c = (*c)[old:]
 }
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -59,8 +59,7 @@
 	if !now.Add(wait + t.afterRoom(j)).After(j.deadline()) {
 		return nil, false
 	}
-	p.queue.remove(j)
-	delete(p.jobs, j.ID)
+	p.remove(j)
 	kind, unservable := p.unservable(now, j)
 	if !unservable {
 		kind = refusal.DeadlineUnreachable
--- a/pkg/endpoint/silence_test.go
+++ b/pkg/endpoint/silence_test.go
@@ -124,7 +124,6 @@
 func TestSilentEndpointIsAvoidedWhileItsRequestStays(t *testing.T) {
 	p := fleetOf(2)
 	p.Policy.RetryReserve = 0.5
-	p.retries = 0.5
 	id := occupy(t, p, start, "a")
 	require.Equal(t, []Action{MoveDenied{id, RetryBudgetEmpty}}, p.Handle(start, MoveRequested{id}))
 	require.Zero(t, sendMany(p, start, 6)["a"])
