pkg/endpoint: a retry counts until its request can no longer arrive twice

What callers saw: nothing. An endpoint that stands still reads all that was sent to it when it goes on, also from connections that the router has closed. These requests have arrived elsewhere by then.

Cause: a retry was counted when it was sent. The arrivals of a whole silence came in one window, beside those of the retries that the router sent in that window.

Fix: arrivals tracks, for each request, whether an attempt has arrived and how many may still. All that may be an arrival beyond the first counts in each window until it is known to have come, and then for the window that begins there. An attempt is known to have arrived when its own answer begins or its connection breaks, or when its endpoint answers another one later (the new event Answered). What an endpoint says may have been under way when the attempt was sent, hence minAnswerDelay. An endpoint that has said nothing for 10 s may never go on; its attempts are taken to arrive then, so that one that is lost does not block the retries of its callers for good.

--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -14,6 +14,7 @@
 	if r.direct || a.head.Misdirected {
 		return
 	}
+	r.f.Endpoints.Handle(now, endpoint.Answered{ID: r.req.RunID})
 	r.f.Endpoints.Handle(now, endpoint.LimitReported{Endpoint: name, Rate: a.head.Limit, At: now})
 	r.f.Endpoints.Handle(now, endpoint.BrittleReported{Endpoint: name, Tolerated: a.head.Brittle, At: now})
 	if a.head.NoRoom {
--- /dev/null
+++ b/pkg/endpoint/arrival.go
@@ -0,0 +1,121 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of the arrival of attempts.
+const (
+	// minAnswerDelay is the age from which on an attempt is taken to have arrived when its endpoint answers another one. What
+	// an endpoint says may have been on its way when the attempt was sent.
+	minAnswerDelay = 100 * time.Millisecond
+
+	// arrivalSpread is the time within which an endpoint that goes on after a silence reads all that was sent to it meanwhile.
+	arrivalSpread = 500 * time.Millisecond
+
+	// maxArrivalDelay is the age from which on an attempt is taken to have arrived, though its endpoint said nothing. It may
+	// just have gone on, or never will.
+	maxArrivalDelay = 10 * time.Second
+)
+
+// Answered reports that the answer to an attempt has begun, whatever it says.
+type Answered struct{ ID string }
+
+func (Answered) isEvent() {}
+
+// arrivals says which attempts of a request may still arrive at endpoints.
+//
+// An endpoint that stands still reads an attempt when it goes on, even if its
+// connection was closed meanwhile. The other attempts of the request may have
+// arrived elsewhere by then, so that this one is the arrival beyond the first.
+type arrivals struct {
+	service string
+	arrived bool // An attempt has arrived.
+	open    int  // Attempts that may still arrive, a retry included that is decided on and not sent yet.
+}
+
+// pending returns how many arrivals beyond the first may still come.
+func (a *arrivals) pending() int {
+	if a.arrived {
+		return a.open
+	}
+	return max(0, a.open-1)
+}
+
+// sentAttempt is an attempt that was sent.
+type sentAttempt struct {
+	request *arrivals
+	at      time.Time
+	settled bool // It has arrived, or is taken to have.
+}
+
+// setArrivals replaces what is known of the attempts of a request.
+func (p *Pool) setArrivals(a *arrivals, arrived bool, open int) {
+	l := p.retriesOf(a.service)
+	l.pending -= a.pending()
+	a.arrived = arrived
+	a.open = open
+	l.pending += a.pending()
+}
+
+// recordSent records that an attempt of a job is sent to an endpoint.
+func (p *Pool) recordSent(now time.Time, j *job, endpoint string) {
+	if !j.retryDecided {
+		p.setArrivals(&j.arrivals, j.arrivals.arrived, j.arrivals.open+1)
+	}
+	j.retryDecided = false
+	j.sent = &sentAttempt{request: &j.arrivals, at: now}
+	p.unconfirmed[endpoint] = append(p.unconfirmed[endpoint], j.sent)
+}
+
+// confirm records that an attempt has arrived.
+func (p *Pool) confirm(now time.Time, x *sentAttempt) {
+	if x.settled {
+		return
+	}
+	x.settled = true
+	if x.request.arrived {
+		p.retriesOf(x.request.service).arrived.add(now)
+	}
+	p.setArrivals(x.request, true, x.request.open-1)
+}
+
+// hear confirms the attempts that an endpoint must have read, since it says something now.
+func (p *Pool) hear(now time.Time, endpoint string) {
+	for _, x := range p.unconfirmed[endpoint] {
+		if now.Sub(x.at) >= minAnswerDelay {
+			p.confirm(now, x)
+		}
+	}
+	p.dropSettled(endpoint)
+}
+
+// confirmOld confirms the attempts at endpoints that have said nothing for long.
+func (p *Pool) confirmOld(now time.Time) {
+	for endpoint, sent := range p.unconfirmed {
+		for _, x := range sent {
+			if now.Sub(x.at) >= maxArrivalDelay {
+				p.confirm(now, x)
+			}
+		}
+		p.dropSettled(endpoint)
+	}
+}
+
+func (p *Pool) dropSettled(endpoint string) {
+	left := slices.DeleteFunc(p.unconfirmed[endpoint], func(x *sentAttempt) bool { return x.settled })
+	if len(left) == 0 {
+		delete(p.unconfirmed, endpoint)
+		return
+	}
+	p.unconfirmed[endpoint] = left
+}
+
+// recordAnswer records that the answer to the attempt of a job has begun.
+func (p *Pool) recordAnswer(now time.Time, id string) {
+	if j, ok := p.jobs[id]; ok && j.target != nil {
+		p.confirm(now, j.sent)
+		p.hear(now, j.target.Name)
+	}
+}
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -101,7 +101,7 @@
 // startAttempt records the start of an attempt of a job at an endpoint, which counts it as running already.
 func (p *Pool) startAttempt(now time.Time, j *job, b *backend) {
 	p.queue.charge(j)
-	p.sendRetry(now, j)
+	p.recordSent(now, j, b.Name)
 	j.attempts++
 	j.suspect = p.suspects.deaths(now, j.Fingerprint) > 0
 	j.target = b
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -15,20 +15,21 @@
 type Pool struct {
 	Policy Policy
 
-	backends map[string]*backend
-	started  bool     // Whether there have been endpoints; those that are added later have just started.
-	names    []string // Keys of backends, sorted, so that decisions do not depend on map order.
-	jobs     map[string]*job
-	queue    queue
-	suspects suspects             // Requests.
-	parts    suspects             // Parts of prompts.
-	retries  map[string]*retryLog // By model or service.
-	peers    int                  // Number of other routers that send to the same endpoints.
-	maxPeers int                  // Highest value of peers so far; a router that this one has lost contact with may still send.
-	self     string               // Name of this router; empty if the routers are not listed.
-	routers  []string             // Names of all routers that may send to the same endpoints.
-	pathLost bool
-	random   *rand.Rand
+	backends    map[string]*backend
+	started     bool     // Whether there have been endpoints; those that are added later have just started.
+	names       []string // Keys of backends, sorted, so that decisions do not depend on map order.
+	jobs        map[string]*job
+	queue       queue
+	suspects    suspects                  // Requests.
+	parts       suspects                  // Parts of prompts.
+	retries     map[string]*retryLog      // By model or service.
+	unconfirmed map[string][]*sentAttempt // Attempts that may still arrive, by endpoint, also if it is not configured any more.
+	peers       int                       // Number of other routers that send to the same endpoints.
+	maxPeers    int                       // Highest value of peers so far; a router that this one has lost contact with may still send.
+	self        string                    // Name of this router; empty if the routers are not listed.
+	routers     []string                  // Names of all routers that may send to the same endpoints.
+	pathLost    bool
+	random      *rand.Rand
 }
 
 // View is the state of one endpoint in a Pool.
@@ -66,6 +67,7 @@
 	case Tick:
 		p.suspects.expire(now)
 		p.parts.expire(now)
+		p.confirmOld(now)
 		p.expireRetries(now)
 		return slices.Concat(p.expireBrittle(now), p.dispatch(now), p.shed(now))
 	default:
@@ -115,6 +117,9 @@
 		return p.updateLimit(now, ev)
 	case BrittleReported:
 		return p.updateBrittle(now, ev)
+	case Answered:
+		p.recordAnswer(now, ev.ID)
+		return nil
 	case CapacityRejected:
 		p.recordRejection(now, ev.Endpoint)
 		return nil
@@ -186,6 +191,7 @@
 	p.backends = map[string]*backend{}
 	p.jobs = map[string]*job{}
 	p.retries = map[string]*retryLog{}
+	p.unconfirmed = map[string][]*sentAttempt{}
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
 }
 
@@ -213,7 +219,7 @@
 	if _, ok := p.jobs[r.ID]; ok {
 		return nil
 	}
-	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts)}
+	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts), arrivals: arrivals{service: r.Service}}
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
@@ -278,6 +284,7 @@
 	if !ok || j.target == nil || !j.firstTokenAt.IsZero() {
 		return nil
 	}
+	p.recordAnswer(now, id)
 	j.firstTokenAt = now
 	j.begun = true
 	j.bindVersion()
@@ -307,6 +314,10 @@
 		j.mayHaveRun = true
 		j.runs++
 	}
+	switch ev.Outcome {
+	case Finished, Incomplete, Rejected, Died:
+		p.confirm(now, j.sent)
+	}
 	var actions []Action
 	switch ev.Outcome {
 	case Finished:
@@ -333,6 +344,7 @@
 }
 
 func (p *Pool) finishRequest(now time.Time, j *job, b *backend, tokens int64) {
+	p.hear(now, b.Name)
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
 	p.forgetHealth(b)
--- a/pkg/endpoint/queue.go
+++ b/pkg/endpoint/queue.go
@@ -18,10 +18,12 @@
 	runs         int      // Attempts that may have run.
 	suspect      bool     // Whether the request was a suspect at its last send.
 	mayHaveRun   bool     // Whether any attempt may have run.
-	retryDecided bool     // Whether a retry is decided on that is not sent yet; see retryLog.
-	target       *backend // Endpoint of the attempt in flight; nil if there is none.
-	placeLimited bool     // Whether place took a request out of the endpoint's limit.
-	place        *backend // Endpoint at which a place is reserved for the next attempt; nil if there is none. See MoveRequested.
+	retryDecided bool     // Whether a retry is decided on that is not sent yet.
+	arrivals     arrivals
+	sent         *sentAttempt // The last attempt; nil if there was none.
+	target       *backend     // Endpoint of the attempt in flight; nil if there is none.
+	placeLimited bool         // Whether place took a request out of the endpoint's limit.
+	place        *backend     // Endpoint at which a place is reserved for the next attempt; nil if there is none. See MoveRequested.
 	sentAt       time.Time
 	sentVersion  string    // Software version of target when the attempt was sent.
 	firstTokenAt time.Time // Time of the first token of the last attempt; zero before it.
--- a/pkg/endpoint/retry.go
+++ b/pkg/endpoint/retry.go
@@ -4,25 +4,27 @@
 
 // retryLog counts the requests for one service and their retries, as far as this router sends them.
 //
-// All routers together must not retry more than a share of the requests that
-// came within RetryWindow, and FleetRetryReserve beyond that, in any such
-// window. So that they need not agree, each of them keeps to the share of its
-// own requests and to an equal part of the reserve.
+// All routers together must not cause more arrivals beyond the first of each
+// request than a share of the requests that came within RetryWindow, and
+// FleetRetryReserve beyond that, in any such window. So that they need not
+// agree, each of them keeps to the share of its own requests and to an equal
+// part of the reserve. An arrival that may still come counts in each window
+// until it is known to have come.
 type retryLog struct {
 	requests counts
-	sent     counts // Retries.
-	decided  int    // Retries that are decided on and not sent yet.
+	arrived  counts // Arrivals beyond the first of each request.
+	pending  int    // Such arrivals that may still come; see arrivals.
 }
 
 // RetryBudget is what a router may retry for a service, and how much of that is in use.
 type RetryBudget struct {
 	Allowed float64 // Retries in the current window.
-	Sent    int     // Of them, those that were sent.
-	Decided int     // Those that are decided on and not sent yet.
+	Arrived int     // Of them, those that have arrived.
+	Pending int     // Those that may still arrive.
 }
 
 // Exhausted reports whether one more retry would exceed the budget.
-func (b RetryBudget) Exhausted() bool { return float64(b.Sent+b.Decided+1) > b.Allowed }
+func (b RetryBudget) Exhausted() bool { return float64(b.Arrived+b.Pending+1) > b.Allowed }
 
 // RetryBudget returns the state of the retry budget for a model or service.
 func (p *Pool) RetryBudget(now time.Time, service string) RetryBudget {
@@ -31,8 +33,8 @@
 	if l, ok := p.retries[service]; ok {
 		since := now.Add(-p.Policy.RetryWindow)
 		out.Allowed += p.Policy.RetryRatio * float64(l.requests.since(since))
-		out.Sent = l.sent.since(since.Add(-countResolution))
-		out.Decided = l.decided
+		out.Arrived = l.arrived.since(since.Add(-arrivalSpread - countResolution))
+		out.Pending = l.pending
 	}
 	return out
 }
@@ -57,11 +59,11 @@
 
 // expireRetries drops what no window contains any more.
 func (p *Pool) expireRetries(now time.Time) {
-	since := now.Add(-p.Policy.RetryWindow - countResolution)
+	since := now.Add(-p.Policy.RetryWindow - arrivalSpread - countResolution)
 	for service, l := range p.retries {
 		l.requests.dropBefore(since)
-		l.sent.dropBefore(since)
-		if l.decided == 0 && len(l.requests) == 0 && len(l.sent) == 0 {
+		l.arrived.dropBefore(since)
+		if l.pending == 0 && len(l.requests) == 0 && len(l.arrived) == 0 {
 			delete(p.retries, service)
 		}
 	}
@@ -70,25 +72,14 @@
 // decideRetry takes a retry of a job out of the budget, which is sent or given back later.
 func (p *Pool) decideRetry(j *job) {
 	j.retryDecided = true
-	p.retriesOf(j.Service).decided++
-}
-
-// sendRetry records that the retry that was decided on, if any, is sent.
-func (p *Pool) sendRetry(now time.Time, j *job) {
-	if !j.retryDecided {
-		return
-	}
-	j.retryDecided = false
-	l := p.retriesOf(j.Service)
-	l.decided--
-	l.sent.add(now)
+	p.setArrivals(&j.arrivals, j.arrivals.arrived, j.arrivals.open+1)
 }
 
 // giveRetryBack gives the retry back that was decided on and is not sent, if any.
 func (p *Pool) giveRetryBack(j *job) {
 	if j.retryDecided {
 		j.retryDecided = false
-		p.retriesOf(j.Service).decided--
+		p.setArrivals(&j.arrivals, j.arrivals.arrived, j.arrivals.open-1)
 	}
 }
 
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -141,6 +141,11 @@
 	f.now = end
 }
 
+// pause stops an endpoint for a time.
+func (f *retryFleet) pause(name string, d time.Duration) {
+	f.endpoints[name].pausedUntil = f.now.Add(d)
+}
+
 // start begins a new process with an empty pool; the requests of the one before are lost.
 func (r *modelRouter) start() {
 	f := r.fleet
@@ -280,6 +285,7 @@
 	if !x.current(attempt) {
 		return
 	}
+	x.handle(Answered{x.id})
 	if fails {
 		x.handle(Ended{ID: x.id, Outcome: Incomplete})
 		x.handle(Retried{x.id})
@@ -358,3 +364,16 @@
 	f.run(20 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
+
+// TestRetriesOfALongSilenceArriveTogether pauses most endpoints of a service, which then read all that was sent to them.
+func TestRetriesOfALongSilenceArriveTogether(t *testing.T) {
+	f := newRetryFleet(1, 6)
+	f.rate["m"] = 10
+	f.run(20 * time.Second)
+	for i := range 8 {
+		f.pause(fmt.Sprint("m", i), 12*time.Second)
+	}
+	f.failing["m"] = 0.2
+	f.run(27 * time.Second)
+	f.requireRetriesWithinLimits(t)
+}
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -64,7 +64,11 @@
 
 func (p *Pool) recordResponded(now time.Time, id string) []Action {
 	j, ok := p.jobs[id]
-	if !ok || j.target == nil || !j.target.silent() {
+	if !ok || j.target == nil {
+		return nil
+	}
+	p.hear(now, j.target.Name)
+	if !j.target.silent() {
 		return nil
 	}
 	j.target.endSilence()
