pkg/endpoint: a started router spends no part of the retry reserve that its predecessor may have spent

TestRoutersThatWereNeverReachedShareTheRetryBudget and TestRoutersThatWereNeverReachedAreExpected do not compile before.

What callers saw: nothing.

Cause: the budget is in memory. A router that starts had a full one again, whatever the process before it at its place had spent in the same window. Until its peers had answered it took the whole reserve for its own, and kept to that if it never reached them.

Fix: in the first window of a process the part of the reserve is zero; what its requests earn can be spent at once, as the other routers earn nothing from them. The reserve is divided by the number of routers that may be running, those in the list of VMs included that were never reached (RoutersExpected). The highest number of peers seen still counts, so that routers that leave and return, or are cut off, have their part all the while.

Attempts are taken to have arrived after 10 s; longer silences of whole services are not covered.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -98,9 +98,17 @@
 	}
 	m.Budgets.Handle(now, changed)
 	m.Endpoints.Handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
+	m.Endpoints.Handle(now, endpoint.RoutersExpected{Routers: m.mayRun()})
 	m.Endpoints.Handle(now, endpoint.RoutersListed{Self: m.Self().VM, Routers: m.senders()})
 }
 
+// mayRun returns the number of routers that may be running, this one included.
+func (m *Members) mayRun() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.MayRun()
+}
+
 // senders returns the VMs whose routers may send requests to endpoints, this one included.
 func (m *Members) senders() []string {
 	m.mu.Lock()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -16,12 +16,18 @@
 
 func (b *recordedBudgets) Handle(_ time.Time, ev budget.Event) { b.last = ev }
 
-// recordedEndpoints keeps the last list of routers.
-type recordedEndpoints struct{ listed endpoint.RoutersListed }
+// recordedEndpoints keeps the last list and the last number of routers.
+type recordedEndpoints struct {
+	listed   endpoint.RoutersListed
+	expected endpoint.RoutersExpected
+}
 
 func (e *recordedEndpoints) Handle(_ time.Time, ev endpoint.Event) {
-	if listed, ok := ev.(endpoint.RoutersListed); ok {
-		e.listed = listed
+	switch ev := ev.(type) {
+	case endpoint.RoutersListed:
+		e.listed = ev
+	case endpoint.RoutersExpected:
+		e.expected = ev
 	}
 }
 
@@ -51,3 +57,17 @@
 	require.Equal(t, []string{"far.1"}, changed.Witnesses)
 	require.Equal(t, []string{"beside", "far", "self", "silent", "stopping"}, endpoints.listed.Routers, "all that may still send")
 }
+
+// TestRoutersThatWereNeverReachedAreExpected starts a router whose probes fail: the others share the retry budget all the same.
+func TestRoutersThatWereNeverReachedAreExpected(t *testing.T) {
+	endpoints := &recordedEndpoints{}
+	m := &Members{Budgets: &recordedBudgets{}, Endpoints: endpoints, Background: func(func()) {}}
+	m.Init(fleet.Member{VM: "self", Incarnation: 1})
+	now := time.Now()
+	m.Handle(now, fleet.Configured{VMs: []fleet.ConfiguredVM{{VM: "self"}, {VM: "cut off"}, {VM: "dead"}}})
+	require.Equal(t, 3, endpoints.expected.Routers)
+	m.Handle(now, fleet.ProbeFailed{VM: "cut off"})
+	m.Handle(now, fleet.UpdatesReceived{Updates: []fleet.Member{{VM: "dead", Incarnation: 1, State: fleet.Dead}}})
+	m.Tick(now, fleet.SelfChanged{})
+	require.Equal(t, 2, endpoints.expected.Routers)
+}
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -123,6 +123,9 @@
 // RoutersCounted updates the number of routers that send to the same endpoints, including this one.
 type RoutersCounted struct{ Routers int }
 
+// RoutersExpected updates the number of routers that may be running, including this one, whether it has contact with them or not.
+type RoutersExpected struct{ Routers int }
+
 // RoutersListed names the routers that may send to the same endpoints, including this one, in a fixed order.
 type RoutersListed struct {
 	Self    string
@@ -218,6 +221,7 @@
 func (Ended) isEvent()              {}
 func (Withdrawn) isEvent()          {}
 func (RoutersCounted) isEvent()     {}
+func (RoutersExpected) isEvent()    {}
 func (RoutersListed) isEvent()      {}
 func (LoadReported) isEvent()       {}
 func (LeavingUpdated) isEvent()     {}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -15,21 +15,23 @@
 type Pool struct {
 	Policy Policy
 
-	backends    map[string]*backend
-	started     bool     // Whether there have been endpoints; those that are added later have just started.
-	names       []string // Keys of backends, sorted, so that decisions do not depend on map order.
-	jobs        map[string]*job
-	queue       queue
-	suspects    suspects                  // Requests.
-	parts       suspects                  // Parts of prompts.
-	retries     map[string]*retryLog      // By model or service.
-	unconfirmed map[string][]*sentAttempt // Attempts that may still arrive, by endpoint, also if it is not configured any more.
-	peers       int                       // Number of other routers that send to the same endpoints.
-	maxPeers    int                       // Highest value of peers so far; a router that this one has lost contact with may still send.
-	self        string                    // Name of this router; empty if the routers are not listed.
-	routers     []string                  // Names of all routers that may send to the same endpoints.
-	pathLost    bool
-	random      *rand.Rand
+	backends      map[string]*backend
+	started       bool      // Whether there have been endpoints; those that are added later have just started.
+	startedAt     time.Time // Time of the first event.
+	names         []string  // Keys of backends, sorted, so that decisions do not depend on map order.
+	jobs          map[string]*job
+	queue         queue
+	suspects      suspects                  // Requests.
+	parts         suspects                  // Parts of prompts.
+	retries       map[string]*retryLog      // By model or service.
+	unconfirmed   map[string][]*sentAttempt // Attempts that may still arrive, by endpoint, also if it is not configured any more.
+	peers         int                       // Number of other routers that send to the same endpoints.
+	maxPeers      int                       // Highest value of peers so far; a router that this one has lost contact with may still send.
+	expectedPeers int                       // Number of other routers that may be running, whether this one has had contact with them or not.
+	self          string                    // Name of this router; empty if the routers are not listed.
+	routers       []string                  // Names of all routers that may send to the same endpoints.
+	pathLost      bool
+	random        *rand.Rand
 }
 
 // View is the state of one endpoint in a Pool.
@@ -44,7 +46,7 @@
 
 // Handle applies an event at time now and returns the actions to carry out.
 func (p *Pool) Handle(now time.Time, ev Event) []Action {
-	p.init()
+	p.init(now)
 	switch ev := ev.(type) {
 	case Configured:
 		p.configure(now, ev.Endpoints)
@@ -84,6 +86,9 @@
 	case LeavingUpdated:
 		p.updateLeaving(ev)
 		return p.dispatch(now)
+	case RoutersExpected:
+		p.expectedPeers = ev.Routers - 1
+		return nil
 	case RoutersListed:
 		return p.listRouters(now, ev)
 	case CacheUpdated:
@@ -182,7 +187,7 @@
 	return &p.suspects
 }
 
-func (p *Pool) init() {
+func (p *Pool) init(now time.Time) {
 	if p.backends != nil {
 		return
 	}
@@ -190,6 +195,7 @@
 	p.parts.limit = maxKnownGoodParts
 	p.backends = map[string]*backend{}
 	p.jobs = map[string]*job{}
+	p.startedAt = now
 	p.retries = map[string]*retryLog{}
 	p.unconfirmed = map[string][]*sentAttempt{}
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
--- a/pkg/endpoint/retry.go
+++ b/pkg/endpoint/retry.go
@@ -28,8 +28,8 @@
 
 // RetryBudget returns the state of the retry budget for a model or service.
 func (p *Pool) RetryBudget(now time.Time, service string) RetryBudget {
-	p.init()
-	out := RetryBudget{Allowed: p.retryReserve()}
+	p.init(now)
+	out := RetryBudget{Allowed: p.retryReserve(now)}
 	if l, ok := p.retries[service]; ok {
 		since := now.Add(-p.Policy.RetryWindow)
 		out.Allowed += p.Policy.RetryRatio * float64(l.requests.since(since))
@@ -40,11 +40,17 @@
 }
 
 // retryReserve returns the retries that this router may send for each service within RetryWindow besides those that requests earn.
-func (p *Pool) retryReserve() float64 {
-	if p.Policy.FleetRetryReserve <= 0 {
+//
+// In the first window of a process, the process before it at the same place in the fleet may have used up its part, and the
+// other routers may not be known yet.
+func (p *Pool) retryReserve(now time.Time) float64 {
+	switch {
+	case p.Policy.FleetRetryReserve <= 0:
 		return p.Policy.RetryReserve
+	case now.Sub(p.startedAt) < p.Policy.RetryWindow+arrivalSpread:
+		return 0
 	}
-	return p.Policy.FleetRetryReserve / float64(p.maxPeers+1)
+	return p.Policy.FleetRetryReserve / float64(max(p.maxPeers, p.expectedPeers)+1)
 }
 
 // retriesOf returns the log of a service.
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -18,6 +18,9 @@
 	modelMargin = 0.8
 )
 
+// modelRouters is the number of routers of the modelled fleet.
+const modelRouters = 6
+
 // Times of the modelled fleet.
 const (
 	modelHop   = time.Millisecond       // From a router to an endpoint.
@@ -92,8 +95,8 @@
 	return last
 }
 
-// newRetryFleet returns a fleet with nine endpoints of service m and three of service s.
-func newRetryFleet(seed uint64, routers int) *retryFleet {
+// newRetryFleet returns a fleet with nine endpoints of service m and three of service s, and no traffic.
+func newRetryFleet(seed uint64) *retryFleet {
 	f := &retryFleet{
 		now:       start,
 		random:    rand.New(rand.NewPCG(seed, seed)),
@@ -114,11 +117,11 @@
 		}
 		f.endpoints[e.Name] = &modelEndpoint{Endpoint: e}
 	}
-	for i := range routers {
+	for i := range modelRouters {
 		r := &modelRouter{fleet: f, name: fmt.Sprint("r", i)}
 		f.routers = append(f.routers, r)
 		r.start()
-		r.count(routers)
+		r.count(modelRouters)
 		r.tick()
 	}
 	return f
@@ -141,9 +144,11 @@
 	f.now = end
 }
 
-// pause stops an endpoint for a time.
+// pause stops an endpoint for a time, unless it is paused already.
 func (f *retryFleet) pause(name string, d time.Duration) {
-	f.endpoints[name].pausedUntil = f.now.Add(d)
+	if e := f.endpoints[name]; !f.now.Before(e.pausedUntil) {
+		e.pausedUntil = f.now.Add(d)
+	}
 }
 
 // start begins a new process with an empty pool; the requests of the one before are lost.
@@ -342,7 +347,7 @@
 
 // TestRetriesOfOneServiceAreNotEarnedByAnother lets the attempts of a service fail while another one has most of the traffic.
 func TestRetriesOfOneServiceAreNotEarnedByAnother(t *testing.T) {
-	f := newRetryFleet(1, 6)
+	f := newRetryFleet(1)
 	f.rate["m"], f.rate["s"] = 60, 8
 	f.run(20 * time.Second)
 	f.failing["s"] = 1
@@ -352,7 +357,7 @@
 
 // TestRetriesAreEarnedByRecentRequests lets long requests finish after the traffic has fallen, while attempts fail.
 func TestRetriesAreEarnedByRecentRequests(t *testing.T) {
-	f := newRetryFleet(1, 6)
+	f := newRetryFleet(1)
 	f.stall, f.timeout = time.Minute, time.Minute
 	f.work["m"] = 24 * time.Second
 	f.rate["m"] = 12
@@ -367,7 +372,7 @@
 
 // TestRetriesOfALongSilenceArriveTogether pauses most endpoints of a service, which then read all that was sent to them.
 func TestRetriesOfALongSilenceArriveTogether(t *testing.T) {
-	f := newRetryFleet(1, 6)
+	f := newRetryFleet(1)
 	f.rate["m"] = 10
 	f.run(20 * time.Second)
 	for i := range 8 {
@@ -377,3 +382,73 @@
 	f.run(27 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
+
+// TestRetriesOfRestartedRouters restarts all routers twice while attempts fail; they find each other some seconds later.
+func TestRetriesOfRestartedRouters(t *testing.T) {
+	f := newRetryFleet(1)
+	f.rate["m"] = 2
+	f.failing["m"] = 1
+	f.run(20 * time.Second)
+	for range 2 {
+		for _, r := range f.routers {
+			r.start()
+			r.count(1)
+		}
+		f.run(4 * time.Second)
+	}
+	for _, r := range f.routers {
+		r.count(len(f.routers))
+	}
+	f.run(20 * time.Second)
+	f.requireRetriesWithinLimits(t)
+}
+
+// disturb makes one random change.
+func (f *retryFleet) disturb() {
+	service := []string{"m", "s"}[f.random.IntN(2)]
+	switch f.random.IntN(8) {
+	case 0, 1, 2:
+		d := time.Duration((0.5 + 11*f.random.Float64()*f.random.Float64()) * float64(time.Second))
+		share := f.random.Float64()
+		for _, name := range []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "s0", "s1", "s2"} {
+			if name[:1] == service && f.random.Float64() < share {
+				f.pause(name, d)
+			}
+		}
+	case 3:
+		f.failing[service] = max(0, 1.6*f.random.Float64()-0.6)
+	case 4:
+		f.rate[service] = 1 + 30*f.random.Float64()*f.random.Float64()
+	case 5:
+		r := f.routers[f.random.IntN(len(f.routers))]
+		r.start()
+		r.count(1)
+		f.after(time.Duration(f.random.Int64N(int64(3*time.Second))), func() { r.count(len(f.routers)) })
+	case 6:
+		r := f.routers[f.random.IntN(len(f.routers))]
+		r.count(1 + f.random.IntN(len(f.routers)))
+		f.after(time.Duration(f.random.Int64N(int64(5*time.Second))), func() { r.count(len(f.routers)) })
+	case 7:
+		share := 0.2 + 0.8*f.random.Float64()
+		for _, r := range f.routers {
+			r.handle(RetryBudgetChanged{share * f.limits.RetryRatio, share * f.limits.FleetRetryReserve})
+			f.after(time.Duration(f.random.Int64N(int64(8*time.Second))), func() { r.handle(f.limits) })
+		}
+	}
+}
+
+// TestRetriesStayWithinLimits makes random changes; each is drawn from the seed.
+func TestRetriesStayWithinLimits(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newRetryFleet(seed)
+			f.rate["m"], f.rate["s"] = 10, 10
+			for range 30 {
+				f.run(time.Duration((0.2 + 4*f.random.Float64()) * float64(time.Second)))
+				f.disturb()
+			}
+			f.run(20 * time.Second)
+			f.requireRetriesWithinLimits(t)
+		})
+	}
+}
--- a/pkg/endpoint/retry_test.go
+++ b/pkg/endpoint/retry_test.go
@@ -35,3 +35,15 @@
 	require.LessOrEqual(t, float64(retries), ratio*float64(requests)+reserve)
 	require.Positive(t, retries)
 }
+
+// TestRoutersThatWereNeverReachedShareTheRetryBudget starts a router that is in contact with none of five others.
+func TestRoutersThatWereNeverReachedShareTheRetryBudget(t *testing.T) {
+	p := Pool{Policy: Policy{FleetRetryReserve: 60}}
+	p.Handle(start, RoutersCounted{1})
+	p.Handle(start, RoutersExpected{6})
+	later := start.Add(time.Minute)
+	require.InDelta(t, 10, p.RetryBudget(later, "m").Allowed, 0.01)
+	p.Handle(start, RoutersCounted{6})
+	p.Handle(start, RoutersExpected{1})
+	require.InDelta(t, 10, p.RetryBudget(later, "m").Allowed, 0.01, "they may still send")
+}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -121,6 +121,14 @@
 	return vms
 }
 
+// MayRun returns the number of routers that may be running, this one included.
+//
+// A configured VM about which no update was received yet counts, even if no probe reaches it.
+func (r *Roster) MayRun() int {
+	r.init()
+	return 1 + len(r.peersWhere(func(p *peer) bool { return !p.known || p.State != Dead }))
+}
+
 func (r *Roster) init() {
 	if r.peers != nil {
 		return
