--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -15,21 +15,23 @@
 type Pool struct {
 	Policy Policy
 
-	backends          map[string]*backend
-	started           bool     // Whether there have been endpoints; those that are added later have just started.
-	names             []string // Keys of backends, sorted, so that decisions do not depend on map order.
-	jobs              map[string]*job
-	queue             queue
-	suspects          suspects  // Requests.
-	parts             suspects  // Parts of prompts.
-	retries           float64   // Retry budget: the number of retries that may be made now.
-	retriesRefilledAt time.Time // Last time-based refill of retries.
-	peers             int       // Number of other routers that send to the same endpoints.
-	maxPeers          int       // Highest value of peers so far; a router that this one has lost contact with may still send.
-	self              string    // Name of this router; empty if the routers are not listed.
-	routers           []string  // Names of all routers that may send to the same endpoints.
-	pathLost          bool
-	random            *rand.Rand
+	backends      map[string]*backend
+	started       bool      // Whether there have been endpoints; those that are added later have just started.
+	startedAt     time.Time // Time of the first event.
+	names         []string  // Keys of backends, sorted, so that decisions do not depend on map order.
+	jobs          map[string]*job
+	queue         queue
+	suspects      suspects                  // Requests.
+	parts         suspects                  // Parts of prompts.
+	retries       map[string]*retryLog      // By model or service.
+	unconfirmed   map[string][]*sentAttempt // Attempts that may still arrive, by endpoint, also if it is not configured any more.
+	peers         int                       // Number of other routers that send to the same endpoints.
+	maxPeers      int                       // Highest value of peers so far; a router that this one has lost contact with may still send.
+	expectedPeers int                       // Number of other routers that may be running, whether this one has had contact with them or not.
+	self          string                    // Name of this router; empty if the routers are not listed.
+	routers       []string                  // Names of all routers that may send to the same endpoints.
+	pathLost      bool
+	random        *rand.Rand
 }
 
 // View is the state of one endpoint in a Pool.
@@ -44,7 +46,7 @@
 
 // Handle applies an event at time now and returns the actions to carry out.
 func (p *Pool) Handle(now time.Time, ev Event) []Action {
-	p.init()
+	p.init(now)
 	switch ev := ev.(type) {
 	case Configured:
 		p.configure(now, ev.Endpoints)
@@ -63,12 +65,12 @@
 	case RoutersCounted:
 		p.peers = max(0, ev.Routers-1)
 		p.maxPeers = max(p.maxPeers, p.peers)
-		p.retries = min(p.retries, p.retryLimit())
 		return nil
 	case Tick:
 		p.suspects.expire(now)
 		p.parts.expire(now)
-		p.refillRetries(now)
+		p.confirmOld(now)
+		p.expireRetries(now)
 		return slices.Concat(p.expireBrittle(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
@@ -84,6 +86,9 @@
 	case LeavingUpdated:
 		p.updateLeaving(ev)
 		return p.dispatch(now)
+	case RoutersExpected:
+		p.expectedPeers = ev.Routers - 1
+		return nil
 	case RoutersListed:
 		return p.listRouters(now, ev)
 	case CacheUpdated:
@@ -95,7 +100,6 @@
 	case RetryBudgetChanged:
 		p.Policy.RetryRatio = ev.RetryRatio
 		p.Policy.FleetRetryReserve = ev.FleetRetryReserve
-		p.retries = min(p.retries, p.retryLimit())
 		return nil
 	case SuspectCleared:
 		p.suspectsOf(ev.Part).clear(ev.Fingerprint)
@@ -118,6 +122,9 @@
 		return p.updateLimit(now, ev)
 	case BrittleReported:
 		return p.updateBrittle(now, ev)
+	case Answered:
+		p.recordAnswer(now, ev.ID)
+		return nil
 	case CapacityRejected:
 		p.recordRejection(now, ev.Endpoint)
 		return nil
@@ -180,7 +187,7 @@
 	return &p.suspects
 }
 
-func (p *Pool) init() {
+func (p *Pool) init(now time.Time) {
 	if p.backends != nil {
 		return
 	}
@@ -188,10 +195,9 @@
 	p.parts.limit = maxKnownGoodParts
 	p.backends = map[string]*backend{}
 	p.jobs = map[string]*job{}
-	p.retries = p.Policy.RetryReserve
-	if p.Policy.FleetRetryReserve > 0 {
-		p.retries = 1 // This router's share is unknown until the other routers are counted.
-	}
+	p.startedAt = now
+	p.retries = map[string]*retryLog{}
+	p.unconfirmed = map[string][]*sentAttempt{}
 	p.random = rand.New(rand.NewPCG(p.Policy.Seed, p.Policy.Seed))
 }
 
@@ -219,7 +225,7 @@
 	if _, ok := p.jobs[r.ID]; ok {
 		return nil
 	}
-	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts)}
+	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts), arrivals: arrivals{service: r.Service}}
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
@@ -227,6 +233,7 @@
 		return []Action{j.refuse(refusal.Overloaded, p.returnAfter(now, until))}
 	}
 	p.jobs[r.ID] = j
+	p.retriesOf(r.Service).requests.add(now)
 	p.queue.add(j)
 	return append(p.dispatch(now), p.shedNew(now, r.ID)...)
 }
@@ -267,14 +274,14 @@
 	kind, refused := p.unservable(now, j)
 	switch {
 	case refused:
-	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy, j.runs), p.retries < 1:
+	case !j.Repeatable && j.mayHaveRun, j.attemptsExhausted(p.Policy, j.runs), p.RetryBudget(now, j.Service).Exhausted():
 		kind = refusal.NoEndpoint
 	default:
-		p.retries--
+		p.decideRetry(j)
 		p.queue.add(j)
 		return append(p.dispatch(now), p.shedNew(now, id)...)
 	}
-	delete(p.jobs, id)
+	p.remove(j)
 	return []Action{j.refuse(kind, 0)}
 }
 
@@ -283,6 +290,7 @@
 	if !ok || j.target == nil || !j.firstTokenAt.IsZero() {
 		return nil
 	}
+	p.recordAnswer(now, id)
 	j.firstTokenAt = now
 	j.begun = true
 	j.bindVersion()
@@ -312,6 +320,10 @@
 		j.mayHaveRun = true
 		j.runs++
 	}
+	switch ev.Outcome {
+	case Finished, Incomplete, Rejected, Died:
+		p.confirm(now, j.sent)
+	}
 	var actions []Action
 	switch ev.Outcome {
 	case Finished:
@@ -332,12 +344,13 @@
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
-		delete(p.jobs, j.ID)
+		p.remove(j)
 	}
 	return append(actions, p.dispatch(now)...)
 }
 
 func (p *Pool) finishRequest(now time.Time, j *job, b *backend, tokens int64) {
+	p.hear(now, b.Name)
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
 	p.forgetHealth(b)
@@ -347,12 +360,11 @@
 	} else {
 		b.measureOutput(now.Sub(j.firstTokenAt).Seconds(), tokens)
 	}
-	p.retries = min(p.retryLimit(), p.retries+p.Policy.RetryRatio)
 	p.suspects.clear(j.Fingerprint)
 	if tokens > 0 {
 		p.clearParts(&j.Request)
 	}
-	delete(p.jobs, j.ID)
+	p.remove(j)
 }
 
 func (p *Pool) withdraw(now time.Time, id string) {
@@ -365,8 +377,14 @@
 		delete(j.target.running, id)
 		j.target.recordChange(now, -1)
 	}
+	p.remove(j)
+}
+
+// remove removes a job that is not in flight.
+func (p *Pool) remove(j *job) {
 	p.queue.remove(j)
-	delete(p.jobs, id)
+	p.giveRetryBack(j)
+	delete(p.jobs, j.ID)
 }
 
 func (p *Pool) updateLoad(now time.Time, ev LoadReported) {
