origin: a lasting record of versions decides where a stream that no router knows may go on

Cause: a router that had just started, or whose feeds stood still, took the one version that it saw for the only one, and let a stream that nobody knew go on anywhere. Class: absence of knowledge taken for proof. A router that lagged told nobody where its streams began.

Ruled out: an answer of a home that is wrong (homes are told by the router that serves), binding within one answer (holds).

Change: versions/SERVICE in the store names the versions at which streams may have begun. A version is recorded before a stream begins at it, and removed in two conditional writes a minute apart. A take-up of an unknown stream reads the record after the question and binds to the version if there is one; otherwise the archive (interface only) or a refusal at once. No stream goes on anywhere. A copy that is older than 5 s, or a version that is not recorded, makes the router tell homes. 'stream taken up' logs source, age, homes asked and answered.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -10,8 +10,10 @@
 
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
 // entries tracks the entries of the endpoints in the store and configures the endpoint pool accordingly.
@@ -132,7 +134,8 @@
 	return since >= 0 && since < expiryWindow
 }
 
-// updatePool passes the tracked endpoints to the pool, with those that may get no new requests marked as leaving.
+// updatePool passes the tracked endpoints to the pool, with those that may get no new requests marked as leaving. Versions
+// that are not recorded yet are written down.
 func (e *entries) updatePool(now time.Time) {
 	t := e.g.table.Load()
 	if t == nil {
@@ -142,10 +145,12 @@
 	maps.DeleteFunc(e.tracked, func(_ string, ep *trackedEndpoint) bool {
 		return !ep.missingSince.IsZero() && now.Sub(ep.missingSince) > missingRetention
 	})
+	e.observeVersions(now, t)
 	list := make([]placement.EndpointConfig, 0, len(e.tracked))
 	for _, name := range slices.Sorted(maps.Keys(e.tracked)) {
 		ep := e.tracked[name]
 		spec := endpoint.Endpoint{Name: name, Serves: []string{ep.Service}, Version: ep.Version, Slots: ep.Slots}
+		spec.Unrecorded = e.g.versions.history.Unrecorded(now, ep.Service, ep.Version)
 		if s, ok := t.Service(ep.Service); ok && s.ModelEngine {
 			spec.PromptTokensPerSecond = initialPromptRate
 			spec.TokensPerSecond = initialTokenRate
@@ -157,6 +162,18 @@
 	e.mu.Unlock()
 	e.g.endpoints.Configure(now, list, restarted)
 	e.g.path.configure(now, list)
+	e.g.versions.tick(now)
+}
+
+// observeVersions tells the history of versions which versions the endpoints of the configured services have; mu must be held.
+func (e *entries) observeVersions(now time.Time, t *route.Table) {
+	list := make([]origin.EndpointVersion, 0, len(e.tracked))
+	for _, ep := range e.tracked {
+		if _, ok := t.Service(ep.Service); ok {
+			list = append(list, origin.EndpointVersion{Service: ep.Service, Version: ep.Version, Present: ep.missingSince.IsZero(), Usable: e.usable(now, ep)})
+		}
+	}
+	e.g.versions.history.Observe(now, list)
 }
 
 // Throughput assumed for a model engine until it has been measured, in tokens per second.
@@ -165,9 +182,10 @@
 	initialTokenRate  = 150
 )
 
-// tick advances the clock of the pool. While entries are missing, it also updates the pool, so that their grace
-// periods and their retention end in time, and reports that there are such entries.
+// tick advances the clock of the pool. While entries are missing or versions wait to be recorded, it also updates the pool,
+// so that their grace periods end in time, and reports that there are such.
 func (e *entries) tick(now time.Time) (pending bool) {
+	pending = e.g.versions.history.Pending()
 	e.mu.Lock()
 	for _, ep := range e.tracked {
 		pending = pending || !ep.missingSince.IsZero()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net"
 	"runtime"
 	"strconv"
@@ -77,6 +78,7 @@
 	peers        *peer.Client
 	peerService  peer.Service
 	origins      peer.Origins
+	versions     versions
 	metrics      *metrics
 	store        *instrumentedStore
 	budgetStore  *keyvalue.GuardedStore // Store for the budgets, with rate limits and a circuit breaker.
@@ -152,11 +154,15 @@
 	g.peers.Background = g.background
 	g.origins.Client = g.peers
 	g.origins.Registry = &origin.Registry{}
+	g.origins.Versions = &g.versions
+	g.versions.g = g
+	g.versions.history.Delay = recordDelay + rand.N(recordDelay)
 	g.peerService = peer.Service{
 		Members:   &g.members.Members,
 		Budgets:   &g.budgets,
 		Endpoints: &g.endpoints,
 		Origins:   g.origins.Registry,
+		Versions:  &g.versions,
 		IsHome:    g.peers.IsHome,
 	}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
@@ -329,6 +335,12 @@
 			onChange:   g.members.applyChange,
 			batchDelay: membersBatchDelay, startupDelay: membersStartupDelay, relayDelay: membersRelayDelay,
 		},
+		{
+			name:       versionsFeed,
+			prefix:     versionsPrefix,
+			onSnapshot: g.versions.applySnapshot,
+			onChange:   g.versions.applyChange,
+		},
 	} {
 		feeds[f.name] = f
 	}
@@ -358,6 +370,7 @@
 	g.budgets.Handle(now, budget.Tick{})
 	g.watchPath(now)
 	missing := g.entries.tick(now)
+	g.versions.tick(now)
 	return missing || g.budgets.Waiting() > 0 || g.endpoints.Waiting() > 0
 }
 
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -1,16 +1,22 @@
 // Package origin remembers which software version of a service began each stream, so that a stream that a caller takes up at
 // another router goes on only at that version.
 //
-// A router records each stream that begins there. While endpoints of several
-// versions serve the service, it also tells the homes of the stream, two other
-// routers chosen by rendezvous hashing, so that they know when it dies. A router
-// at which a caller takes up a stream that it does not know asks the homes.
-// While all endpoints have the same version, nobody needs to be told.
+// A Registry holds the streams that begin at its router or of which it was told.
+// While more than one version may serve the service, a router also tells the
+// homes of its streams, two other routers chosen by rendezvous hashing, so that
+// they know when it dies. A router at which a caller takes up a stream that it
+// does not know asks the homes.
+//
+// A History is a router's copy of the lasting records of the versions that
+// served each service. They prove where a stream began that no router knows, as
+// long as they name one version. An Archive outlives all routers, too.
 //
 // Invariants:
 //
 //   - What is known of a stream never changes while it is known.
 //   - The state is bounded by the streams in flight and by maxKnown.
+//   - No stream begins at a version that the record does not admit, unless its homes are told.
+//   - A version is removed from a record only when no stream that began at it untold can still be taken up.
 //
-// The package decides; internal/peer sends the messages.
+// The package decides; internal/peer sends the messages, internal/gateway calls the store.
 package origin
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -20,13 +20,6 @@
 	Version string // Software version of the endpoint.
 }
 
-// Answer is what is known when a caller takes up a stream.
-type Answer struct {
-	Origin          Origin // Set if Known.
-	Known           bool
-	SeveralVersions bool // Endpoints of several versions serve the service, or did lately.
-}
-
 // Registry holds the origins that one router knows. The zero value is empty. It is safe for concurrent use.
 type Registry struct {
 	mu    sync.Mutex
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/foxtaillanding/foxtaillanding/internal/feed"
+	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
@@ -77,12 +78,21 @@
 	Waiting              int
 }
 
-// originQuery asks where a stream began that a caller takes up. An origin.Answer answers it.
+// originQuery asks where a stream began that a caller takes up.
 type originQuery struct {
 	Stream  string
 	Service string
 }
 
+// originReply answers an originQuery.
+type originReply struct {
+	Origin          origin.Origin // Set if Known.
+	Known           bool
+	SeveralVersions bool     // Endpoints of several versions serve the service, or did lately.
+	Versions        []string `json:",omitempty"` // Versions of the service that the router knows of.
+	AgeMilliseconds int64    `json:",omitempty"` // Of its copy of the record of versions.
+}
+
 // reply answers recall, raise, entrust and settle messages.
 type reply struct{ Granted bool }
 
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -25,19 +26,31 @@
 	streamShards = 256
 )
 
+// Versions knows the versions of which each service has, or had lately, endpoints.
+type Versions interface {
+	// MustTell reports whether the homes of a service's streams have to be told where these begin.
+	MustTell(now time.Time, service string) bool
+	// View returns what this router knows.
+	View(now time.Time, service string) origin.View
+	// Read returns what this router knows once it has read the lasting record of the service. It may wait for a short time.
+	Read(service string) (origin.View, error)
+}
+
 // Origins tells the homes of streams where these began, and asks them. Its exported fields are set before the first call.
 type Origins struct {
 	Client   *Client
 	Registry *origin.Registry
+	Versions Versions
+	Archive  origin.Archive // Nil if there is none.
 
 	mu        sync.Mutex
 	scheduled bool // A call of Tell is scheduled; guarded by mu.
 }
 
-// Began records where a stream began, and tells its homes soon if endpoints of several versions serve the service.
+// Began records where a stream began, and tells its homes soon if it may matter at which version.
 func (s *Origins) Began(now time.Time, o origin.Origin) {
 	s.Registry.Began(now, o)
-	if !s.Client.Endpoints.HasSeveralVersions(o.Service) {
+	if !s.mustTell(now, o.Service) {
 		return
 	}
 	s.mu.Lock()
@@ -54,13 +67,19 @@
 	})
 }
 
+// mustTell reports whether the homes of a service's streams have to be told where these begin.
+func (s *Origins) mustTell(now time.Time, service string) bool {
+	return s.Client.Endpoints.HasSeveralVersions(service) || s.Versions.MustTell(now, service)
+}
+
 // Ended records that this router serves a stream no longer.
 func (s *Origins) Ended(stream string) { s.Registry.Ended(stream) }
 
 // Tell tells the homes of the streams in flight what they have not been told yet.
 func (s *Origins) Tell(now time.Time) {
+	needed := func(service string) bool { return s.mustTell(now, service) }
 	homes := func(stream string) []string { return s.others(stream, homesPerStream) }
-	for home, origins := range s.Registry.Untold(now, s.Client.Endpoints.HasSeveralVersions, homes) {
+	for home, origins := range s.Registry.Untold(now, needed, homes) {
 		s.Client.Background(func() {
 			if _, err := s.Client.call(home, OriginsPath, origins); err != nil {
 				s.Client.Log.Warn("origins not told", zap.String("Peer", home), zap.Int("Streams", len(origins)), logfile.Error(err))
@@ -69,41 +88,112 @@
 	}
 }
 
-// Find returns where a stream began, as this router or the homes of the stream know it.
+// Find returns where a stream began, as this router or the homes of the stream know it, or as the record of versions proves
+// it, or as the archive knows it.
 func (s *Origins) Find(now time.Time, stream, service string) origin.Answer {
-	found, known := s.Registry.Find(now, stream)
-	best := origin.Answer{Origin: found, Known: known, SeveralVersions: s.Client.Endpoints.HasSeveralVersions(service)}
-	if known {
-		return best
+	if found, known := s.Registry.Find(now, stream); known {
+		view := s.Versions.View(now, service)
+		return origin.Answer{Origin: found, Known: true, Source: origin.FromSelf, SeveralVersions: len(view.Versions) > 1, Age: view.Age}
+	}
+	record := make(chan reading, 1)
+	go func() { record <- s.read(service) }()
+	answer, versions := s.askHomes(now, stream, service)
+	if answer.Known {
+		return answer
 	}
+	own := <-record
+	evidence := origin.Evidence{Fresh: own.err == nil, Own: own.View, Homes: versions}
+	if own.err != nil {
+		s.Client.Log.Info("record of versions not read", zap.String("Service", service), zap.String("Stream", stream), logfile.Error(own.err))
+		evidence.Own = s.Versions.View(now, service)
+	}
+	answer.Age = evidence.Own.Age
+	answer.SeveralVersions = len(evidence.Versions()) > 1
+	if version, proved := evidence.Version(); proved {
+		answer.Known = true
+		answer.Source = origin.FromRecord
+		answer.Origin = origin.Origin{Stream: stream, Service: service, Version: version}
+		return answer
+	}
+	answer.Incomplete = own.err != nil || answer.HomesAnswered < answer.HomesAsked
+	return s.findArchived(stream, answer)
+}
+
+// reading is the result of reading the record of versions.
+type reading struct {
+	origin.View
+
+	err error
+}
+
+func (s *Origins) read(service string) reading {
+	view, err := s.Versions.Read(service)
+	return reading{view, err}
+}
+
+// askHomes asks the homes of a stream where it began. If none of those that answer knows, it returns the versions that they know of.
+func (s *Origins) askHomes(now time.Time, stream, service string) (answer origin.Answer, versions [][]string) {
 	homes := s.others(stream, originQueries)
-	answers := make(chan origin.Answer, len(homes))
+	replies := make(chan *originReply, len(homes))
 	for _, home := range homes {
-		go func() { answers <- s.ask(home, originQuery{stream, service}) }()
+		go func() { replies <- s.ask(home, originQuery{stream, service}) }()
 	}
+	answer.HomesAsked = len(homes)
 	for range homes {
-		a := <-answers
-		if a.Known {
-			s.Registry.Learn(now, []origin.Origin{a.Origin})
-			return a
+		reply := <-replies
+		switch {
+		case reply == nil:
+			continue
+		case reply.Known:
+			s.Registry.Learn(now, []origin.Origin{reply.Origin})
+			answer.Origin = reply.Origin
+			answer.Known = true
+			answer.Source = origin.FromHome
+			answer.SeveralVersions = reply.SeveralVersions || len(reply.Versions) > 1
+			answer.Age = time.Duration(reply.AgeMilliseconds) * time.Millisecond
+			answer.HomesAnswered++
+			return answer, nil
 		}
-		best.SeveralVersions = best.SeveralVersions || a.SeveralVersions
+		answer.HomesAnswered++
+		versions = append(versions, reply.Versions)
 	}
-	return best
+	return answer, versions
 }
 
-// ask asks one router where a stream began. A router that does not answer knows nothing.
-func (s *Origins) ask(home string, q originQuery) origin.Answer {
-	var a origin.Answer
+// ask asks one router where a stream began, and returns nil if it does not answer.
+func (s *Origins) ask(home string, q originQuery) *originReply {
 	address, ok := s.Client.Members.Address(home)
 	if !ok {
-		return a
+		return nil
 	}
-	if err := s.Client.postWithin(originTimeout, address, OriginPath, q, &a); err != nil {
+	var reply originReply
+	if err := s.Client.postWithin(originTimeout, address, OriginPath, q, &reply); err != nil {
 		s.Client.Log.Info("origin not asked for", zap.String("Peer", home), zap.String("Stream", q.Stream), logfile.Error(err))
-		return origin.Answer{}
+		return nil
+	}
+	return &reply
+}
+
+// findArchived completes an answer by what the archive knows of the stream.
+func (s *Origins) findArchived(stream string, answer origin.Answer) origin.Answer {
+	if s.Archive == nil {
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	defer cancel()
+	now := time.Now()
+	found, known, err := s.Archive.Find(ctx, now, stream)
+	switch {
+	case err != nil:
+		s.Client.Log.Info("archive of origins not read", zap.String("Stream", stream), logfile.Error(err))
+		answer.Incomplete = true
+	case known:
+		s.Registry.Learn(now, []origin.Origin{found})
+		answer.Origin = found
+		answer.Known = true
+		answer.Source = origin.FromArchive
 	}
-	return a
+	return answer
 }
 
 // others returns the n preferred routers for a stream other than this one.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -18,6 +18,7 @@
 	Budgets   *ledger.Ledger
 	Endpoints *placement.Endpoints
 	Origins   *origin.Registry
+	Versions  Versions                 // Nil if there is no record of versions.
 	IsHome    func(budget string) bool // Reports whether this router holds grants of a budget ready.
 }
 
@@ -80,9 +81,15 @@
 }
 
 // answerOrigin answers what this router knows of a stream and of the versions of its service.
-func (s *Service) answerOrigin(now time.Time, q originQuery) origin.Answer {
+func (s *Service) answerOrigin(now time.Time, q originQuery) originReply {
 	o, known := s.Origins.Find(now, q.Stream)
-	return origin.Answer{Origin: o, Known: known, SeveralVersions: s.Endpoints.HasSeveralVersions(q.Service)}
+	out := originReply{Origin: o, Known: known, SeveralVersions: s.Endpoints.HasSeveralVersions(q.Service)}
+	if s.Versions != nil {
+		view := s.Versions.View(now, q.Service)
+		out.Versions = view.Versions
+		out.AgeMilliseconds = view.Age.Milliseconds()
+	}
+	return out
 }
 
 // handleSuspects adopts a peer's suspicions and answers with those of the suspects that have finished at this router.
--- a/internal/request/origin.go
+++ b/internal/request/origin.go
@@ -19,22 +19,19 @@
 
 // bindToOrigin lets a stream that the caller takes up go on only at the software version that began it.
 //
-// A non-nil reply refuses the request: several versions serve, and no router that was asked knows which of them began it.
+// A non-nil reply refuses the request: it is not known which version began the stream.
 func (r *run) bindToOrigin() *Reply {
 	if r.f.Origins == nil || !r.req.takesUp() {
 		return nil
 	}
 	now := time.Now()
 	answer := r.f.Origins.Find(now, r.req.StreamID(), r.req.Service)
-	r.f.Log.Info("stream taken up",
-		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Resumes", r.req.ResumesID), zap.String("LastEvent", r.req.LastEventID),
-		zap.Bool("Known", answer.Known), zap.Bool("SeveralVersions", answer.SeveralVersions),
-		zap.String("Service", answer.Origin.Service), zap.String("EndpointVersion", answer.Origin.Version), zap.Duration("Took", time.Since(now)))
+	r.logTakeUp(&answer, time.Since(now))
 	switch {
-	case !answer.Known && answer.SeveralVersions:
-		return refusedReply(refusal.NoEndpoint, "the version that began the stream is not known")
+	case !answer.Known && answer.Incomplete:
+		return &Reply{Refusal: &refusal.Error{Kind: refusal.NoEndpoint, Detail: unknownVersion, After: originRetryDelay}}
 	case !answer.Known:
-		return nil
+		return refusedReply(refusal.NoEndpoint, unknownVersion)
 	case answer.Origin.Service != r.req.Service && !slices.Contains(r.req.Services, answer.Origin.Service):
 		return refusedReply(refusal.NoEndpoint, "the route no longer uses the service that began the stream")
 	}
@@ -43,6 +40,20 @@
 	return nil
 }
 
+const unknownVersion = "the version that began the stream is not known"
+
+// originRetryDelay is when another try to take a stream up may find what did not answer this time.
+const originRetryDelay = 500 * time.Millisecond
+
+// logTakeUp logs what was found of a stream that the caller takes up.
+func (r *run) logTakeUp(answer *origin.Answer, took time.Duration) {
+	r.f.Log.Info("stream taken up",
+		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Resumes", r.req.ResumesID), zap.String("LastEvent", r.req.LastEventID),
+		zap.Bool("Known", answer.Known), zap.Bool("SeveralVersions", answer.SeveralVersions), zap.Stringer("Source", answer.Source),
+		zap.Duration("Age", answer.Age), zap.Int("HomesAsked", answer.HomesAsked), zap.Int("HomesAnswered", answer.HomesAnswered), zap.Bool("Incomplete", answer.Incomplete),
+		zap.String("Service", answer.Origin.Service), zap.String("EndpointVersion", answer.Origin.Version), zap.Duration("Took", took))
+}
+
 // recordOrigin records where the stream of the run began, or that it goes on.
 func (r *run) recordOrigin(now time.Time) {
 	if r.f.Origins == nil || r.direct {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -114,6 +114,7 @@
 		Fingerprint:  r.req.Fingerprint,
 		Repeatable:   r.req.Repeatable,
 		MaxAttempts:  max(1, r.req.MaxAttempts),
+		BeginsStream: r.req.Streams && r.req.Resumable,
 	}
 	if r.origin != nil {
 		out.VersionBound = true
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -64,7 +64,7 @@
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, s selector, t tolerance) bool {
-	return b.fits(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now)
+	return b.fits(s) && b.mayBegin(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now)
 }
 
 // refuseSuspects refuses the waiting requests that must not be sent any more.
@@ -123,7 +123,9 @@
 	if part, found := p.suspectPart(now, &j.Request); found && p.partInFlight(part) {
 		return nil
 	}
-	home := p.home(j, func(b *backend) bool { return b.fits(j.selector()) && b.usable(now, tolerance{}) && !b.limit.active() })
+	home := p.home(j, func(b *backend) bool {
+		return b.fits(j.selector()) && b.mayBegin(j.selector()) && b.usable(now, tolerance{}) && !b.limit.active()
+	})
 	var best *backend
 	var lowest float64
 	for _, name := range p.names {
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -38,6 +38,7 @@
 	Name                  string
 	Serves                []string // Names of its models or services.
 	Version               string   // Version of its software; empty if unknown.
+	Unrecorded            bool     // No stream may begin at its version yet.
 	Slots                 int      // Number of requests that it runs concurrently.
 	TokensPerSecond       float64  // Output tokens per second of one stream, used until measured.
 	PromptTokensPerSecond float64  // Prompt tokens per second, used until measured.
@@ -60,6 +61,7 @@
 	Repeatable   bool      // Whether the request may run more than once.
 	VersionBound bool      // Only endpoints with the software version Version may serve it, since one of them began its stream.
 	Version      string    // Not used unless VersionBound is set.
+	BeginsStream bool      // The answer is a stream that may be resumed, so that it must not begin at an unrecorded version.
 	MaxAttempts  int       // Maximum number of attempts, not counting rejected ones; zero means the policy's.
 }
 
--- a/pkg/endpoint/selector.go
+++ b/pkg/endpoint/selector.go
@@ -12,15 +12,22 @@
 	service      string // Name of a model or service.
 	versionBound bool   // Only endpoints with the version may.
 	version      string
+	beginsStream bool // Not those at whose version no stream may begin.
 }
 
-func (r *Request) selector() selector { return selector{r.Service, r.VersionBound, r.Version} }
+func (r *Request) selector() selector {
+	return selector{r.Service, r.VersionBound, r.Version, r.BeginsStream && !r.VersionBound}
+}
 
 // fits reports whether a selector admits an endpoint, whatever its state.
 func (b *backend) fits(s selector) bool {
 	return b.serves(s.service) && (!s.versionBound || b.Version == s.version)
 }
 
+// mayBegin reports whether an endpoint may get a request with a selector that it fits, or may not because the request begins
+// a stream and the endpoint's version is not recorded yet.
+func (b *backend) mayBegin(s selector) bool { return !s.beginsStream || !b.Unrecorded }
+
 // uncertain reports whether a selector admits an endpoint by a version that it may no longer have.
 func (b *backend) uncertain(now time.Time, s selector) bool {
 	return s.versionBound && !b.downAt.IsZero() && now.Sub(b.downAt) < versionSettleTime
--- a/pkg/endpoint/selector_test.go
+++ b/pkg/endpoint/selector_test.go
@@ -76,3 +76,24 @@
 	require.True(t, p.HasSeveralVersions("m"))
 	require.False(t, p.HasSeveralVersions("other"))
 }
+
+// TestStreamDoesNotBeginAtAnUnrecordedVersion submits requests while the version of one endpoint is not recorded.
+func TestStreamDoesNotBeginAtAnUnrecordedVersion(t *testing.T) {
+	var p Pool
+	unrecorded := Endpoint{Name: "b", Serves: []string{"m"}, Version: "v2", Slots: 8, Unrecorded: true}
+	p.Handle(start, Configured{[]Endpoint{unrecorded}})
+	r := streamRequest(start, "1")
+	r.BeginsStream = true
+	require.Empty(t, p.Handle(start, Submitted{r}), "waits")
+	other := streamRequest(start, "2")
+	require.Equal(t, "b", p.Handle(start, Submitted{other})[0].(Send).Endpoint)
+	bound := streamRequest(start, "3")
+	bound.BeginsStream = true
+	bound.VersionBound = true
+	bound.Version = "v2"
+	require.Equal(t, "b", p.Handle(start, Submitted{bound})[0].(Send).Endpoint, "the stream has begun")
+	recorded := unrecorded
+	recorded.Unrecorded = false
+	sent := p.Handle(start, Configured{[]Endpoint{recorded}})
+	require.Equal(t, "1", sent[0].(Send).ID)
+}
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -27,7 +27,7 @@
 	candidates, silent := 0, 0
 	for _, name := range p.names {
 		b := p.backends[name]
-		if !b.fits(s) || b.leaving() || b.rests(now) || now.Before(b.ejectedUntil) {
+		if !b.fits(s) || !b.mayBegin(s) || b.leaving() || b.rests(now) || now.Before(b.ejectedUntil) {
 			continue
 		}
 		candidates++
