--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -51,7 +51,7 @@
 	// acknowledges in time.
 	unacknowledgedTimeout = 5 * time.Second
 
-	// maxCarried bounds the memory for the IDs of requests, and the time to search them.
+	// maxCarried is the number of requests after which a connection is replaced. It bounds the IDs to keep and to search.
 	maxCarried = 1024
 
 	// NonRepeatableMaxIdle is the longest idle time after which a pooled
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -111,8 +111,8 @@
 //
 // A reused connection may still deliver answers to earlier requests, which are
 // skipped if their length is known. Otherwise an answer with a different ID is
-// an error. Only on a new connection, an answer without an ID that states that
-// the request did not run can be to no other one.
+// an error. One without an ID that states that the request did not run is
+// accepted on a new connection only, where it can answer no other request.
 func (a *attempt) readHead(r *Request) error {
 	defer a.conn.LimitReads(-1)
 	for range 1 + maxStaleAnswers {
