--- a/internal/gateway/refused_test.go
+++ b/internal/gateway/refused_test.go
@@ -24,7 +24,7 @@
 			close(begun)
 			<-finish
 		}
-	})
+	}, false)
 	server.Concurrency = 1
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
