gateway: no home of a record of versions before the routers know each other; postmortem

Cause: in the first seconds each router takes itself for the home of each record, so that all of them wrote it at the very first start.

TestRecordSurvivesAReturnOfTheStore: live routers write a version again that the store has forgotten, and refuse streams meanwhile.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -92,7 +92,7 @@
 	if !v.writing.CompareAndSwap(false, true) {
 		return
 	}
-	due := v.history.Due(now, v.isHome)
+	due := v.history.Due(now, func(service string) bool { return v.isHome(now, service) })
 	if len(due) == 0 {
 		v.writing.Store(false)
 		return
@@ -106,8 +106,12 @@
 	})
 }
 
-// isHome reports whether this router is the home of the record of a service.
-func (v *versions) isHome(service string) bool {
+// isHome reports whether this router is the home of the record of a service. There is none until the routers have discovered
+// each other, because before that each would consider itself the home.
+func (v *versions) isHome(now time.Time, service string) bool {
+	if now.Sub(v.g.started) < settlePeriod || !v.g.members.stable(now) {
+		return false
+	}
 	homes := v.g.members.Homes("Versions/"+service, 1)
 	return len(homes) == 1 && homes[0] == v.g.members.Self().Name()
 }
