origins: each router writes where its streams began to the store, which outlives all routers

Cause: which version began a stream was known to the router that served it and to two others.

Change: while several versions of a service serve, or did within a minute, each router writes the origins of the streams that it serves, or served within 15 s, to a row of its own (origins/NAME.RUN, under a lease of 2 minutes). Writes are 150 ms apart or more, so that the fleet uses a tenth of the store's writes at most; an unchanged row is written each 5 s.

Before: TestStreamsGoOnAfterALossOfPowerOfAllRouters run on the code before failed with 0 of 30 streams that went on ("0" is not greater than or equal to "15"). After: passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	peers        *peer.Client
 	peerService  peer.Service
 	origins      peer.Origins
+	originRow    originRow
+	archive      originArchive
 	metrics      *metrics
 	store        *instrumentedStore
 	budgetStore  *keyvalue.GuardedStore // Store for the budgets, with rate limits and a circuit breaker.
@@ -152,6 +154,9 @@
 	g.peers.Background = g.background
 	g.origins.Client = g.peers
 	g.origins.Registry = &origin.Registry{}
+	g.originRow.setup(g, self.Name())
+	g.archive.g = g
+	g.origins.Archive = &g.archive
 	g.peerService = peer.Service{
 		Members:   &g.members.Members,
 		Budgets:   &g.budgets,
@@ -343,6 +348,7 @@
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go g.ticker.Run(g.stop, g.tick)
 	go g.path.ticker.Run(g.stop, g.path.tick)
+	go g.originRow.ticker.Run(g.stop, g.originRow.tick)
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -55,6 +55,7 @@
 	r.Gauge("path_probes", "Connections opened to find out whether the router reaches the endpoints.", g.path.probes.Load)
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
 	r.Gauge("processor_wait_milliseconds", "95th percentile of the time that goroutines waited for the processor.", func() int64 { return g.overload.lastWait().P95.Milliseconds() })
+	r.Gauge("origins_written", "Streams in the row of origins that this router last wrote to the store.", g.originRow.streams.Load)
 	r.Gauge("goroutines", "Goroutines of the process.", func() int64 { return int64(runtime.NumGoroutine()) })
 	return m, r.Err()
 }
--- /dev/null
+++ b/internal/origin/archive.go
@@ -0,0 +1,141 @@
+package origin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+)
+
+// Archive knows where streams began also when no router does, because all of them have lost power.
+type Archive interface {
+	// Find returns where a stream began and whether that is known. An error means that nothing is proven.
+	Find(ctx context.Context, now time.Time, stream string) (o Origin, known bool, err error)
+}
+
+// StreamHash names a stream in a Row: the first 8 bytes of the SHA-256 hash of its ID.
+//
+// Callers choose the IDs, so the hash must not let them find two with the same name at will.
+type StreamHash uint64
+
+// HashOf returns the hash of a stream ID.
+func HashOf(stream string) StreamHash {
+	sum := sha256.Sum256([]byte(stream))
+	return StreamHash(binary.BigEndian.Uint64(sum[:]))
+}
+
+// Timing of a router's row in the store.
+const (
+	servedRetention    = 15 * time.Second       // For which a row still holds a stream that has ended; above the pause of a caller that takes it up.
+	severalRetention   = time.Minute            // For which rows are written after the last endpoint of a second version was known.
+	minWriteInterval   = 150 * time.Millisecond // Shortest time between two writes of a row.
+	settlingInterval   = 500 * time.Millisecond // Time between two writes, and two reads, while the number of routers is not known.
+	refreshPeriod      = 5 * time.Second        // After which a row is written again unchanged, in case the store came back from an older copy.
+	writeRetryDelay    = time.Second            // After a write that failed.
+	minReadInterval    = 100 * time.Millisecond // Shortest time between two reads of all rows.
+	readRetryDelay     = 500 * time.Millisecond // After a read that failed, in which none is begun.
+	storeShareDivisor  = 10                     // All routers together use this fraction of the calls that the store takes.
+	maxStreamsInRow    = 1 << 16                // Half a megabyte; the store's limit of a value is one.
+	maxRetainedStreams = maxKnown               // Streams that have ended and are still held.
+)
+
+// WriteInterval returns the least time between two writes of a router's row, so that the rows of all routers together use
+// a small part of the writes that the store takes in a second. Zero routers means that their number is not known.
+func WriteInterval(routers int, writesPerSecond float64) time.Duration {
+	if routers == 0 {
+		return settlingInterval
+	}
+	return max(minWriteInterval, fleetInterval(routers, writesPerSecond))
+}
+
+// ReadInterval returns the least time between two reads of all rows by one router, likewise.
+func ReadInterval(routers int, readsPerSecond float64) time.Duration {
+	if routers == 0 {
+		return settlingInterval
+	}
+	return max(minReadInterval, fleetInterval(routers, readsPerSecond))
+}
+
+func fleetInterval(routers int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(routers*storeShareDivisor) / perSecond * float64(time.Second))
+}
+
+// WriteSchedule decides when a router writes its row. The zero value has written none.
+type WriteSchedule struct {
+	changes   uint64    // Changes of the registry that the row in the store holds.
+	writtenAt time.Time // When the row was last written.
+	triedAt   time.Time // When a write was last begun.
+	failed    bool      // The last write failed.
+
+	several map[string]time.Time // When several versions of a service were last known.
+}
+
+// Due reports whether the row is to be written, given the number of changes of the registry.
+func (s *WriteSchedule) Due(now time.Time, changes uint64, interval time.Duration) bool {
+	if s.failed {
+		return now.Sub(s.triedAt) >= max(interval, writeRetryDelay)
+	}
+	if now.Sub(s.triedAt) < interval {
+		return false
+	}
+	return changes != s.changes || now.Sub(s.writtenAt) >= refreshPeriod
+}
+
+// Written records the result of a write that was begun at the time now, and reports whether writes began to fail or to
+// succeed again.
+func (s *WriteSchedule) Written(now time.Time, changes uint64, ok bool) (changed bool) {
+	changed = ok == s.failed
+	s.failed = !ok
+	s.triedAt = now
+	if ok {
+		s.changes = changes
+		s.writtenAt = now
+	}
+	return changed
+}
+
+// Needed reports whether the streams of a service are to be written: several versions of it are known, or were lately.
+func (s *WriteSchedule) Needed(now time.Time, service string, several bool) bool {
+	if several {
+		if s.several == nil {
+			s.several = map[string]time.Time{}
+		}
+		s.several[service] = now
+		return true
+	}
+	last, ok := s.several[service]
+	return ok && now.Sub(last) < severalRetention
+}
+
+// ReadSchedule decides when a router may read the rows of all routers. The zero value has read none.
+type ReadSchedule struct {
+	began  time.Time
+	failed time.Time // When a read last failed; zero if the last one did not.
+}
+
+// Next returns the earliest time of the next read.
+func (s *ReadSchedule) Next(interval time.Duration) time.Time {
+	if s.began.IsZero() {
+		return s.began
+	}
+	return s.began.Add(interval)
+}
+
+// Refused reports whether no read is worth its wait because one failed a moment ago.
+func (s *ReadSchedule) Refused(now time.Time) bool {
+	return !s.failed.IsZero() && now.Sub(s.failed) < readRetryDelay
+}
+
+// Began records that a read began.
+func (s *ReadSchedule) Began(now time.Time) { s.began = now }
+
+// Ended records that a read ended.
+func (s *ReadSchedule) Ended(now time.Time, ok bool) {
+	s.failed = now
+	if ok {
+		s.failed = time.Time{}
+	}
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -29,9 +29,10 @@
 
 // Registry holds the origins that one router knows. The zero value is empty. It is safe for concurrent use.
 type Registry struct {
-	mu    sync.Mutex
-	known *simplelru.LRU[string, knownOrigin] // By stream ID; guarded by mu.
-	open  map[string]*openStream              // By stream ID; guarded by mu.
+	mu     sync.Mutex
+	known  *simplelru.LRU[string, knownOrigin] // By stream ID; guarded by mu.
+	open   map[string]*openStream              // By stream ID; guarded by mu.
+	served servedStreams                       // Guarded by mu.
 }
 
 type knownOrigin struct {
@@ -58,6 +59,7 @@
 		r.open = map[string]*openStream{}
 	}
 	r.open[o.Stream] = &openStream{Origin: o}
+	r.served.began(o)
 }
 
 // Ended records that this router serves a stream no longer. Its origin stays known, since the caller may take it up.
@@ -67,6 +69,22 @@
 	if s, ok := r.open[stream]; ok {
 		s.ended = true
 	}
+	r.served.ended(stream)
+}
+
+// Changes returns a number that rises with each stream that begins at this router.
+func (r *Registry) Changes() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served.changes
+}
+
+// Row returns where the streams began that this router serves, or served a moment ago, of the services for which needed
+// reports true.
+func (r *Registry) Row(now time.Time, needed func(service string) bool) Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served.row(now, needed)
 }
 
 // Learn records origins that another router told.
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 type Origins struct {
 	Client   *Client
 	Registry *origin.Registry
+	Archive  origin.Archive // What outlives all routers; nil if nothing does.
 
 	mu        sync.Mutex
 	scheduled bool // A call of Tell is scheduled; guarded by mu.
@@ -89,9 +91,25 @@
 		}
 		best.SeveralVersions = best.SeveralVersions || a.SeveralVersions
 	}
+	if best.SeveralVersions && s.Archive != nil {
+		return s.findInArchive(now, stream, best)
+	}
 	return best
 }
 
+// findInArchive adds what the archive knows of a stream to what the routers know.
+func (s *Origins) findInArchive(now time.Time, stream string, a origin.Answer) origin.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	defer cancel()
+	found, known, err := s.Archive.Find(ctx, now, stream)
+	if err != nil || !known {
+		return a // The archive has logged why.
+	}
+	s.Registry.Learn(now, []origin.Origin{found})
+	a.Origin, a.Known = found, true
+	return a
+}
+
 // ask asks one router where a stream began. A router that does not answer knows nothing.
 func (s *Origins) ask(home string, q originQuery) origin.Answer {
 	var a origin.Answer
