origins: a stream stands in its router's row from the sending of its request on

Cause: the row held a stream only from its first event on.

Change: the version is known when the request is sent, so the row gets the stream then. If the request is sent to another version before an event came, the row leaves the stream out until that comes, and the first event waits (200 ms at most) for the row that names the right version. A write begins as soon as its rate allows, not with the next tick of 50 ms.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	g.originRow.setup(g, self.Name())
 	g.archive.g = g
 	g.origins.Archive = &g.archive
+	g.origins.Writer = &g.originRow
 	g.peerService = peer.Service{
 		Members:   &g.members.Members,
 		Budgets:   &g.budgets,
@@ -348,7 +349,7 @@
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go g.ticker.Run(g.stop, g.tick)
 	go g.path.ticker.Run(g.stop, g.path.tick)
-	go g.originRow.ticker.Run(g.stop, g.originRow.tick)
+	go g.originRow.run()
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -23,41 +23,113 @@
 const (
 	originLeaseTTL   = 2 * time.Minute
 	originRenewAfter = originLeaseTTL / 3
-	originTick       = 50 * time.Millisecond  // While several versions serve.
-	originIdleTick   = 500 * time.Millisecond // Otherwise; within it streams in flight are found to need a row.
+
+	originIdlePeriod = 500 * time.Millisecond // Within it, a second version is found to need the row; rows are not needed before.
+	originFlushTime  = 200 * time.Millisecond // Longest wait of the first event of a stream for the row that corrects its version.
 )
 
-// originRow writes this router's row of origins to the store.
+// originRow writes this router's row of origins to the store. It implements origin.Writer.
 type originRow struct {
 	g        *Gateway
-	ticker   decision.Ticker
-	schedule origin.WriteSchedule // Accessed only in tick, which one goroutine calls; as are the fields below.
+	schedule origin.WriteSchedule // Accessed only in step, which one goroutine calls; as are the fields below.
 	key      string               // Holds the incarnation, so that a restart does not replace the row of the run before.
 	version  uint64               // Version of the key as far as known; zero if it does not exist.
 	lease    uint64               // Zero if there is none.
 	leasedAt time.Time            // When the lease was granted or last renewed.
 
+	wake    chan struct{}
+	needed  atomic.Bool  // Rows are needed.
+	failing atomic.Bool  // The last write failed.
 	streams atomic.Int64 // In the last row that was written.
+
+	mu      sync.Mutex
+	waiting []chan struct{} // Closed after the next write; guarded by mu.
 }
 
 func (r *originRow) setup(g *Gateway, self string) {
 	r.g = g
 	r.key = originPrefix + self
-	r.ticker = decision.Ticker{Busy: originTick, Idle: originIdleTick}
+	r.wake = make(chan struct{}, 1)
+}
+
+// Changed makes the row be written as soon as its rate allows.
+func (r *originRow) Changed() {
+	if !r.needed.Load() {
+		return
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Flush waits until a row is written that is made after the call. It does not wait if writes fail.
+func (r *originRow) Flush(now time.Time, stream string) {
+	if !r.needed.Load() || r.failing.Load() {
+		return
+	}
+	written := make(chan struct{})
+	r.mu.Lock()
+	r.waiting = append(r.waiting, written)
+	r.mu.Unlock()
+	r.Changed()
+	timer := time.NewTimer(originFlushTime)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+		r.g.log.Warn("origin not written in time", zap.String("Stream", stream), zap.Duration("Took", time.Since(now)))
+	}
+}
+
+// takeWaiting returns the waits that the next write ends.
+func (r *originRow) takeWaiting() []chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := r.waiting
+	r.waiting = nil
+	return waiting
+}
+
+// urgent reports whether a stream waits for the row.
+func (r *originRow) urgent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.waiting) > 0
+}
+
+// run writes the row when that is due, until the gateway stops.
+func (r *originRow) run() {
+	timer := time.NewTimer(originIdlePeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-r.wake:
+		case <-r.g.stop:
+			return
+		}
+		next := r.step(time.Now())
+		timer.Reset(time.Until(next))
+	}
 }
 
-// tick writes the row if that is due. It reports whether a row is needed.
-func (r *originRow) tick(now time.Time) (busy bool) {
+// step writes the row if that is due, and returns when it is to be called again.
+func (r *originRow) step(now time.Time) time.Time {
+	interval := origin.WriteInterval(r.g.knownRouters(now), r.g.cfg.Settings.Store.WritesPerSecond)
 	registry := r.g.origins.Registry
 	changes := registry.Changes()
-	if !r.schedule.Due(now, changes, origin.WriteInterval(r.g.knownRouters(now), r.g.cfg.Settings.Store.WritesPerSecond)) {
-		return true
+	if next := r.schedule.Next(changes, interval, r.urgent()); next.After(now) {
+		return next
 	}
+	waiting := r.takeWaiting()
 	row := registry.Row(now, func(service string) bool {
 		return r.schedule.Needed(now, service, r.g.endpoints.HasSeveralVersions(service))
 	})
+	r.needed.Store(r.schedule.NeededLately(now))
 	if row.Len() == 0 {
-		return false
+		closeAll(waiting)
+		return now.Add(originIdlePeriod)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
@@ -65,10 +137,18 @@
 	if r.schedule.Written(now, changes, err == nil) {
 		r.logChange(row, err)
 	}
+	r.failing.Store(err != nil)
 	if err == nil {
 		r.streams.Store(int64(row.Len()))
+		closeAll(waiting)
+	}
+	return r.schedule.Next(registry.Changes(), interval, r.urgent())
+}
+
+func closeAll(waiting []chan struct{}) {
+	for _, w := range waiting {
+		close(w)
 	}
-	return true
 }
 
 // logChange logs that writes began to fail, or to succeed again.
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -13,6 +13,14 @@
 	Find(ctx context.Context, now time.Time, stream string) (o Origin, known bool, err error)
 }
 
+// Writer writes the row of this router to the archive.
+type Writer interface {
+	// Changed tells that the row has changed, so that it is written as soon as its rate allows.
+	Changed()
+	// Flush waits, for a short time, until a row is written that holds what is known at the call.
+	Flush(now time.Time, stream string)
+}
+
 // StreamHash names a stream in a Row: the first 8 bytes of the SHA-256 hash of its ID.
 //
 // Callers choose the IDs, so the hash must not let them find two with the same name at will.
@@ -29,6 +37,7 @@
 	servedRetention    = 15 * time.Second       // For which a row still holds a stream that has ended; above the pause of a caller that takes it up.
 	severalRetention   = time.Minute            // For which rows are written after the last endpoint of a second version was known.
 	minWriteInterval   = 150 * time.Millisecond // Shortest time between two writes of a row.
+	urgentInterval     = 50 * time.Millisecond  // The same while a stream waits for the write.
 	settlingInterval   = 500 * time.Millisecond // Time between two writes, and two reads, while the number of routers is not known.
 	refreshPeriod      = 5 * time.Second        // After which a row is written again unchanged, in case the store came back from an older copy.
 	writeRetryDelay    = time.Second            // After a write that failed.
@@ -73,15 +82,22 @@
 	several map[string]time.Time // When several versions of a service were last known.
 }
 
-// Due reports whether the row is to be written, given the number of changes of the registry.
-func (s *WriteSchedule) Due(now time.Time, changes uint64, interval time.Duration) bool {
-	if s.failed {
-		return now.Sub(s.triedAt) >= max(interval, writeRetryDelay)
+// Next returns when the row is to be written, given the number of changes of the registry. Urgent tells that a stream waits
+// for the write.
+func (s *WriteSchedule) Next(changes uint64, interval time.Duration, urgent bool) time.Time {
+	soonest := s.triedAt.Add(interval)
+	switch {
+	case s.failed:
+		return s.triedAt.Add(max(interval, writeRetryDelay))
+	case urgent:
+		return s.triedAt.Add(urgentInterval)
+	case changes != s.changes:
+		return soonest
 	}
-	if now.Sub(s.triedAt) < interval {
-		return false
+	if refresh := s.writtenAt.Add(refreshPeriod); refresh.After(soonest) {
+		return refresh
 	}
-	return changes != s.changes || now.Sub(s.writtenAt) >= refreshPeriod
+	return soonest
 }
 
 // Written records the result of a write that was begun at the time now, and reports whether writes began to fail or to
@@ -110,6 +126,16 @@
 	return ok && now.Sub(last) < severalRetention
 }
 
+// NeededLately reports whether the streams of any service were to be written lately, so that those which begin now are, too.
+func (s *WriteSchedule) NeededLately(now time.Time) bool {
+	for _, last := range s.several {
+		if now.Sub(last) < severalRetention {
+			return true
+		}
+	}
+	return false
+}
+
 // ReadSchedule decides when a router may read the rows of all routers. The zero value has read none.
 type ReadSchedule struct {
 	began  time.Time
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -37,22 +37,23 @@
 	const interval = 200 * time.Millisecond
 	var s WriteSchedule
 	now := start
-	require.True(t, s.Due(now, 1, interval))
+	require.False(t, s.Next(1, interval, false).After(now), "the first row is not delayed")
 	require.False(t, s.Written(now, 1, true))
-	require.False(t, s.Due(now.Add(interval), 1, interval), "unchanged")
-	require.False(t, s.Due(now.Add(interval-1), 2, interval), "too soon")
-	require.True(t, s.Due(now.Add(interval), 2, interval))
-	require.True(t, s.Due(now.Add(refreshPeriod), 1, interval), "the store may have come back from an older copy")
+	require.Equal(t, now.Add(refreshPeriod), s.Next(1, interval, false), "the store may come back from an older copy")
+	require.Equal(t, now.Add(interval), s.Next(2, interval, false), "changed")
+	require.Equal(t, now.Add(urgentInterval), s.Next(2, interval, true), "a stream waits")
+	require.Equal(t, now.Add(time.Minute), s.Next(1, time.Minute, false), "the rate comes first")
 
 	now = now.Add(interval)
 	require.True(t, s.Written(now, 2, false), "begins to fail")
-	require.False(t, s.Due(now.Add(writeRetryDelay-1), 2, interval))
+	require.Equal(t, now.Add(writeRetryDelay), s.Next(2, interval, false))
+	require.Equal(t, now.Add(writeRetryDelay), s.Next(2, interval, true))
+	require.Equal(t, now.Add(time.Minute), s.Next(2, time.Minute, false))
 	now = now.Add(writeRetryDelay)
-	require.True(t, s.Due(now, 2, interval))
 	require.False(t, s.Written(now, 2, false), "goes on failing")
 	now = now.Add(writeRetryDelay)
 	require.True(t, s.Written(now, 2, true), "succeeds again")
-	require.False(t, s.Due(now.Add(interval), 2, interval))
+	require.Equal(t, now.Add(refreshPeriod), s.Next(2, interval, false))
 }
 
 // TestRowsAreNeededForAMinuteAfterTheSecondVersion guards against rows that end with the last endpoint of a version, while
@@ -63,7 +64,9 @@
 	require.True(t, s.Needed(start, "s", true))
 	require.True(t, s.Needed(start.Add(severalRetention-1), "s", false))
 	require.False(t, s.Needed(start.Add(severalRetention-1), "other", false))
+	require.True(t, s.NeededLately(start.Add(severalRetention-1)))
 	require.False(t, s.Needed(start.Add(severalRetention), "s", false))
+	require.False(t, s.NeededLately(start.Add(severalRetention)))
 }
 
 // TestReadsAreBounded follows a schedule through reads that succeed and fail.
@@ -107,6 +110,63 @@
 	require.EqualValues(t, 2, r.Changes())
 }
 
+// TestRowHoldsStreamsBeforeTheirFirstEvent guards against streams that are not known after a loss of power in the moment
+// after their first event, because that moment is shorter than the write of a row.
+func TestRowHoldsStreamsBeforeTheirFirstEvent(t *testing.T) {
+	var r Registry
+	o := Origin{Stream: "1", Service: "s", Version: "v1"}
+	r.Sent(o)
+	r.Sent(o)
+	require.EqualValues(t, 1, r.Changes())
+	_, known := r.Find(start, "1")
+	require.False(t, known, "it has not begun")
+	row := r.Row(start, always)
+	require.Equal(t, []RowGroup{{"s", "v1", []StreamHash{HashOf("1")}}}, row.Groups)
+	require.False(t, r.Began(start, o))
+	require.EqualValues(t, 1, r.Changes(), "the row holds it already")
+	r.Sent(Origin{Stream: "1", Service: "s", Version: "v2"})
+	require.EqualValues(t, 1, r.Changes(), "it has begun")
+
+	r.Sent(Origin{Stream: "2", Service: "s", Version: "v1"})
+	r.Ended("2")
+	row = r.Row(start, always)
+	require.Equal(t, 1, row.Len(), "the second stream never began")
+}
+
+// TestRowNamesNoVersionThatAStreamLeftBeforeItsFirstEvent guards against a stream that goes on at the version to which its
+// request was sent first, when another one began it.
+func TestRowNamesNoVersionThatAStreamLeftBeforeItsFirstEvent(t *testing.T) {
+	first, second := Origin{Stream: "1", Service: "s", Version: "v1"}, Origin{Stream: "1", Service: "s", Version: "v2"}
+	for _, written := range []bool{false, true} {
+		var r Registry
+		r.Sent(first)
+		if written {
+			_ = r.Row(start, always)
+		}
+		changes := r.Changes()
+		r.Sent(second)
+		require.Greater(t, r.Changes(), changes, "the row is written again")
+		row := r.Row(start, always)
+		if written {
+			require.Zero(t, row.Len(), "which version begins it is open")
+		} else {
+			require.Equal(t, "v2", row.Groups[0].Version)
+		}
+		changes = r.Changes()
+		require.Equal(t, written, r.Began(start, second), "whether a row may name the first version")
+		if written {
+			require.Greater(t, r.Changes(), changes)
+		}
+		row = r.Row(start, always)
+		require.Equal(t, []RowGroup{{"s", "v2", []StreamHash{HashOf("1")}}}, row.Groups)
+		require.False(t, r.Began(start, second))
+	}
+	var r Registry
+	r.Sent(first)
+	_ = r.Row(start, always)
+	require.True(t, r.Began(start, second), "sent elsewhere without notice")
+}
+
 // TestRowIsBounded ends more streams than a router retains.
 func TestRowIsBounded(t *testing.T) {
 	var r Registry
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -50,8 +50,16 @@
 	toldAt time.Time // When they were told.
 }
 
-// Began records that a stream began, or goes on, at this router.
-func (r *Registry) Began(now time.Time, o Origin) {
+// Sent records that the request of a new stream is sent to an endpoint, at which it begins if an event comes.
+func (r *Registry) Sent(o Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served.sent(o)
+}
+
+// Began records that a stream began, or goes on, at this router. It reports whether a Row of this router may name another
+// version, where the request was sent before.
+func (r *Registry) Began(now time.Time, o Origin) (corrects bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.learn(now, o)
@@ -59,10 +67,11 @@
 		r.open = map[string]*openStream{}
 	}
 	r.open[o.Stream] = &openStream{Origin: o}
-	r.served.began(o)
+	return r.served.began(o)
 }
 
-// Ended records that this router serves a stream no longer. Its origin stays known, since the caller may take it up.
+// Ended records that this router serves a stream no longer. If it began, its origin stays known, since the caller may take
+// it up.
 func (r *Registry) Ended(stream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,15 +81,15 @@
 	r.served.ended(stream)
 }
 
-// Changes returns a number that rises with each stream that begins at this router.
+// Changes returns a number that rises with each stream that is added to the Row or has another version there.
 func (r *Registry) Changes() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.served.changes
 }
 
-// Row returns where the streams began that this router serves, or served a moment ago, of the services for which needed
-// reports true.
+// Row returns where the streams began that this router serves, or served a moment ago, or where those begin whose first
+// event has not come, of the services for which needed reports true.
 func (r *Registry) Row(now time.Time, needed func(service string) bool) Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/origin/served.go
+++ b/internal/origin/served.go
@@ -14,31 +14,62 @@
 	service string
 	version string
 	hash    StreamHash
+	begun   bool // Its first event has come.
+	inRow   bool // A row with this version was made.
+	moved   bool // A row was made with another version, before the first event. The stream is left out until that comes.
 	ended   bool
 	endedAt time.Time // When a row first found it ended; zero before.
 }
 
-// began adds a stream that begins, or goes on, at this router.
-func (s *servedStreams) began(o Origin) {
+// isAt reports whether the stream has the given origin.
+func (s *servedStream) isAt(o Origin) bool { return s.service == o.Service && s.version == o.Version }
+
+// sent adds a stream whose request is sent to an endpoint: it begins there if an event comes.
+func (s *servedStreams) sent(o Origin) {
+	before, ok := s.streams[o.Stream]
+	switch {
+	case !ok:
+		s.add(o)
+	case before.begun || before.isAt(o):
+	default:
+		s.add(o).moved = before.moved || before.inRow
+	}
+}
+
+func (s *servedStreams) add(o Origin) *servedStream {
 	if s.streams == nil {
 		s.streams = map[string]*servedStream{}
 	}
-	before, ok := s.streams[o.Stream]
-	if ok && before.service == o.Service && before.version == o.Version {
-		before.ended = false
-		before.endedAt = time.Time{}
-		return
-	}
-	s.streams[o.Stream] = &servedStream{service: o.Service, version: o.Version, hash: HashOf(o.Stream)}
+	added := &servedStream{service: o.Service, version: o.Version, hash: HashOf(o.Stream)}
+	s.streams[o.Stream] = added
 	s.changes++
+	return added
+}
+
+// began adds a stream that begins, or goes on, at this router. It reports whether a row may exist that names another version.
+func (s *servedStreams) began(o Origin) (corrects bool) {
+	served, ok := s.streams[o.Stream]
+	if !ok || !served.isAt(o) {
+		corrects = ok && (served.moved || served.inRow)
+		served = s.add(o)
+	}
+	if served.moved {
+		corrects = true
+		s.changes++
+	}
+	served.begun = true
+	served.moved = false
+	served.ended = false
+	served.endedAt = time.Time{}
+	return corrects
 }
 
-// ended records that a stream has ended. Its caller may still take it up.
+// ended records that a stream has ended. If it had begun, its caller may still take it up.
 func (s *servedStreams) ended(stream string) {
 	served, ok := s.streams[stream]
 	switch {
 	case !ok:
-	case len(s.streams) > maxRetainedStreams:
+	case !served.begun, len(s.streams) > maxRetainedStreams:
 		delete(s.streams, stream)
 	default:
 		served.ended = true
@@ -64,10 +95,11 @@
 			need = needed(served.service)
 			neededFor[served.service] = need
 		}
-		if !need || n == maxStreamsInRow {
+		if !need || served.moved || n == maxStreamsInRow {
 			continue
 		}
 		n++
+		served.inRow = true
 		g := group{served.service, served.version}
 		hashes[g] = append(hashes[g], served.hash)
 	}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -31,14 +31,23 @@
 	Client   *Client
 	Registry *origin.Registry
 	Archive  origin.Archive // What outlives all routers; nil if nothing does.
+	Writer   origin.Writer  // Writes what Archive finds; nil if nothing is written.
 
 	mu        sync.Mutex
 	scheduled bool // A call of Tell is scheduled; guarded by mu.
 }
 
+// Sent records that the request of a new stream is sent to an endpoint.
+func (s *Origins) Sent(o origin.Origin) {
+	s.Registry.Sent(o)
+	if s.Writer != nil {
+		s.Writer.Changed()
+	}
+}
+
 // Began records where a stream began, and tells its homes soon if endpoints of several versions serve the service.
 func (s *Origins) Began(now time.Time, o origin.Origin) {
-	s.Registry.Began(now, o)
+	s.record(now, o)
 	if !s.Client.Endpoints.HasSeveralVersions(o.Service) {
 		return
 	}
@@ -56,6 +65,18 @@
 	})
 }
 
+// record records where a stream began. If the archive may hold another version of it, it waits for the correction.
+func (s *Origins) record(now time.Time, o origin.Origin) {
+	corrects := s.Registry.Began(now, o)
+	switch {
+	case s.Writer == nil:
+	case corrects:
+		s.Writer.Flush(now, o.Stream)
+	default:
+		s.Writer.Changed()
+	}
+}
+
 // Ended records that this router serves a stream no longer.
 func (s *Origins) Ended(stream string) { s.Registry.Ended(stream) }
 
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -46,9 +46,11 @@
 
 // Origins knows at which software version each stream began, at whichever router.
 type Origins interface {
+	// Sent records that the request of a new stream is sent to an endpoint, at which it begins if an event comes.
+	Sent(o origin.Origin)
 	// Began records where a stream began.
 	Began(now time.Time, o origin.Origin)
-	// Ended records that this router serves a stream no longer.
+	// Ended records that this router serves a stream no longer, or that none has begun.
 	Ended(stream string)
 	// Find returns where a stream that a caller takes up began; it may ask other routers.
 	Find(now time.Time, stream, service string) origin.Answer
--- a/internal/request/origin.go
+++ b/internal/request/origin.go
@@ -43,6 +43,25 @@
 	return nil
 }
 
+// beginsStream reports whether the request begins a stream that callers may take up.
+func (r *run) beginsStream() bool {
+	return r.f.Origins != nil && !r.direct && r.req.Streams && r.req.Resumable && !r.req.takesUp() && r.events == 0
+}
+
+// recordSent records where the stream of the run begins if an event comes, so that this is written before.
+func (r *run) recordSent() {
+	if r.beginsStream() {
+		r.f.Origins.Sent(origin.Origin{Stream: r.req.StreamID(), Service: r.req.Service, Version: r.version})
+	}
+}
+
+// forgetSent records that no stream has begun.
+func (r *run) forgetSent() {
+	if r.beginsStream() {
+		r.f.Origins.Ended(r.req.StreamID())
+	}
+}
+
 // recordOrigin records where the stream of the run began, or that it goes on.
 func (r *run) recordOrigin(now time.Time) {
 	if r.f.Origins == nil || r.direct {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -59,6 +59,7 @@
 	r.decisions = r.f.Endpoints.Decisions.Open(r.req.RunID)
 	out := r.dispatch()
 	if out.Stream == nil {
+		r.forgetSent()
 		r.finish()
 	}
 	return out
@@ -203,6 +204,7 @@
 	r.endpoint = send.Endpoint
 	r.version = send.Version
 	r.sentAt = now
+	r.recordSent()
 	a, err := r.open(now, send, conn)
 	outcome, out := r.handleAnswer(send, a, err)
 	next := r.endFirstWait(out)
