origins: a row that becomes empty is written, so that no version stands there that a stream has left

Cause: if the only stream of a row was sent to another version before its first event, the row without it was empty, and empty rows were not written: the store went on naming the first version until the next stream.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -126,8 +126,9 @@
 	row := registry.Row(now, func(service string) bool {
 		return r.schedule.Needed(now, service, r.g.endpoints.HasSeveralVersions(service))
 	})
-	r.needed.Store(r.schedule.NeededLately(now))
-	if row.Len() == 0 {
+	needed := r.schedule.NeededLately(now)
+	r.needed.Store(needed)
+	if row.Len() == 0 && (!needed || r.streams.Load() == 0) {
 		closeAll(waiting)
 		return now.Add(originIdlePeriod)
 	}
