origins: rows hold resumable streams only, and those that ended whole for 2 s only

Cause: a row held all streams that ended within 15 s, most of them whole, and streams that callers cannot take up. At 295 routers and 1,400 streams a second a read of all rows would be about 280 KB (reckoned, 8 bytes a stream in base64), on links of 10 Mbit/s.

Change: a stream that was passed on to its end leaves the row 2 s later, a broken one 15 s later as before; streams that are not resumable are not recorded. They are not told to homes either: who takes one up is refused while several versions serve.

--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -35,6 +35,7 @@
 // Timing of a router's row in the store.
 const (
 	servedRetention    = 15 * time.Second       // For which a row still holds a stream that has ended; above the pause of a caller that takes it up.
+	wholeRetention     = 2 * time.Second        // The same for one that was passed on whole: its last events may not have reached the caller.
 	severalRetention   = time.Minute            // For which rows are written after the last endpoint of a second version was known.
 	minWriteInterval   = 150 * time.Millisecond // Shortest time between two writes of a row.
 	urgentInterval     = 50 * time.Millisecond  // The same while a stream waits for the write.
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -108,6 +108,14 @@
 	require.Zero(t, row.Len())
 	r.Began(start, o)
 	require.EqualValues(t, 2, r.Changes())
+
+	r.Completed("unknown")
+	r.Completed("1")
+	r.Ended("1")
+	row = r.Row(start, always)
+	require.Equal(t, 1, row.Len(), "its end may not have reached the caller")
+	row = r.Row(start.Add(wholeRetention+1), always)
+	require.Zero(t, row.Len())
 }
 
 // TestRowHoldsStreamsBeforeTheirFirstEvent guards against streams that are not known after a loss of power in the moment
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -70,6 +70,13 @@
 	return r.served.began(o)
 }
 
+// Completed records that a stream which this router serves has reached its end, so that callers hardly take it up.
+func (r *Registry) Completed(stream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served.completed(stream)
+}
+
 // Ended records that this router serves a stream no longer. If it began, its origin stays known, since the caller may take
 // it up.
 func (r *Registry) Ended(stream string) {
--- a/internal/origin/served.go
+++ b/internal/origin/served.go
@@ -17,10 +17,19 @@
 	begun   bool // Its first event has come.
 	inRow   bool // A row with this version was made.
 	moved   bool // A row was made with another version, before the first event. The stream is left out until that comes.
+	whole   bool // It has reached its end.
 	ended   bool
 	endedAt time.Time // When a row first found it ended; zero before.
 }
 
+// retention returns for how long a row still holds the stream after it has ended.
+func (s *servedStream) retention() time.Duration {
+	if s.whole {
+		return wholeRetention
+	}
+	return servedRetention
+}
+
 // isAt reports whether the stream has the given origin.
 func (s *servedStream) isAt(o Origin) bool { return s.service == o.Service && s.version == o.Version }
 
@@ -58,12 +67,20 @@
 		s.changes++
 	}
 	served.begun = true
+	served.whole = false
 	served.moved = false
 	served.ended = false
 	served.endedAt = time.Time{}
 	return corrects
 }
 
+// completed records that a stream has reached its end.
+func (s *servedStreams) completed(stream string) {
+	if served, ok := s.streams[stream]; ok {
+		served.whole = true
+	}
+}
+
 // ended records that a stream has ended. If it had begun, its caller may still take it up.
 func (s *servedStreams) ended(stream string) {
 	served, ok := s.streams[stream]
@@ -86,7 +103,7 @@
 		if served.ended && served.endedAt.IsZero() {
 			served.endedAt = now
 		}
-		if served.ended && now.Sub(served.endedAt) > servedRetention {
+		if served.ended && now.Sub(served.endedAt) > served.retention() {
 			delete(s.streams, id)
 			continue
 		}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// Completed records that a stream which this router serves has reached its end.
+func (s *Origins) Completed(stream string) { s.Registry.Completed(stream) }
+
 // Ended records that this router serves a stream no longer.
 func (s *Origins) Ended(stream string) { s.Registry.Ended(stream) }
 
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -50,6 +50,8 @@
 	Sent(o origin.Origin)
 	// Began records where a stream began.
 	Began(now time.Time, o origin.Origin)
+	// Completed records that a stream which this router serves has reached its end.
+	Completed(stream string)
 	// Ended records that this router serves a stream no longer, or that none has begun.
 	Ended(stream string)
 	// Find returns where a stream that a caller takes up began; it may ask other routers.
--- a/internal/request/origin.go
+++ b/internal/request/origin.go
@@ -45,7 +45,7 @@
 
 // beginsStream reports whether the request begins a stream that callers may take up.
 func (r *run) beginsStream() bool {
-	return r.f.Origins != nil && !r.direct && r.req.Streams && r.req.Resumable && !r.req.takesUp() && r.events == 0
+	return r.keepsOrigin() && r.req.Streams && !r.req.takesUp() && r.events == 0
 }
 
 // recordSent records where the stream of the run begins if an event comes, so that this is written before.
@@ -62,17 +62,23 @@
 	}
 }
 
+// keepsOrigin reports whether callers may take the stream of the run up, so that its origin is kept.
+func (r *run) keepsOrigin() bool { return r.f.Origins != nil && !r.direct && r.req.Resumable }
+
 // recordOrigin records where the stream of the run began, or that it goes on.
 func (r *run) recordOrigin(now time.Time) {
-	if r.f.Origins == nil || r.direct {
-		return
+	if r.keepsOrigin() {
+		r.f.Origins.Began(now, origin.Origin{Stream: r.req.StreamID(), Service: r.req.Service, Version: r.version})
 	}
-	r.f.Origins.Began(now, origin.Origin{Stream: r.req.StreamID(), Service: r.req.Service, Version: r.version})
 }
 
-// forgetOrigin records that the stream of the run has ended.
-func (r *run) forgetOrigin() {
-	if r.f.Origins != nil && !r.direct {
-		r.f.Origins.Ended(r.req.StreamID())
+// forgetOrigin records that the stream of the run has ended, and whether it is whole.
+func (r *run) forgetOrigin(whole bool) {
+	if !r.keepsOrigin() {
+		return
+	}
+	if whole {
+		r.f.Origins.Completed(r.req.StreamID())
 	}
+	r.f.Origins.Ended(r.req.StreamID())
 }
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -304,7 +304,7 @@
 		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Bool("Whole", s.completed), zap.String("Problem", s.problem), zap.Int64("Events", r.events),
 		zap.String("LastEvent", r.lastEventID), zap.String("EndpointVersion", r.version), zap.Int("Attempts", r.attempts), zap.Duration("Took", time.Since(r.req.Arrived)))
 	r.reportOutcome(outcome, r.events*r.req.TokensPerEvent)
-	r.forgetOrigin()
+	r.forgetOrigin(s.completed)
 	r.finish()
 	if s.OnClose != nil {
 		s.OnClose()
