--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -37,25 +37,34 @@
 	servedRetention    = 15 * time.Second       // For which a row still holds a stream that has ended; above the pause of a caller that takes it up.
 	wholeRetention     = 2 * time.Second        // The same for one that was passed on whole: its last events may not have reached the caller.
 	severalRetention   = time.Minute            // For which rows are written after the last endpoint of a second version was known.
-	minWriteInterval   = 150 * time.Millisecond // Shortest time between two writes of a row.
+	minWriteInterval   = 75 * time.Millisecond  // Shortest time between two writes of a row.
+	quickWriteInterval = 100 * time.Millisecond // Within it, most streams are written before their first event.
 	urgentInterval     = 50 * time.Millisecond  // The same while a stream waits for the write.
 	settlingInterval   = 500 * time.Millisecond // Time between two writes, and two reads, while the number of routers is not known.
 	refreshPeriod      = 5 * time.Second        // After which a row is written again unchanged, in case the store came back from an older copy.
 	writeRetryDelay    = time.Second            // After a write that failed.
 	minReadInterval    = 100 * time.Millisecond // Shortest time between two reads of all rows.
 	readRetryDelay     = 500 * time.Millisecond // After a read that failed, in which none is begun.
-	storeShareDivisor  = 10                     // All routers together use this fraction of the calls that the store takes.
+	quickShareDivisor  = 5                      // All routers together use this fraction of the writes that the store takes, if that is quick enough.
+	storeShareDivisor  = 10                     // Otherwise, and of the reads.
 	maxStreamsInRow    = 1 << 16                // Half a megabyte; the store's limit of a value is one.
 	maxRetainedStreams = maxKnown               // Streams that have ended and are still held.
 )
 
 // WriteInterval returns the least time between two writes of a router's row, so that the rows of all routers together use
 // a small part of the writes that the store takes in a second. Zero routers means that their number is not known.
+//
+// Small fleets use a larger part, because their streams then stand in a row when their first event comes. Large ones cannot
+// reach that.
 func WriteInterval(routers int, writesPerSecond float64) time.Duration {
 	if routers == 0 {
 		return settlingInterval
 	}
-	return max(minWriteInterval, fleetInterval(routers, writesPerSecond))
+	quick := max(minWriteInterval, fleetInterval(routers, quickShareDivisor, writesPerSecond))
+	if quick <= quickWriteInterval {
+		return quick
+	}
+	return fleetInterval(routers, storeShareDivisor, writesPerSecond)
 }
 
 // ReadInterval returns the least time between two reads of all rows by one router, likewise.
@@ -63,14 +72,16 @@
 	if routers == 0 {
 		return settlingInterval
 	}
-	return max(minReadInterval, fleetInterval(routers, readsPerSecond))
+	return max(minReadInterval, fleetInterval(routers, storeShareDivisor, readsPerSecond))
 }
 
-func fleetInterval(routers int, perSecond float64) time.Duration {
+// fleetInterval returns the time between two calls of a router with which all routers together make a fraction of the calls
+// that the store takes in a second.
+func fleetInterval(routers, divisor int, perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(routers*storeShareDivisor) / perSecond * float64(time.Second))
+	return time.Duration(float64(routers*divisor) / perSecond * float64(time.Second))
 }
 
 // WriteSchedule decides when a router writes its row. The zero value has written none.
