--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	peerService  peer.Service
 	origins      peer.Origins
 	versions     versions
+	originRow    originRow
+	archive      originArchive
 	metrics      *metrics
 	store        *instrumentedStore
 	budgetStore  *keyvalue.GuardedStore // Store for the budgets, with rate limits and a circuit breaker.
@@ -159,6 +161,10 @@
 	g.origins.Versions = &g.versions
 	g.versions.g = g
 	g.versions.history.Delay = recordDelay + rand.N(recordDelay)
+	g.originRow.setup(g, self.Name())
+	g.archive.g = g
+	g.origins.Archive = &g.archive
+	g.origins.Writer = &g.originRow
 	g.peerService = peer.Service{
 		Members:   &g.members.Members,
 		Budgets:   &g.budgets,
@@ -360,6 +366,7 @@
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go g.ticker.Run(g.stop, g.tick)
 	go g.path.ticker.Run(g.stop, g.path.tick)
+	go g.originRow.run()
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
 
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -144,6 +144,11 @@
 	return v.history.MustTell(v.age(now), service)
 }
 
+// several reports whether several versions serve a service or did lately, as far as this router knows.
+func (v *versions) several(service string) bool {
+	return len(v.history.View(service).Versions) > 1 || v.g.endpoints.HasSeveralVersions(service)
+}
+
 // View returns what this router knows of the versions of a service.
 func (v *versions) View(now time.Time, service string) origin.View {
 	view := v.history.View(service)
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -9,7 +9,12 @@
 //
 // A History is a router's copy of the lasting records of the versions that
 // served each service. They prove where a stream began that no router knows, as
-// long as they name one version. An Archive outlives all routers, too.
+// long as they name one version.
+//
+// What all routers know is lost if they lose power together. While a service
+// has several versions, each router therefore also writes a Row to the store
+// with the origins of the streams that it serves. WriteSchedule and
+// ReadSchedule bound the calls; an Index finds an origin in the rows.
 //
 // Invariants:
 //
@@ -17,6 +22,8 @@
 //   - The state is bounded by the streams in flight and by maxKnown.
 //   - No stream begins at a version that the record does not admit, unless its homes are told.
 //   - A version is removed from a record only when no stream that began at it untold can still be taken up.
+//   - A stream of which two rows say different origins is not known.
 //
-// The package decides; internal/peer sends the messages, internal/gateway calls the store.
+// The package decides; internal/peer sends the messages and internal/gateway
+// calls the store.
 package origin
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -41,15 +41,24 @@
 	Client   *Client
 	Registry *origin.Registry
 	Versions Versions
-	Archive  origin.Archive // Nil if there is none.
+	Archive  origin.Archive // What outlives all routers; nil if nothing does.
+	Writer   origin.Writer  // Writes what Archive finds; nil if nothing is written.
 
 	mu        sync.Mutex
 	scheduled bool // A call of Tell is scheduled; guarded by mu.
 }
 
+// Sent records that the request of a new stream is sent to an endpoint.
+func (s *Origins) Sent(o origin.Origin) {
+	s.Registry.Sent(o)
+	if s.Writer != nil {
+		s.Writer.Changed()
+	}
+}
+
 // Began records where a stream began, and tells its homes soon if it may matter at which version.
 func (s *Origins) Began(now time.Time, o origin.Origin) {
-	s.Registry.Began(now, o)
+	s.record(now, o)
 	if !s.mustTell(now, o.Service) {
 		return
 	}
@@ -72,6 +81,21 @@
 	return s.Client.Endpoints.HasSeveralVersions(service) || s.Versions.MustTell(now, service)
 }
 
+// record records where a stream began. If the archive may hold another version of it, it waits for the correction.
+func (s *Origins) record(now time.Time, o origin.Origin) {
+	corrects := s.Registry.Began(now, o)
+	switch {
+	case s.Writer == nil:
+	case corrects:
+		s.Writer.Flush(now, o.Stream)
+	default:
+		s.Writer.Changed()
+	}
+}
+
+// Completed records that a stream which this router serves has reached its end.
+func (s *Origins) Completed(stream string) { s.Registry.Completed(stream) }
+
 // Ended records that this router serves a stream no longer.
 func (s *Origins) Ended(stream string) { s.Registry.Ended(stream) }
 
@@ -185,8 +209,7 @@
 	found, known, err := s.Archive.Find(ctx, now, stream)
 	switch {
 	case err != nil:
-		s.Client.Log.Info("archive of origins not read", zap.String("Stream", stream), logfile.Error(err))
-		answer.Incomplete = true
+		answer.Incomplete = true // The archive has logged why.
 	case known:
 		s.Registry.Learn(now, []origin.Origin{found})
 		answer.Origin = found
