internal/request: answers that are read whole are bounded in bytes

Cause: the body of an answer is read into memory up to 8 MB, once for each request in flight, and was copied into the response; nothing counted these bytes. Same class as the bodies of requests. The budget of the requests is kept apart, so that uploads do not hold up answers of requests that have run.

Change: beyond 16 KB the announced length, or 8 MB if there is none, is reserved out of a tenth of the memory limit before it is read; an attempt waits for it until its deadline while the connection holds the endpoint back. It is reserved at once, so that no two attempts wait for each other, and one answer is read whatever the bound. The response uses the bytes without a copy. Answers of rejections are discarded in place of read.

--- a/internal/command/memory_test.go
+++ b/internal/command/memory_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,20 +31,27 @@
 	return kilobytes >> 10
 }
 
+// vmMegabytes is the memory of the smallest VM.
+const vmMegabytes = 134
+
+// limitMemory adds the memory of the VM to the settings of a gateway that is not started.
+func (f gatewayFixture) limitMemory(t *testing.T) {
+	text, err := os.ReadFile(f.settings)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(f.settings, fmt.Appendf(text, "[Memory]\nLimitMegabytes = %d\n", vmMegabytes), 0o600))
+}
+
 // TestLongBodiesDoNotExceedTheMemoryOfTheVM sends many long bodies slowly to a gateway, each of which the configuration
 // allows, while streams of other callers go on. The process used 210 MB and more of the 134 MB of its VM and was killed.
 func TestLongBodiesDoNotExceedTheMemoryOfTheVM(t *testing.T) {
 	const (
-		vmMegabytes = 134
-		callers     = 60
-		bodyBytes   = 4<<20 - 4<<10
-		pieces      = 40
-		pause       = 50 * time.Millisecond
+		callers   = 60
+		bodyBytes = 4<<20 - 4<<10
+		pieces    = 40
+		pause     = 50 * time.Millisecond
 	)
 	f := newGatewayFixture(t, "300")
-	text, err := os.ReadFile(f.settings)
-	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(f.settings, fmt.Appendf(text, "[Memory]\nLimitMegabytes = %d\n", vmMegabytes), 0o600))
+	f.limitMemory(t)
 	cmd := f.command()
 	ended := f.start(t, cmd)
 	f.awaitReady(t, ended)
@@ -56,7 +66,7 @@
 		rest := f.tryStream(t)
 		require.NotNil(t, rest, "a stream of another caller was refused")
 	}
-	_, err = io.ReadAll(in)
+	_, err := io.ReadAll(in)
 	require.NoError(t, err, "a stream of another caller was cut")
 	sending.Wait()
 	used := residentMegabytes(t, cmd.Process.Pid)
@@ -83,3 +93,63 @@
 		time.Sleep(pause)
 	}
 }
+
+// TestLongAnswersDoNotExceedTheMemoryOfTheVM requests many long answers at once, which arrive whole one after the other.
+func TestLongAnswersDoNotExceedTheMemoryOfTheVM(t *testing.T) {
+	const (
+		callers     = 60
+		answerBytes = 6 << 20
+	)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		w.Header().Set(wire.HeaderSeal, "seal")
+		if strings.HasPrefix(r.URL.Path, "/long/length") {
+			w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", answerBytes))
+	}))
+	defer server.Close()
+	f := newGatewayFixture(t, "1")
+	f.limitMemory(t)
+	f.register(t, "i-long", "long", server.Listener.Addr().String())
+	cmd := f.command()
+	ended := f.start(t, cmd)
+	f.awaitReady(t, ended)
+	f.openStream(t)
+	before := residentMegabytes(t, cmd.Process.Pid)
+	var calls sync.WaitGroup
+	var whole atomic.Int64
+	for i := range callers {
+		path := []string{"/long/length", "/long/chunks"}[i%2]
+		calls.Go(func() {
+			if f.get(path) == answerBytes {
+				whole.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	used := residentMegabytes(t, cmd.Process.Pid)
+	t.Logf("%d MB before, %d MB at most", before, used)
+	require.Less(t, used, raceMemoryFactor*vmMegabytes)
+	require.EqualValues(t, callers, whole.Load())
+}
+
+// get sends a request and returns the length of a complete answer, or 0.
+func (f gatewayFixture) get(path string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.front+path, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "h"
+	req.Header.Set(wire.HeaderRequestID, "id-3")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0
+	}
+	return len(body)
+}
--- a/internal/command/signals_test.go
+++ b/internal/command/signals_test.go
@@ -26,6 +26,7 @@
 
 // gatewayFixture is a gateway that is not started, with a store and one server of streams.
 type gatewayFixture struct {
+	store        string // Address of the stand-in of the store.
 	front, ready string // Addresses.
 	settings     string // Path of the settings file.
 }
@@ -34,28 +35,41 @@
 func newGatewayFixture(t *testing.T, events string) gatewayFixture {
 	store := startProcess(t, "standin", "store")
 	server := startProcess(t, "standin", "server", "--id", "i-0", "--software", "v0", "--events", events)
-	entry, err := platform.EncodeEntry(gateway.Entry{Service: "app", Address: server.address, DataCentre: "dc", Version: "v0", Slots: 8, StartedAt: 1})
-	require.NoError(t, err)
+	f := gatewayFixture{store: store.address, front: standin.FreeAddress(), ready: standin.FreeAddress(), settings: filepath.Join(t.TempDir(), "gateway.toml")}
+	f.register(t, "i-0", "app", server.address)
 	configuration, err := platform.EncodeConfiguration(route.Configuration{
 		Version: 1,
 		Routes: []route.Route{{
 			Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Targets: []route.Target{{Service: "app", Weight: 1}},
 			Timeout: waitTimeout, Objective: time.Second, Gap: time.Second, MaxAttempts: 1,
+		}, {
+			Name: "long", Host: "h", Prefix: "/long/", Kind: route.NonIdempotent, Targets: []route.Target{{Service: "long", Weight: 1}},
+			Timeout: waitTimeout, Objective: time.Second, MaxAttempts: 1,
 		}},
-		Services: []route.Service{{Name: "app"}},
+		Services: []route.Service{{Name: "app"}, {Name: "long"}},
 	})
 	require.NoError(t, err)
-	for key, value := range map[string][]byte{wire.ServersPrefix + "i-0": entry, wire.ConfigurationKey: configuration} {
-		code, body := send(http.MethodPost, "http://"+store.address+platformstandin.WritePath, "", "", platformstandin.Written{Key: key, Value: value})
-		require.Equal(t, http.StatusOK, code, string(body))
-	}
-	f := gatewayFixture{front: standin.FreeAddress(), ready: standin.FreeAddress(), settings: filepath.Join(t.TempDir(), "gateway.toml")}
+	f.write(t, wire.ConfigurationKey, configuration)
 	text := "VM = \"vm-1\"\n[Listen]\nFront = \"" + f.front + "\"\nReady = \"" + f.ready + "\"\nPeer = \"" + standin.FreeAddress() +
 		"\"\n[Store]\nAddress = \"" + store.address + "\"\nWritesPerSecond = 400.0\nReadsPerSecond = 2000.0\n"
 	require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
 	return f
 }
 
+// write sets a key of the store.
+func (f gatewayFixture) write(t *testing.T, key string, value []byte) {
+	code, body := send(http.MethodPost, "http://"+f.store+platformstandin.WritePath, "", "", platformstandin.Written{Key: key, Value: value})
+	require.Equal(t, http.StatusOK, code, string(body))
+}
+
+// register writes the entry of a server of a service.
+func (f gatewayFixture) register(t *testing.T, id, service, address string) {
+	const slots = 64
+	entry, err := platform.EncodeEntry(gateway.Entry{Service: service, Address: address, DataCentre: "dc", Version: "v0", Slots: slots, StartedAt: 1})
+	require.NoError(t, err)
+	f.write(t, wire.ServersPrefix+id, entry)
+}
+
 // command returns the command of the gateway.
 func (f gatewayFixture) command() *exec.Cmd {
 	return exec.Command(filepath.Join(binDir, "foxtaillanding"), "gateway", "--settings", f.settings)
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -4,11 +4,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -16,12 +18,15 @@
 
 // Limits of the memory that bodies may use.
 const (
-	bodyMemoryShare = 0.2      // Fraction of the memory limit of the process.
-	smallBodyBytes  = 16 << 10 // Bodies up to this length are counted with their requests, see bytesPerRequest.
-	unreadBody      = 1        // Limit that makes the HTTP library leave a body unread.
+	bodyMemoryShare   = 0.2      // Fraction of the memory limit of the process for the bodies of requests.
+	answerMemoryShare = 0.1      // The same for the bodies of answers, which must not wait for requests.
+	smallBodyBytes    = 16 << 10 // Bodies up to this length are counted with their requests, see bytesPerRequest.
+	unreadBody        = 1        // Limit that makes the HTTP library leave a body unread.
+
+	answerMemoryPoll = 10 * time.Millisecond // Between two looks for the memory of an answer.
 )
 
-// byteBudget bounds the memory that the bodies of requests use together; the zero value has no bound.
+// byteBudget bounds the memory that bodies use together; the zero value has no bound.
 type byteBudget struct {
 	limit atomic.Int64 // Bytes; 0 means that there is no bound.
 	used  atomic.Int64 // Bytes.
@@ -40,11 +45,49 @@
 // release gives n bytes back.
 func (b *byteBudget) release(n int64) { b.used.Add(-n) }
 
-// bodyMemory returns the number of bytes that bodies may use together, or 0 if the memory is not limited.
-func bodyMemory(m MemorySettings) int64 {
-	return int64(bodyMemoryShare * float64(int64(m.LimitMegabytes)<<20))
+// reserveAlone takes n bytes if nothing else is counted, whatever the bound.
+func (b *byteBudget) reserveAlone(n int64) bool { return b.used.CompareAndSwap(0, n) }
+
+// limitBodies sets the number of bytes that bodies may use.
+func (g *Gateway) limitBodies(m MemorySettings) {
+	total := float64(int64(m.LimitMegabytes) << 20)
+	g.bodies.limit.Store(int64(bodyMemoryShare * total))
+	g.answers.limit.Store(int64(answerMemoryShare * total))
+}
+
+// answerMemory counts the answers to one request. It implements request.Memory.
+type answerMemory struct {
+	budget *byteBudget
+	gone   <-chan struct{} // Closed when the caller disconnects.
+	held   int64
 }
 
+// Reserve implements request.Memory. One answer is read whatever the bound.
+func (m *answerMemory) Reserve(n int64, deadline time.Time) bool {
+	for !m.budget.reserve(n) && !m.budget.reserveAlone(n) {
+		decision.Pause(answerMemoryPoll, m.gone)
+		select {
+		case <-m.gone:
+			return false
+		default:
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	m.held += n
+	return true
+}
+
+// Release implements request.Memory.
+func (m *answerMemory) Release(n int64) {
+	m.held -= n
+	m.budget.release(n)
+}
+
+// releaseAll gives back what the answer holds, since it is written.
+func (m *answerMemory) releaseAll() { m.Release(m.held) }
+
 // bodies decides which bodies of requests are read, and counts their memory. The zero value reads all.
 //
 // The hook of the HTTP library that sees the head of a request before its body
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -110,8 +110,10 @@
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, from, overloaded)
+	memory := &answerMemory{budget: &g.answers}
 	beginAnswer(ctx, &c.req, func() {
 		releaseBody()
+		memory.releaseAll()
 		g.inFlight.Add(-1)
 	})
 	if refusalErr != nil {
@@ -124,6 +126,8 @@
 	watch := connection.WatchCaller(ctx.Conn())
 	c.req.CallerGone = watch.Gone
 	c.req.CallerLeft = watch.Left
+	memory.gone = watch.Gone
+	c.req.Memory = memory
 	reply := g.forward(now, c, &ctx.Request.Header)
 	done := func() {
 		watch.Stop()
@@ -165,7 +169,7 @@
 		ctx.Response.Header.Add(h.Name, h.Value)
 	}
 	if reply.Stream == nil {
-		ctx.SetBody(reply.Body)
+		ctx.Response.SetBodyRaw(reply.Body)
 		return
 	}
 	ctx.Response.ImmediateHeaderFlush = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	inFlight           atomic.Int64
 	maxInFlight        atomic.Int64 // Limit of inFlight.
 	bodies             bodies
+	answers            byteBudget            // Memory of answers that are read whole.
 	grace              atomic.Int64          // Nanoseconds from the stop request until the process is killed.
 	drain              atomic.Pointer[drain] // Nil until a stop is requested.
 	closing            atomic.Bool           // New requests are refused.
@@ -117,7 +118,7 @@
 		return nil, errors.Wrap(err, "creating the worker pool")
 	}
 	g.maxInFlight.Store(inFlightLimit(cfg.Settings.Memory))
-	g.bodies.limit.Store(bodyMemory(cfg.Settings.Memory))
+	g.limitBodies(cfg.Settings.Memory)
 	g.grace.Store(int64(cfg.Settings.grace()))
 	g.store = &instrumentedStore{Store: cfg.Store}
 	if g.metrics, err = newMetrics(g); err != nil {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -234,6 +234,7 @@
 		Deadline:   a.c.req.Deadline,
 		CallerGone: a.c.req.CallerGone,
 		CallerLeft: a.c.req.CallerLeft,
+		Memory:     a.c.req.Memory,
 		Codec:      a.codec,
 	}
 	reply := g.handover.forwarder.ForwardTo(r, a.peer.Address)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -49,6 +49,7 @@
 	}
 	r.Gauge("in_flight", "Requests whose answers are not yet written.", g.inFlight.Load)
 	r.Gauge("body_bytes", "Bytes that are reserved for or held by the bodies of requests.", g.bodies.used.Load)
+	r.Gauge("answer_bytes", "Bytes that are reserved for or held by answers.", g.answers.used.Load)
 	r.Gauge("configuration_version", "Version of the configuration in force.", func() int64 { return int64(g.members.configVersion()) })
 	r.Gauge("live_routers", "Routers that serve, this one included.", func() int64 { return int64(len(g.members.Peers()) + 1) })
 	r.Gauge("usable_endpoints", "Endpoints that may get new requests.", func() int64 { return int64(g.endpoints.Usable(time.Now())) })
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -113,7 +113,7 @@
 func (g *Gateway) Reload(now time.Time, s Settings) {
 	old := g.cfg.Settings
 	g.maxInFlight.Store(inFlightLimit(s.Memory))
-	g.bodies.limit.Store(bodyMemory(s.Memory))
+	g.limitBodies(s.Memory)
 	g.grace.Store(int64(s.grace()))
 	g.endpoints.Handle(now, retryLimits(s.Retry))
 	g.log.Info("settings reloaded",
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -17,8 +17,9 @@
 
 // Limits of answers.
 const (
-	maxBodyBytes    = 8 << 20 // Upper bound of a body that is read into memory.
-	maxStaleAnswers = 2       // Answers to earlier requests that are skipped on a reused connection.
+	maxBodyBytes    = 8 << 20  // Upper bound of a body that is read into memory.
+	smallBodyBytes  = 16 << 10 // Bodies up to this length are not counted.
+	maxStaleAnswers = 2        // Answers to earlier requests that are skipped on a reused connection.
 	maxHeadBytes    = 64 << 10
 	maxStaleBytes   = 1 << 20 // Upper bound of the body of a skipped answer.
 )
@@ -28,6 +29,7 @@
 	errBodyEncoded   = errors.New("the answer body is content-encoded and not the one that the endpoint sealed")
 	errCallerLeft    = errors.New("the caller has disconnected")
 	errStreamAborted = errors.New("stream aborted")
+	errNoMemory      = errors.New("no memory for the answer body until the deadline")
 )
 
 // attempt is one request sent to one endpoint, with the answer to it.
@@ -148,18 +150,52 @@
 	a.head = head
 }
 
-// readBody reads the body of the answer to its end.
-func (a *attempt) readBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxBodyBytes+1))
+// readBody reads the body of the answer to r to its end. The memory of a long one is reserved before it is read.
+func (a *attempt) readBody(r *Request) ([]byte, error) {
+	var body bytes.Buffer
+	reserved := int64(0)
+	_, err := body.ReadFrom(io.LimitReader(a.body, smallBodyBytes))
+	if err == nil && !a.body.eof {
+		if reserved, err = a.reserveBody(r); err == nil {
+			_, err = body.ReadFrom(io.LimitReader(a.body, maxBodyBytes+1-smallBodyBytes))
+		}
+	}
 	switch {
 	case err != nil:
-		return nil, errors.Wrap(err, "reading the answer body")
-	case len(body) > maxBodyBytes:
-		return nil, errors.Newf("answer body exceeds %d bytes", maxBodyBytes)
+		err = errors.Wrap(err, "reading the answer body")
+	case body.Len() > maxBodyBytes:
+		err = errors.Newf("answer body exceeds %d bytes", maxBodyBytes)
 	case a.head.Encoded:
-		return nil, errBodyEncoded
+		err = errBodyEncoded
+	}
+	if err != nil {
+		body.Reset()
+	}
+	if reserved > 0 {
+		r.Memory.Release(reserved - min(reserved, int64(body.Len())))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
+// reserveBody reserves the memory for the body of the answer to r and returns the number of bytes.
+//
+// It reserves all that the body may need at once: attempts that each waited for more while they held a part would wait for
+// each other.
+func (a *attempt) reserveBody(r *Request) (int64, error) {
+	if r.Memory == nil {
+		return 0, nil
+	}
+	n := a.resp.ContentLength
+	if n < 0 || n > maxBodyBytes {
+		n = maxBodyBytes
+	}
+	if !r.Memory.Reserve(n, r.Deadline) {
+		return 0, errNoMemory
 	}
-	return body, nil
+	return n, nil
 }
 
 // abortOn aborts the attempt if cancelled is closed before release is called.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -29,6 +29,17 @@
 	// PathLost returns a channel that is closed when this router is found to reach no endpoint and another router can
 	// serve the request. It is then refused with NoEndpoint unless an attempt may have run. Nil if none can.
 	PathLost func() <-chan struct{}
+
+	// Memory bounds the answers that are read whole; nil if they are not bounded.
+	Memory Memory
+}
+
+// Memory counts the bytes of the answers to a request.
+type Memory interface {
+	// Reserve takes n bytes and reports whether it got them; until the deadline it waits for them.
+	Reserve(n int64, deadline time.Time) bool
+	// Release gives n bytes back that no answer holds any longer.
+	Release(n int64)
 }
 
 // Message is what the caller sent: an opaque body and its metadata.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -310,7 +311,7 @@
 	case r.req.Streams && status < 300:
 		return r.startStream(a)
 	}
-	body, err := a.readBody()
+	body, err := a.readBody(r.req)
 	if err != nil {
 		a.abort()
 		return failureOutcome(err), nil
@@ -326,11 +327,11 @@
 
 // discard reads the short answer of an endpoint that rejected the request, so that the connection can be reused.
 func (r *run) discard(a *attempt) {
-	if a.resp.ContentLength < 0 {
+	if a.resp.ContentLength < 0 || a.resp.ContentLength > maxStaleBytes || a.head.Encoded {
 		a.abort()
 		return
 	}
-	if _, err := a.readBody(); err != nil {
+	if _, err := io.Copy(io.Discard, a.body); err != nil {
 		a.abort()
 		return
 	}
