internal/gateway: the memory of a pipelined body that does not arrive is released

One caller could have all long bodies refused for the life of the process: two requests in one write, the second chunked, and an end of the connection between two chunks. The HTTP library takes io.EOF there for the end of an idle connection and reports nothing, and the connection counted as idle, since no byte of the second request was read from the socket.

Change: the library's own state of the connection says whether a request is being read, and an end in one is an error. TestMemoryOfAPipelinedBodyThatDoesNotArriveIsFree failed before.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -61,7 +61,8 @@
 	bodies   *byteBudget
 	reserved int64     // Bytes of bodies for a body whose caller was told to send it.
 	lingers  bool      // When the connection is closed, the caller may still be sending a body.
-	idle     bool      // No byte of the next request has been read.
+	active   bool      // A request is being read or served.
+	idle     bool      // No byte of the next request has been read from the socket; some may have come with the one before.
 	since    time.Time // When the connection became idle or, unless it is, when the first byte of a request was read.
 	request  string    // ID of the request that was last read, as its caller chose it.
 	run      string    // Its run ID; empty if it was not admitted.
@@ -127,6 +128,19 @@
 	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes) // Ends with an error when the caller closes the connection or lingerTime is over.
 }
 
+// recordState records whether a request is being read or served. The HTTP library calls it in the goroutine that serves the
+// connection.
+func recordState(accepted net.Conn, state fasthttp.ConnState) {
+	c, ok := accepted.(*conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		c.active = true
+	case state == fasthttp.StateIdle:
+		c.active = false
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.endAnswer()
@@ -138,7 +152,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.readDeadline()) {
 			continue // The timeouts in force have become longer.
 		}
-		if errors.Is(err, io.EOF) && !c.idle {
+		if errors.Is(err, io.EOF) && c.active {
 			err = io.ErrUnexpectedEOF // The HTTP library reports no other end of a request as an error.
 		}
 		if n > 0 && c.idle {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -58,6 +58,7 @@
 		HeaderReceived:               func(h *fasthttp.RequestHeader) fasthttp.RequestConfig { return g.headReceived(h, fromPeer) },
 		ExpectHandler:                func(ctx *fasthttp.RequestCtx) int { return g.expectContinue(ctx, fromPeer) },
 		ErrorHandler:                 g.refuseUnread,
+		ConnState:                    recordState,
 		Concurrency:                  maxConcurrent,
 		ReadBufferSize:               headerBufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
