internal/gateway: a request that is handed over takes its earlier attempts along

What callers saw: nothing; a request whose peer died was sent to up to maxAttempts endpoints again by each next peer, and its first send there asked no retry budget. The same held for one that an endpoint had rejected before it was handed over.

Cause: a peer takes a request that is handed over for a new one.

Fix: the header X-Peer-Prior-Runs says that an attempt may have arrived, and how many may have run. The peer takes the first send out of its retry budget, counts these attempts towards MaxAttempts and earns nothing by the request. A peer that breaks off counts as one attempt; it may have made more.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -223,6 +223,7 @@
 	c.req.Deadline = now.Add(minTimeout(head.Timeout, c.route.Timeout))
 	if from != nil {
 		c.req.Deadline = now.Add(minTimeout(from.TimeLeft, c.req.Deadline.Sub(now)))
+		c.req.Prior = from.Prior
 	}
 	return c, c.admitDraining(now)
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -123,7 +123,7 @@
 		return g.forwarder.Forward(&c.req)
 	}
 	if lost {
-		if reply := g.handOver(c, h, pathLostBefore); reply != nil {
+		if reply := g.handOver(c, h, pathLostBefore, request.Prior{}); reply != nil {
 			return reply
 		}
 		return g.forwarder.Forward(&c.req) // The loss may be a mistake, and no other router can serve the request.
@@ -135,7 +135,7 @@
 		return reply
 	}
 	// The request is withdrawn, and the tokens reserved for it are released.
-	if other := g.handOver(c, h, reason); other != nil {
+	if other := g.handOver(c, h, reason, request.Prior{Arrived: reply.Arrived}); other != nil {
 		return other
 	}
 	if reason == endpointsUnreachable {
@@ -158,7 +158,9 @@
 }
 
 // handOver lets a peer serve a request of which no attempt may have run. It returns nil if no peer took it.
-func (g *Gateway) handOver(c *callerRequest, h *fasthttp.RequestHeader, reason handoverReason) *request.Reply {
+//
+// A peer that breaks off may have sent the request to an endpoint, which the next one counts as an attempt.
+func (g *Gateway) handOver(c *callerRequest, h *fasthttp.RequestHeader, reason handoverReason, prior request.Prior) *request.Reply {
 	message := callerMessage(c.req.Message, h)
 	var broken *request.Reply // The answer of a peer at which the request may have run.
 	for i, p := range g.handoverTargets(time.Now()) {
@@ -166,13 +168,15 @@
 		if c.req.Deadline.Sub(now) < minHopTime {
 			break
 		}
-		a := &handoverAttempt{c: c, peer: p, number: i + 1, reason: reason, began: now}
+		a := &handoverAttempt{c: c, peer: p, number: i + 1, reason: reason, prior: prior, began: now}
 		reply := g.sendToPeer(a, message)
 		g.recordHandover(a, reply)
 		switch a.result {
 		case hopRefused, hopNotSent:
 		case hopBroken:
 			broken = reply
+			prior.Arrived = true
+			prior.Runs++
 			if !c.req.Repeatable {
 				return reply
 			}
@@ -215,6 +219,7 @@
 	peer   fleet.Member
 	number int // Counts from 1.
 	reason handoverReason
+	prior  request.Prior
 	began  time.Time
 	codec  *hopCodec
 	result hopResult
@@ -224,7 +229,7 @@
 func (g *Gateway) sendToPeer(a *handoverAttempt, message request.Message) *request.Reply {
 	a.codec = &hopCodec{
 		dialect: g.dialect,
-		hop:     hop{ID: g.newRunID(), By: g.members.Self().Name(), Revision: a.c.version},
+		hop:     hop{ID: g.newRunID(), By: g.members.Self().Name(), Revision: a.c.version, Prior: a.prior},
 	}
 	r := &request.Request{
 		Message:    message,
@@ -301,7 +306,7 @@
 	g.metrics.handedOver(a.result)
 	g.log.Info("request forwarded",
 		zap.String("Request", a.c.req.ID), zap.String("Run", a.c.req.RunID), zap.String("Hop", a.codec.hop.ID), zap.String("Peer", a.peer.Name()),
-		zap.String("Reason", string(a.reason)), zap.Int("Attempt", a.number), zap.Uint64("Version", a.c.version), zap.Uint64("PeerVersion", a.codec.revision),
+		zap.String("Reason", string(a.reason)), zap.Int("Attempt", a.number), zap.Int("PriorRuns", a.prior.Runs), zap.Uint64("Version", a.c.version), zap.Uint64("PeerVersion", a.codec.revision),
 		zap.String("Outcome", string(a.result)), zap.String("Kind", a.refusalKind()), zap.Int("Status", reply.Status), zap.Duration("Took", time.Since(a.began)))
 }
 
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,8 +22,9 @@
 	headerHop         = hopHeaderPrefix + "Hop"          // ID of the hop, unique in the fleet; repeated in the answer.
 	headerRevision    = hopHeaderPrefix + "Revision"     // In a request, the lowest configuration version to serve it under; in an answer, the one in force.
 	headerTimeLeft    = hopHeaderPrefix + "Time-Left-Ms"
-	headerRefused     = hopHeaderPrefix + "Refused"   // Kind of the refusal that the answer is.
-	headerElsewhere   = hopHeaderPrefix + "Elsewhere" // Set on a refusal if the request did not run and another router may serve it.
+	headerPriorRuns   = hopHeaderPrefix + "Prior-Runs" // Set if an attempt may have arrived at an endpoint before: the number of those that may have run.
+	headerRefused     = hopHeaderPrefix + "Refused"    // Kind of the refusal that the answer is.
+	headerElsewhere   = hopHeaderPrefix + "Elsewhere"  // Set on a refusal if the request did not run and another router may serve it.
 )
 
 // hop is the passage of a request from the router that got it to the one that serves it.
@@ -31,6 +33,7 @@
 	By       string // Incarnation of the router that the caller sent the request to.
 	Revision uint64 // Lowest configuration version to serve the request under.
 	TimeLeft time.Duration
+	Prior    request.Prior
 }
 
 // takeHop returns the hop that brought a request, or nil if its headers do not describe one. It removes them.
@@ -43,7 +46,10 @@
 		Revision: revision,
 		TimeLeft: time.Duration(left) * time.Millisecond,
 	}
-	for _, name := range []string{headerForwardedBy, headerHop, headerRevision, headerTimeLeft} {
+	if runs, err := strconv.Atoi(string(h.Peek(headerPriorRuns))); err == nil {
+		out.Prior = request.Prior{Arrived: true, Runs: max(0, runs)}
+	}
+	for _, name := range []string{headerForwardedBy, headerHop, headerRevision, headerTimeLeft, headerPriorRuns} {
 		h.Del(name)
 	}
 	if revisionErr != nil || leftErr != nil || out.ID == "" || out.By == "" {
@@ -108,11 +114,16 @@
 
 // AttemptHeaders returns the caller's headers and those of the hop.
 func (c *hopCodec) AttemptHeaders(m *request.Message, info request.AttemptInfo) []request.Header {
-	return append(m.Headers[:len(m.Headers):len(m.Headers)],
-		request.Header{Name: headerForwardedBy, Value: c.hop.By},
-		request.Header{Name: headerHop, Value: c.hop.ID},
-		request.Header{Name: headerRevision, Value: strconv.FormatUint(c.hop.Revision, 10)},
-		request.Header{Name: headerTimeLeft, Value: strconv.FormatInt(max(1, info.Timeout.Milliseconds()), 10)})
+	headers := slices.Concat(m.Headers, []request.Header{
+		{Name: headerForwardedBy, Value: c.hop.By},
+		{Name: headerHop, Value: c.hop.ID},
+		{Name: headerRevision, Value: strconv.FormatUint(c.hop.Revision, 10)},
+		{Name: headerTimeLeft, Value: strconv.FormatInt(max(1, info.Timeout.Milliseconds()), 10)},
+	})
+	if c.hop.Prior.Arrived {
+		headers = append(headers, request.Header{Name: headerPriorRuns, Value: strconv.Itoa(c.hop.Prior.Runs)})
+	}
+	return headers
 }
 
 // ParseHead records what the other router says about its answer. An answer without the ID of the hop is to another request.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -25,12 +25,19 @@
 	CallerGone  <-chan struct{} // Closed when the caller disconnects; nil if the request continues without its caller.
 	CallerLeft  func() bool     // Looks at the caller's connection now, whereas CallerGone may be closed late; nil if it cannot.
 	Codec       Codec
+	Prior       Prior
 
 	// PathLost returns a channel that is closed when this router is found to reach no endpoint and another router can
 	// serve the request. It is then refused with NoEndpoint unless an attempt may have run. Nil if none can.
 	PathLost func() <-chan struct{}
 }
 
+// Prior is what other routers have done for a request before it came here.
+type Prior struct {
+	Arrived bool // An attempt may have arrived at an endpoint.
+	Runs    int  // Attempts that may have run.
+}
+
 // Message is what the caller sent: an opaque body and its metadata.
 type Message struct {
 	ID           string // Request ID chosen by the caller, forwarded to the endpoint.
@@ -170,6 +177,7 @@
 	Lender   string // Incarnation of the router that reserved the tokens; empty if this router did.
 
 	Unconnected bool // No connection could be opened for an attempt.
+	Arrived     bool // An attempt may have arrived at an endpoint.
 }
 
 func refusedReply(kind refusal.Kind, detail string) *Reply {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -29,6 +29,7 @@
 	sentAt      time.Time      // Start of the last attempt.
 	ran         bool           // An attempt may have run.
 	unconnected bool           // No connection could be opened for an attempt.
+	arrived     bool           // An attempt may have arrived at an endpoint.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
 	observed    string      // Endpoint of an attempt whose end Path was not told yet; empty if there is none.
@@ -45,6 +46,7 @@
 	out.Version = r.version
 	out.Lender = r.reservation.lender
 	out.Unconnected = r.unconnected
+	out.Arrived = r.arrived
 	return out
 }
 
@@ -114,6 +116,8 @@
 		Fingerprint:  r.req.Fingerprint,
 		Repeatable:   r.req.Repeatable,
 		MaxAttempts:  max(1, r.req.MaxAttempts),
+		Arrived:      r.req.Prior.Arrived,
+		Runs:         r.req.Prior.Runs,
 	}
 	if r.origin != nil {
 		out.VersionBound = true
@@ -211,6 +215,7 @@
 	}
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
+	r.arrived = r.arrived || !notSent || a != nil
 	r.unconnected = r.unconnected || errors.Is(err, connection.ErrNotSent)
 	if connection.IsRefused(err) {
 		r.f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: send.Endpoint})
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -61,6 +61,8 @@
 	VersionBound bool      // Only endpoints with the software version Version may serve it, since one of them began its stream.
 	Version      string    // Not used unless VersionBound is set.
 	MaxAttempts  int       // Maximum number of attempts, not counting rejected ones; zero means the policy's.
+	Arrived      bool      // An attempt of another router for the same caller may have arrived at an endpoint.
+	Runs         int       // Attempts of other routers that may have run.
 }
 
 // Part is a piece of a prompt that other requests may share.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -225,15 +225,22 @@
 	if _, ok := p.jobs[r.ID]; ok {
 		return nil
 	}
-	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts), arrivals: arrivals{service: r.Service}}
+	j := &job{Request: r, arrived: now, prefixHashes: prefixHashesOf(r.Parts), runs: r.Runs, arrivals: arrivals{service: r.Service, arrived: r.Arrived}}
 	if kind, ok := p.unservable(now, j); ok {
 		return []Action{j.refuse(kind, 0)}
 	}
 	if until, resting := p.allRest(now, j.selector()); resting {
 		return []Action{j.refuse(refusal.Overloaded, p.returnAfter(now, until))}
 	}
+	switch {
+	case !r.Arrived:
+		p.retriesOf(r.Service).requests.add(now)
+	case j.attemptsExhausted(p.Policy, j.runs), p.RetryBudget(now, r.Service).Exhausted():
+		return []Action{j.refuse(refusal.NoEndpoint, 0)}
+	default:
+		p.decideRetry(j)
+	}
 	p.jobs[r.ID] = j
-	p.retriesOf(r.Service).requests.add(now)
 	p.queue.add(j)
 	return append(p.dispatch(now), p.shedNew(now, r.ID)...)
 }
--- a/pkg/endpoint/retry_test.go
+++ b/pkg/endpoint/retry_test.go
@@ -47,3 +47,16 @@
 	p.Handle(start, RoutersExpected{1})
 	require.InDelta(t, 10, p.RetryBudget(later, "m").Allowed, 0.01, "they may still send")
 }
+
+// TestRequestThatArrivedBeforeTakesARetry submits requests that have arrived at endpoints through another router.
+func TestRequestThatArrivedBeforeTakesARetry(t *testing.T) {
+	p := Pool{Policy: Policy{RetryReserve: 1}}
+	p.Handle(start, Configured{engines(3)})
+	submit := func(id string, runs int) Action {
+		return p.Handle(start, Submitted{Request{ID: id, Service: "m", OutputTokens: 1, Deadline: start.Add(time.Minute), Repeatable: true, MaxAttempts: 2, Arrived: true, Runs: runs}})[0]
+	}
+	require.IsType(t, Refuse{}, submit("no attempt left", 2))
+	require.IsType(t, Send{}, submit("first", 1))
+	require.Equal(t, RetryBudget{Allowed: 1, Pending: 1}, p.RetryBudget(start, "m"), "it earns nothing here")
+	require.IsType(t, Refuse{}, submit("second", 0))
+}
