internal/request: log the retry budget with each failed attempt and each retry that it refuses

`attempt failed` and `endpoint silent` now have what is allowed, arrived and pending; `retry refused` stands for a request that is not sent again for it.

--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -121,6 +121,13 @@
 	return reserved, denial
 }
 
+// RetryBudget returns the state of the retry budget for a model or service.
+func (e *Endpoints) RetryBudget(now time.Time, service string) endpoint.RetryBudget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.RetryBudget(now, service)
+}
+
 // Waiting returns the number of requests that wait for an endpoint.
 func (e *Endpoints) Waiting() int {
 	e.mu.Lock()
--- a/internal/request/forwarder.go
+++ b/internal/request/forwarder.go
@@ -70,6 +70,13 @@
 func (nopObserver) Connected(bool)              {}
 func (nopObserver) StreamStarted(time.Duration) {}
 
+// retryFields returns the state of a retry budget as fields of the log.
+func retryFields(service string, b endpoint.RetryBudget) []zap.Field {
+	return []zap.Field{
+		zap.String("Service", service), zap.Float64("RetriesAllowed", b.Allowed), zap.Int("RetriesArrived", b.Arrived), zap.Int("RetriesPending", b.Pending),
+	}
+}
+
 func (f *Forwarder) late(now time.Time) bool { return f.Late != nil && f.Late(now) }
 
 func (f *Forwarder) observer() Observer {
--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -217,8 +217,9 @@
 	if repeated {
 		return
 	}
-	w.f.Log.Info("endpoint silent", zap.String("Request", w.req.ID), zap.String("Run", w.req.RunID), zap.String("Endpoint", w.endpoint),
-		zap.Duration("Silence", silence), zap.String("Outcome", outcome), zap.String("To", to), logfile.Error(err))
+	budget := retryFields(w.req.Service, w.f.Endpoints.RetryBudget(time.Now(), w.req.Service))
+	w.f.Log.Info("endpoint silent", append(budget, zap.String("Request", w.req.ID), zap.String("Run", w.req.RunID), zap.String("Endpoint", w.endpoint),
+		zap.Duration("Silence", silence), zap.String("Outcome", outcome), zap.String("To", to), logfile.Error(err))...)
 }
 
 // connect returns a connection to an endpoint for a request that is repeatable.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -96,8 +96,14 @@
 	if out := r.refuseWithoutPath(); out != nil {
 		return endpoint.Send{}, out
 	}
-	r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
-	return r.awaitDecision(until)
+	now := time.Now()
+	budget := r.f.Endpoints.RetryBudget(now, r.req.Service)
+	r.f.Endpoints.Handle(now, endpoint.Retried{ID: r.req.RunID})
+	send, out := r.awaitDecision(until)
+	if out != nil && budget.Exhausted() {
+		r.f.Log.Info("retry refused", append(retryFields(r.req.Service, budget), zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Int("Attempts", r.attempts))...)
+	}
+	return send, out
 }
 
 func (r *run) poolRequest() endpoint.Request {
@@ -221,9 +227,10 @@
 		r.f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: send.Endpoint})
 	}
 	if err != nil || outcome != endpoint.Finished {
-		r.f.Log.Info("attempt failed",
+		budget := retryFields(r.req.Service, r.f.Endpoints.RetryBudget(now, r.req.Service))
+		r.f.Log.Info("attempt failed", append(budget,
 			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.String("EndpointVersion", send.Version), zap.Int("Attempt", send.Attempt),
-			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))
+			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))...)
 	}
 	return outcome, out, next
 }
