--- a/pkg/endpoint/doc.go
+++ b/pkg/endpoint/doc.go
@@ -16,6 +16,9 @@
 //   - A stream goes on only at an endpoint with the software version that began it.
 //   - The routers together send an endpoint that names a limit no more than about
 //     that limit; every send counts.
+//   - The routers together cause no more arrivals of a request beyond its first,
+//     for each service and in any window, than its retry budget allows; see
+//     retryLog.
 //   - An endpoint that any source reports as leaving gets no new Send.
 //   - A request that was in flight on an endpoint that died is a suspect, unless
 //     a request with the same fingerprint has finished before. A suspect is
--- a/pkg/endpoint/retry.go
+++ b/pkg/endpoint/retry.go
@@ -41,16 +41,22 @@
 
 // retryReserve returns the retries that this router may send for each service within RetryWindow besides those that requests earn.
 //
-// In the first window of a process, the process before it at the same place in the fleet may have used up its part, and the
-// other routers may not be known yet.
+// In the first window of a process, the one before it at the same place in the fleet may have used up its part. The new one has
+// a fraction of it all the same, once it knows who it shares with, since its callers would get none of the failed attempts
+// repeated.
 func (p *Pool) retryReserve(now time.Time) float64 {
-	switch {
-	case p.Policy.FleetRetryReserve <= 0:
+	if p.Policy.FleetRetryReserve <= 0 {
 		return p.Policy.RetryReserve
-	case now.Sub(p.startedAt) < p.Policy.RetryWindow+arrivalSpread:
+	}
+	peers := max(p.maxPeers, p.expectedPeers)
+	share := p.Policy.FleetRetryReserve / float64(peers+1)
+	switch {
+	case now.Sub(p.startedAt) >= p.Policy.RetryWindow+arrivalSpread:
+		return share
+	case peers == 0:
 		return 0
 	}
-	return p.Policy.FleetRetryReserve / float64(max(p.maxPeers, p.expectedPeers)+1)
+	return startReserve * share
 }
 
 // retriesOf returns the log of a service.
@@ -89,6 +95,9 @@
 	}
 }
 
+// startReserve is the fraction of its part of the reserve that a router may use in the first window after its start.
+const startReserve = 0.25
+
 // countResolution is the time within which events are counted together.
 const countResolution = 100 * time.Millisecond
 
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -355,6 +355,24 @@
 	f.requireRetriesWithinLimits(t)
 }
 
+// TestRetriesOfShortSilencesBesideABusyService lets all endpoints of a service fall silent for a second, while some attempts fail
+// and another service has most of the traffic.
+func TestRetriesOfShortSilencesBesideABusyService(t *testing.T) {
+	f := newRetryFleet(1)
+	f.stall, f.timeout = 700*time.Millisecond, 20*time.Second
+	f.rate["m"], f.rate["s"] = 8, 30
+	f.run(20 * time.Second)
+	f.failing["m"] = 0.2
+	for range 3 {
+		for i := range 9 {
+			f.pause(fmt.Sprint("m", i), 1200*time.Millisecond)
+		}
+		f.run(6 * time.Second)
+	}
+	f.run(10 * time.Second)
+	f.requireRetriesWithinLimits(t)
+}
+
 // TestRetriesAreEarnedByRecentRequests lets long requests finish after the traffic has fallen, while attempts fail.
 func TestRetriesAreEarnedByRecentRequests(t *testing.T) {
 	f := newRetryFleet(1)
