--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -30,6 +30,7 @@
 	sentAt      time.Time      // Start of the last attempt.
 	ran         bool           // An attempt may have run.
 	unconnected bool           // No connection could be opened for an attempt.
+	arrived     bool           // An attempt may have arrived at an endpoint.
 	events      int64          // Events delivered to the caller.
 	lastEventID string
 	observed    string      // Endpoint of an attempt whose end Path was not told yet; empty if there is none.
@@ -46,6 +47,7 @@
 	out.Version = r.version
 	out.Lender = r.reservation.lender
 	out.Unconnected = r.unconnected
+	out.Arrived = r.arrived
 	return out
 }
 
@@ -96,8 +98,14 @@
 	if out := r.refuseWithoutPath(); out != nil {
 		return endpoint.Send{}, out
 	}
-	r.f.Endpoints.Handle(time.Now(), endpoint.Retried{ID: r.req.RunID})
-	return r.awaitDecision(until)
+	now := time.Now()
+	budget := r.f.Endpoints.RetryBudget(now, r.req.Service)
+	r.f.Endpoints.Handle(now, endpoint.Retried{ID: r.req.RunID})
+	send, out := r.awaitDecision(until)
+	if out != nil && budget.Exhausted() {
+		r.f.Log.Info("retry refused", append(retryFields(r.req.Service, budget), zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.Int("Attempts", r.attempts))...)
+	}
+	return send, out
 }
 
 func (r *run) poolRequest() endpoint.Request {
@@ -117,6 +125,8 @@
 		Repeatable:   r.req.Repeatable,
 		MaxAttempts:  max(1, r.req.MaxAttempts),
 		BeginsStream: r.req.Streams && r.req.Resumable,
+		Arrived:      r.req.Prior.Arrived,
+		Runs:         r.req.Prior.Runs,
 	}
 	if r.origin != nil {
 		out.VersionBound = true
@@ -215,14 +225,16 @@
 	}
 	notSent := outcome == endpoint.Rejected || errors.Is(err, errCallerLeft)
 	r.ran = r.ran || !notSent
+	r.arrived = r.arrived || !notSent || a != nil
 	r.unconnected = r.unconnected || errors.Is(err, connection.ErrNotSent)
 	if connection.IsRefused(err) {
 		r.f.Endpoints.Handle(now, endpoint.ConnectionRefused{Endpoint: send.Endpoint})
 	}
 	if err != nil || outcome != endpoint.Finished {
-		r.f.Log.Info("attempt failed",
+		budget := retryFields(r.req.Service, r.f.Endpoints.RetryBudget(now, r.req.Service))
+		r.f.Log.Info("attempt failed", append(budget,
 			zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", send.Endpoint), zap.String("EndpointVersion", send.Version), zap.Int("Attempt", send.Attempt),
-			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))
+			zap.Stringer("Outcome", outcome), zap.Duration("Took", time.Since(now)), logfile.Error(err))...)
 	}
 	return outcome, out, next
 }
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -63,6 +63,8 @@
 	Version      string    // Not used unless VersionBound is set.
 	BeginsStream bool      // The answer is a stream that may be resumed, so that it must not begin at an unrecorded version.
 	MaxAttempts  int       // Maximum number of attempts, not counting rejected ones; zero means the policy's.
+	Arrived      bool      // An attempt of another router for the same caller may have arrived at an endpoint.
+	Runs         int       // Attempts of other routers that may have run.
 }
 
 // Part is a piece of a prompt that other requests may share.
