gateway: states of the endpoints reach the pool in their order

Cause (by reading, no case seen): updatePool is called by several goroutines, one more since the record of versions; a state that was built earlier could reach the pool later and stand until the next change. Change: one lock around the whole.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -20,6 +20,8 @@
 type entries struct {
 	g *Gateway
 
+	updateMu sync.Mutex // Held during updatePool, so that the pool gets the states in their order; taken before mu.
+
 	mu               sync.Mutex
 	tracked          map[string]*trackedEndpoint // By endpoint name; guarded by mu.
 	storeRecoveredAt time.Time                   // When the store last became reachable again; guarded by mu.
@@ -141,6 +143,8 @@
 	if t == nil {
 		return
 	}
+	e.updateMu.Lock()
+	defer e.updateMu.Unlock()
 	e.mu.Lock()
 	maps.DeleteFunc(e.tracked, func(_ string, ep *trackedEndpoint) bool {
 		return !ep.missingSince.IsZero() && now.Sub(ep.missingSince) > missingRetention
