origins: a search uses the read that ended while it looked for one

Cause: a search looked at the last read, then at the one under way, then asked for another, each under the lock by itself. A read that ended in between was seen by neither look, and another one was too soon: the stream was refused although its row had been read.

Found by TestSearchesShareReads, which failed once in a run of the whole package and within 40 runs by itself on.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -248,7 +248,7 @@
 	next     *originRead         // The read that has not begun yet; nil if there is none; guarded by mu.
 	current  *originRead         // The read that is under way; nil if there is none; guarded by mu.
 	reading  bool                // A read is scheduled or under way; guarded by mu.
-	last     originRead          // The last read that succeeded; guarded by mu.
+	last     *originRead         // The last read that succeeded; nil if there is none; guarded by mu.
 	odd      map[string]uint64   // Versions of the rows that could not be decoded in the last read, by key; guarded by mu.
 }
 
@@ -262,28 +262,37 @@
 
 // Find returns where a stream began according to the rows in the store, and whether that is known.
 func (a *originArchive) Find(ctx context.Context, now time.Time, stream string) (origin.Origin, bool, error) {
-	var read originRead
+	read := &originRead{}
 	var found origin.Found
-	for _, next := range []func(context.Context, time.Time) originRead{a.remembered, a.underWay, a.read} {
-		read = next(ctx, now)
-		if found = read.find(stream); found.Known || found.Conflict {
+	for !found.Known && !found.Conflict && read.began.Before(now) {
+		next, err := a.readAfter(ctx, now, read)
+		if err != nil {
+			read = &originRead{err: err}
 			break
 		}
+		read = next
+		found = read.index.Find(stream)
 	}
 	a.logSearch(now, stream, read, found)
 	return found.Origin, found.Known, read.err
 }
 
-// find returns what the rows of a read say of a stream.
-func (r originRead) find(stream string) origin.Found {
-	if r.index == nil {
-		return origin.Found{}
+// readAfter waits for a read that began after another one: the last, the one under way or the next.
+func (a *originArchive) readAfter(ctx context.Context, now time.Time, before *originRead) (*originRead, error) {
+	next, err := a.requestRead(ctx, now, before)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-next.done:
+		return next, next.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "waiting for the rows of origins")
 	}
-	return r.index.Find(stream)
 }
 
 // logSearch logs the result of a search that began at the time now.
-func (a *originArchive) logSearch(now time.Time, stream string, read originRead, found origin.Found) {
+func (a *originArchive) logSearch(now time.Time, stream string, read *originRead, found origin.Found) {
 	fields := []zap.Field{
 		zap.String("Stream", stream), zap.Bool("Known", found.Known), zap.Bool("Conflict", found.Conflict),
 		zap.String("Service", found.Origin.Service), zap.String("EndpointVersion", found.Origin.Version), logfile.Error(read.err),
@@ -298,49 +307,18 @@
 	a.g.log.Info("origin sought in the store", append(fields, zap.Duration("Took", time.Since(now)))...)
 }
 
-// remembered returns the last read. What it says of a stream still holds, since the origin of a stream never changes.
-func (a *originArchive) remembered(context.Context, time.Time) originRead {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.last
-}
-
-// underWay waits for the read that has begun already.
-func (a *originArchive) underWay(ctx context.Context, _ time.Time) originRead {
-	a.mu.Lock()
-	current := a.current
-	a.mu.Unlock()
-	if current == nil {
-		return originRead{}
-	}
-	return current.wait(ctx)
-}
-
-// read waits for a read that begins after the call.
-func (a *originArchive) read(ctx context.Context, now time.Time) originRead {
-	next, err := a.requestRead(ctx, now)
-	if err != nil {
-		return originRead{err: err}
-	}
-	return next.wait(ctx)
-}
-
-// wait waits for the end of the read.
-func (r *originRead) wait(ctx context.Context) originRead {
-	select {
-	case <-r.done:
-		return *r
-	case <-ctx.Done():
-		return originRead{err: errors.Wrap(ctx.Err(), "waiting for the rows of origins")}
-	}
-}
-
-// requestRead returns the read that begins next. It is an error if that would fail or come too late for ctx.
-func (a *originArchive) requestRead(ctx context.Context, now time.Time) (*originRead, error) {
+// requestRead returns a read that began after another one, or begins next. It is an error if that would fail or come too late
+// for ctx.
+func (a *originArchive) requestRead(ctx context.Context, now time.Time, before *originRead) (*originRead, error) {
 	interval := a.interval(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.schedule.Refused(now) || a.g.reachability.nextAnswer() != nil {
+	switch {
+	case a.last != nil && a.last.began.After(before.began):
+		return a.last, nil // What it says of a stream still holds.
+	case a.current != nil:
+		return a.current, nil
+	case a.schedule.Refused(now) || a.g.reachability.nextAnswer() != nil:
 		return nil, errors.Wrap(keyvalue.ErrUnavailable, "reading the rows of origins")
 	}
 	if deadline, ok := ctx.Deadline(); ok && a.schedule.Next(interval).After(deadline) {
@@ -408,7 +386,7 @@
 		return
 	}
 	read.index = a.decode(entries)
-	a.last = *read
+	a.last = read
 }
 
 // decode returns an index of the rows. Entries that are not rows are skipped and logged once; mu must be held.
