origins: the archive is asked also while a router sees one version only

Cause: a router that has just started sees the endpoints that serve now. One whose version left during the loss of power is not among them, so streams of that version were taken up at another (ORDER). The rows know better.

A stream that no row holds goes on anywhere as before while one version is seen.

Before: TestStreamsOfAVersionThatLeftDuringALossOfPowerDoNotGoOn run on failed 2 of 2 times (30 streams went on where 13 and 16 were of the version that was left). After: passed 2 of 2 with -race.

--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -115,7 +115,8 @@
 		}
 		best.SeveralVersions = best.SeveralVersions || a.SeveralVersions
 	}
-	if best.SeveralVersions && s.Archive != nil {
+	// A router that has just started may see one version although others served a moment ago: the archive is asked as well.
+	if s.Archive != nil {
 		return s.findInArchive(now, stream, best)
 	}
 	return best
