origin: neither an unreadable record nor a home of an earlier build proves that one version served

Found by the review of the record of versions; streams would have been joined from two versions (ORDER), or none begun:

- Another writer leaves a value that cannot be read, and all routers lose power: the first one recorded the version that it saw, and that counted as proof.
Such a record is incomplete now until no version has left it for a minute, and proves nothing.
- A home of an earlier build says that it sees several versions, without naming them: its word was dropped.
- A home of a record whose view of the endpoints stands still retired a version that the others wrote again, twice a second, so that hardly a stream could begin.
A version that another router has revived is not retired for a minute.

--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -48,6 +48,7 @@
 	present []string             // Versions of the endpoints that have an entry or may get requests.
 	usable  []string             // Versions of the endpoints that may get requests.
 	lost    map[string]time.Time // Versions that the store has forgotten, with the time at which this was seen.
+	revived map[string]time.Time // Versions that a router had recorded as retiring and another one no longer, likewise.
 
 	pendingSince time.Time // Since when a version in present is not admitted by the record; zero if all are.
 	writtenAt    time.Time // When the record was written last.
@@ -63,7 +64,7 @@
 // View is what one router knows of the versions of a service.
 type View struct {
 	Versions []string      // Of the record and of the endpoints, sorted.
-	Recorded bool          // There is a record, and it names a version.
+	Recorded bool          // There is a record, and it names all versions that served lately.
 	Age      time.Duration // Time since the store is known to have had no later record.
 }
 
@@ -74,7 +75,7 @@
 	}
 	s, ok := h.services[name]
 	if !ok {
-		s = &serviceHistory{lost: map[string]time.Time{}}
+		s = &serviceHistory{lost: map[string]time.Time{}, revived: map[string]time.Time{}}
 		h.services[name] = s
 	}
 	return s
@@ -95,6 +96,11 @@
 			s.lost[v.Version] = now // It was not removed as others are, so the store came back from an older copy.
 		}
 	}
+	for _, v := range r.Versions {
+		if !v.Retiring && slices.Contains(s.record.Versions, RecordedVersion{v.Version, true}) {
+			s.revived[v.Version] = now
+		}
+	}
 	s.record = r
 	s.revision = revision
 	s.adoptedAt = now
@@ -200,7 +206,7 @@
 	defer h.mu.Unlock()
 	s := h.service(service)
 	lost := slices.Collect(maps.Keys(s.lost))
-	return View{Versions: union(s.view, s.record.names(), lost), Recorded: len(s.record.Versions) > 0}
+	return View{Versions: union(s.view, s.record.names(), lost), Recorded: len(s.record.Versions) > 0 && !s.record.Incomplete}
 }
 
 // Due returns the changes of records that are to be written now, and counts them as written.
@@ -235,7 +241,9 @@
 	if !home || len(s.present) == 0 {
 		return Record{}, false
 	}
-	if r, ok := s.record.retire(s.view); ok {
+	// A version that another router sees again serves, although this one's view may be too old to show it.
+	maps.DeleteFunc(s.revived, func(_ string, at time.Time) bool { return now.Sub(at) > retention })
+	if r, ok := s.record.retire(union(s.view, slices.Collect(maps.Keys(s.revived)))); ok {
 		return r, true
 	}
 	if now.Sub(s.adoptedAt) < retention {
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -191,3 +191,44 @@
 	_, err = ParseRecord([]byte("[]"))
 	require.Error(t, err)
 }
+
+// TestUnreadableRecordProvesNothing lets another writer replace the record of two versions before all routers start again.
+func TestUnreadableRecordProvesNothing(t *testing.T) {
+	odd, err := ParseRecord([]byte(`{"Versions":`))
+	require.Error(t, err)
+	s := recordStore{revision: 7, record: odd}
+	h := s.newHistory(start, "v2")
+	require.True(t, s.write(t, start.Add(time.Second), h, true))
+	e := Evidence{Fresh: true, Own: h.View("s")}
+	_, proved := e.Version()
+	require.False(t, proved, "a stream of v1, which was recorded before, goes on at v2")
+}
+
+// TestLaggingHomeDoesNotRetireAVersionThatServes lets the home's feed of endpoints stand for fifteen seconds, but not that of the records.
+func TestLaggingHomeDoesNotRetireAVersionThatServes(t *testing.T) {
+	s := recordStore{revision: 1, record: Record{}.with([]string{"v1"})}
+	home := s.newHistory(start, "v1")
+	other := s.newHistory(start, "v1")
+	const step = 20 * time.Millisecond // A router sees another one's write a step later.
+	var writes, admitted, steps int
+	for now := start.Add(time.Second); now.Before(start.Add(16 * time.Second)); now = now.Add(step) {
+		other.Adopt(now, "s", s.revision, s.record)
+		observe(now, other, "v2") // The last endpoint of v1 has left.
+		if s.write(t, now, other, false) {
+			writes++
+		}
+		steps++
+		if !other.Unrecorded(now, "s", "v2") {
+			admitted++
+		}
+		later := now.Add(step / 2)
+		home.Adopt(later, "s", s.revision, s.record)
+		observe(later, home, "v1")
+		if s.write(t, later, home, true) {
+			writes++
+		}
+	}
+	t.Logf("%d writes, streams may begin at v2 in %d of %d steps", writes, admitted, steps)
+	require.LessOrEqual(t, writes, 4)
+	require.Greater(t, float64(admitted), 0.8*float64(steps))
+}
--- a/internal/origin/proof.go
+++ b/internal/origin/proof.go
@@ -36,6 +36,8 @@
 	Fresh bool       // The record was read after the caller asked, and Own is from after that.
 	Own   View       // Of this router.
 	Homes [][]string // Versions that the homes of the stream know of.
+
+	SeveralVersions bool // A home knows of several versions without naming them, as routers of earlier builds do.
 }
 
 // Versions returns the versions of which anybody knows.
@@ -47,7 +49,7 @@
 // older copy does not: another version may have been recorded since, at routers that this one does not reach.
 func (e Evidence) Version() (version string, proved bool) {
 	versions := e.Versions()
-	if !e.Fresh || !e.Own.Recorded || len(versions) != 1 {
+	if !e.Fresh || !e.Own.Recorded || e.SeveralVersions || len(versions) != 1 {
 		return "", false
 	}
 	return versions[0], true
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -12,7 +12,8 @@
 //
 // No router lets a stream begin at a version that the record does not name, or names as retiring; see History.
 type Record struct {
-	Versions []RecordedVersion // Sorted by version.
+	Versions   []RecordedVersion // Sorted by version.
+	Incomplete bool              `json:",omitempty"` // Another writer replaced the record, so that others may have served lately.
 }
 
 // RecordedVersion is one version in a Record.
@@ -21,11 +22,15 @@
 	Retiring bool `json:",omitempty"` // No endpoint has it; a router that sees one again clears this before a stream begins there.
 }
 
-// ParseRecord decodes the value of a record in the store.
+// ParseRecord decodes the value of a record in the store. A value that names no version is an error, as no router writes it; the
+// record is incomplete then.
 func ParseRecord(value []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return Record{}, errors.Wrap(err, "decoding a record of versions")
+		return Record{Incomplete: true}, errors.Wrap(err, "decoding a record of versions")
+	}
+	if len(r.Versions) == 0 {
+		return Record{Incomplete: true}, errors.New("a record of versions names none")
 	}
 	return r, nil
 }
@@ -46,7 +51,7 @@
 
 // with returns the record with versions at which streams may begin.
 func (r Record) with(versions []string) Record {
-	var out Record
+	out := Record{Incomplete: r.Incomplete}
 	for _, name := range union(r.names(), versions) {
 		retiring := !slices.Contains(versions, name) && !r.admits(name)
 		out.Versions = append(out.Versions, RecordedVersion{name, retiring})
@@ -56,6 +61,7 @@
 
 // retire returns the record in which only the versions in view do not retire, and whether that changes it.
 func (r Record) retire(view []string) (out Record, changed bool) {
+	out.Incomplete = r.Incomplete
 	for _, v := range r.Versions {
 		if !v.Retiring && !slices.Contains(view, v.Version) {
 			v.Retiring = true
@@ -66,8 +72,10 @@
 	return out, changed
 }
 
-// withoutRetiring returns the record without the versions that retire, and whether that changes it.
+// withoutRetiring returns the record without the versions that retire, and whether that changes it. It is complete, since
+// whatever it does not name has served no more for retention.
 func (r Record) withoutRetiring() (out Record, changed bool) {
+	changed = r.Incomplete
 	for _, v := range r.Versions {
 		if v.Retiring {
 			changed = true
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -126,13 +126,13 @@
 		return answer
 	}
 	own := <-record
-	evidence := origin.Evidence{Fresh: own.err == nil, Own: own.View, Homes: versions}
+	evidence := origin.Evidence{Fresh: own.err == nil, Own: own.View, Homes: versions, SeveralVersions: answer.SeveralVersions}
 	if own.err != nil {
 		s.Client.Log.Info("record of versions not read", zap.String("Service", service), zap.String("Stream", stream), logfile.Error(own.err))
 		evidence.Own = s.Versions.View(now, service)
 	}
 	answer.Age = evidence.Own.Age
-	answer.SeveralVersions = len(evidence.Versions()) > 1
+	answer.SeveralVersions = answer.SeveralVersions || len(evidence.Versions()) > 1
 	if version, proved := evidence.Version(); proved {
 		answer.Known = true
 		answer.Source = origin.FromRecord
@@ -179,6 +179,7 @@
 			return answer, nil
 		}
 		answer.HomesAnswered++
+		answer.SeveralVersions = answer.SeveralVersions || reply.SeveralVersions
 		versions = append(versions, reply.Versions)
 	}
 	return answer, versions
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -151,3 +151,14 @@
 	require.Len(t, known, 2)
 	require.Zero(t, known[1].Now)
 }
+
+// TestHomeOfAnEarlierBuildThatSeesSeveralVersionsIsNoProof asks a home whose answer has no list of versions.
+func TestHomeOfAnEarlierBuildThatSeesSeveralVersionsIsNoProof(t *testing.T) {
+	home := newService(t, 10)
+	home.Versions = nil // The earlier build answers with SeveralVersions alone.
+	configureVersions(home.Endpoints, "v1", "v2")
+	s := &Origins{Client: newClient(serve(t, home)), Registry: &origin.Registry{}, Versions: recorded("v2")}
+	answer := s.Find(time.Now(), "1", "s")
+	require.Equal(t, 1, answer.HomesAnswered)
+	require.False(t, answer.Known, "source %v, version %s", answer.Source, answer.Origin.Version)
+}
