internal/gateway: a status for 'not run' that a peer of an earlier build passes on is no proof

Found by the review: during an upgrade a router passed on 503 from an old peer for an order that its server may have run, which the new build does not do for its own attempts. TestStatusForNotRunThatAPeerPassesOnIsNoProof failed before.

--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -127,7 +127,7 @@
 }
 
 // ParseHead records what the other router says about its answer. An answer without the ID of the hop is to another request.
-func (c *hopCodec) ParseHead(id string, _ int, h http.Header) request.AnswerHead {
+func (c *hopCodec) ParseHead(id string, status int, h http.Header) request.AnswerHead {
 	if h.Get(headerHop) != c.hop.ID {
 		return request.AnswerHead{}
 	}
@@ -137,7 +137,11 @@
 	if revision, err := strconv.ParseUint(h.Get(headerRevision), 10, 64); err == nil {
 		c.revision = revision
 	}
-	return request.AnswerHead{ID: id, Sealed: true, NotRun: c.elsewhere}
+	head := request.AnswerHead{ID: id, Sealed: true, NotRun: c.elsewhere}
+	if !c.refused { // A router of an earlier build passes on what an endpoint answers to a request that it may have run.
+		head.Denied = c.dialect.ParseHead(id, status, h).Denied
+	}
+	return head
 }
 
 // Events returns a reader that splits the body of a stream into events.
