origin: what a row says of a request that was only sent is no lasting origin

- A router that had read the rows before took a request that was sent to one version, and then began at another, for one of the first.
A row now says which of its streams have begun.
The others are used only from a read that began after the question, and a row that says that a stream has begun takes precedence.
- A request that was handed over stayed in the row for up to 5 s; it may begin elsewhere.

TestEarlierReadDoesNotNameAVersionThatTheStreamLeft and TestRowDropsARequestThatWasHandedOver failed before.

--- a/internal/gateway/archive.go
+++ b/internal/gateway/archive.go
@@ -17,7 +17,7 @@
 // originArchive finds origins in the rows of all routers in the store. It implements origin.Archive.
 //
 // Callers that ask at the same time share one read, which begins after they have asked. Before that, they use what earlier
-// reads have found: the rows of routers that lost power before such a read do not change any more.
+// reads have found of streams that had begun: that does not change any more.
 type originArchive struct {
 	g *Gateway
 
@@ -42,10 +42,11 @@
 func (a *originArchive) Find(ctx context.Context, now time.Time, stream string) (origin.Origin, bool, error) {
 	read := &originRead{}
 	var found origin.Found
-	for !found.Known && !found.Conflict && read.began.Before(now) {
+	for !found.Begun && read.began.Before(now) {
 		next, err := a.readAfter(ctx, now, read)
 		if err != nil {
 			read = &originRead{err: err}
+			found = origin.Found{}
 			break
 		}
 		read = next
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -330,3 +330,55 @@
 	require.Equal(t, "v2", f.storedVersion(t, "1"), "before the caller gets the first event")
 	require.Zero(t, f.logged("origin not written in time"))
 }
+
+// TestEarlierReadDoesNotNameAVersionThatTheStreamLeft lets a read happen between the sending of a request and its move to another version.
+func TestEarlierReadDoesNotNameAVersionThatTheStreamLeft(t *testing.T) {
+	store := &faultyStore{}
+	serves, reader := newOriginFleet(t, store), newOriginFleet(t, store)
+	now := time.Now()
+	serves.origins.Sent(origin.Origin{Stream: "1", Service: "s", Version: "v1"})
+	serves.originRow.step(now)
+	_, _, err := reader.find(t, "another")
+	require.NoError(t, err)
+	serves.origins.Sent(origin.Origin{Stream: "1", Service: "s", Version: "v2"})
+	serves.origins.Registry.Began(now, origin.Origin{Stream: "1", Service: "s", Version: "v2"})
+	serves.originRow.step(now.Add(time.Second))
+	require.Equal(t, "v2", serves.storedVersion(t, "1"))
+	time.Sleep(time.Second)
+	o, known, err := reader.find(t, "1")
+	require.NoError(t, err)
+	require.True(t, known)
+	require.Equal(t, "v2", o.Version)
+}
+
+// TestRowDropsARequestThatWasHandedOver lets a request be rejected here and begin its stream at another router.
+func TestRowDropsARequestThatWasHandedOver(t *testing.T) {
+	f := newOriginFleet(t, &faultyStore{})
+	now := time.Now()
+	f.begin("other", "v1")
+	f.origins.Sent(origin.Origin{Stream: "1", Service: "s", Version: "v1"})
+	f.originRow.step(now)
+	require.Equal(t, "v1", f.storedVersion(t, "1"))
+	f.origins.Ended("1") // As forgetSent does when the run ends without a stream.
+	f.originRow.step(now.Add(2 * time.Second))
+	require.Empty(t, f.storedVersion(t, "1"))
+}
+
+// TestFirstEventDoesNotPassWhileTheStoreNamesTheVersionThatTheStreamLeft lets writes fail after the request was sent.
+func TestFirstEventDoesNotPassWhileTheStoreNamesTheVersionThatTheStreamLeft(t *testing.T) {
+	store := &faultyStore{}
+	f := newOriginFleet(t, store)
+	f.origins.Sent(origin.Origin{Stream: "1", Service: "s", Version: "v1"})
+	f.originRow.step(time.Now())
+	store.set(func() { store.err = keyvalue.ErrUnavailable })
+	go f.originRow.run()
+	t.Cleanup(func() { close(f.stop) })
+	f.origins.Sent(origin.Origin{Stream: "1", Service: "s", Version: "v2"})
+	f.origins.Began(time.Now(), origin.Origin{Stream: "1", Service: "s", Version: "v2"})
+	store.set(func() { store.err = nil })
+	// All routers lose power here; another run reads the store.
+	next := newOriginFleet(t, store)
+	o, known, err := next.find(t, "1")
+	require.NoError(t, err)
+	require.False(t, known && o.Version == "v1", "named with the version that it left")
+}
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -90,7 +90,7 @@
 	row := r.Row(start, never)
 	require.Zero(t, row.Len())
 	row = r.Row(start, always)
-	require.Equal(t, []RowGroup{{"s", "v1", []StreamHash{HashOf("1")}}}, row.Groups)
+	require.Equal(t, []RowGroup{{"s", "v1", true, []StreamHash{HashOf("1")}}}, row.Groups)
 	r.Ended("1")
 	r.Ended("unknown")
 	row = r.Row(start, always)
@@ -128,7 +128,7 @@
 	_, known := r.Find(start, "1")
 	require.False(t, known, "it has not begun")
 	row := r.Row(start, always)
-	require.Equal(t, []RowGroup{{"s", "v1", []StreamHash{HashOf("1")}}}, row.Groups)
+	require.Equal(t, []RowGroup{{"s", "v1", false, []StreamHash{HashOf("1")}}}, row.Groups)
 	require.False(t, r.Began(start, o))
 	require.EqualValues(t, 1, r.Changes(), "the row holds it already")
 	r.Sent(Origin{Stream: "1", Service: "s", Version: "v2"})
@@ -165,7 +165,7 @@
 			require.Greater(t, r.Changes(), changes)
 		}
 		row = r.Row(start, always)
-		require.Equal(t, []RowGroup{{"s", "v2", []StreamHash{HashOf("1")}}}, row.Groups)
+		require.Equal(t, []RowGroup{{"s", "v2", true, []StreamHash{HashOf("1")}}}, row.Groups)
 		require.False(t, r.Began(start, second))
 	}
 	var r Registry
@@ -195,7 +195,7 @@
 			if len(hashes) == 0 {
 				hashes = nil
 			}
-			return RowGroup{Service: rapid.String().Draw(t, "service"), Version: rapid.String().Draw(t, "version"), Streams: hashes}
+			return RowGroup{Service: rapid.String().Draw(t, "service"), Version: rapid.String().Draw(t, "version"), Begun: rapid.Bool().Draw(t, "begun"), Streams: hashes}
 		}), 1, 4).Draw(t, "groups")
 		row := Row{WrittenAt: time.UnixMilli(rapid.Int64().Draw(t, "at")), Groups: groups}
 		data := row.Encode()
@@ -214,7 +214,7 @@
 
 // FuzzDecodeRow decodes arbitrary bytes.
 func FuzzDecodeRow(f *testing.F) {
-	row := Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", []StreamHash{1, 2}}, {"s", "v2", nil}}}
+	row := Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", true, []StreamHash{1, 2}}, {"s", "v2", false, nil}}}
 	f.Add(row.Encode())
 	f.Add([]byte{})
 	f.Add([]byte("{}"))
@@ -229,9 +229,9 @@
 func TestIndexKnowsNoStreamOfTwoVersions(t *testing.T) {
 	var x Index
 	require.Equal(t, Found{}, x.Find("1"))
-	x.Add(Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", []StreamHash{HashOf("1"), HashOf("2")}}, {"s", "v2", []StreamHash{HashOf("3")}}}})
-	x.Add(Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", []StreamHash{HashOf("1")}}, {"s", "v2", []StreamHash{HashOf("2")}}}})
-	require.Equal(t, Found{Origin: Origin{"1", "s", "v1"}, Known: true, WrittenAt: start}, x.Find("1"))
+	x.Add(Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", true, []StreamHash{HashOf("1"), HashOf("2")}}, {"s", "v2", true, []StreamHash{HashOf("3")}}}})
+	x.Add(Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", true, []StreamHash{HashOf("1")}}, {"s", "v2", true, []StreamHash{HashOf("2")}}}})
+	require.Equal(t, Found{Origin: Origin{"1", "s", "v1"}, Known: true, Begun: true, WrittenAt: start}, x.Find("1"))
 	require.Equal(t, Found{Conflict: true}, x.Find("2"))
 	require.Equal(t, "v2", x.Find("3").Origin.Version)
 	require.False(t, x.Find("4").Known)
@@ -239,6 +239,20 @@
 	require.Equal(t, 5, x.Streams)
 }
 
+// TestIndexPrefersStreamsThatHaveBegun adds rows of two routers, at one of which a request was given up before a stream began.
+func TestIndexPrefersStreamsThatHaveBegun(t *testing.T) {
+	sent := Row{WrittenAt: start, Groups: []RowGroup{{"s", "v1", false, []StreamHash{HashOf("1"), HashOf("2")}}}}
+	begun := Row{WrittenAt: start, Groups: []RowGroup{{"s", "v2", true, []StreamHash{HashOf("1")}}, {"s", "v2", false, []StreamHash{HashOf("2")}}}}
+	for _, rows := range [][]Row{{sent, begun}, {begun, sent}} {
+		var x Index
+		for _, row := range rows {
+			x.Add(row)
+		}
+		require.Equal(t, Found{Origin: Origin{"1", "s", "v2"}, Known: true, Begun: true, WrittenAt: start}, x.Find("1"))
+		require.Equal(t, Found{Conflict: true}, x.Find("2"))
+	}
+}
+
 // TestIndexOfManyStreams adds 16,384 streams of 295 routers and finds each at its version.
 func TestIndexOfManyStreams(t *testing.T) {
 	const streams, routers = 16384, 295
--- a/internal/origin/row.go
+++ b/internal/origin/row.go
@@ -16,10 +16,12 @@
 	Groups    []RowGroup
 }
 
-// RowGroup holds the streams of a Row that began at the same version of the same service.
+// RowGroup holds the streams of a Row that began at the same version of the same service, or that begin there if nothing else
+// becomes of the request.
 type RowGroup struct {
 	Service string
 	Version string
+	Begun   bool // The first events of the streams have come.
 	Streams []StreamHash
 }
 
@@ -48,6 +50,7 @@
 //	Groups, each
 //	  Service  length as a varint, text
 //	  Version  length as a varint, text
+//	  Begun    1 byte, 0 or 1
 //	  Streams  count as a varint, 8 bytes each
 //	Checksum   8 bytes, xxHash of all bytes before
 //
@@ -59,6 +62,7 @@
 	for _, g := range r.Groups {
 		out = appendText(out, g.Service)
 		out = appendText(out, g.Version)
+		out = append(out, boolByte(g.Begun))
 		out = binary.AppendUvarint(out, uint64(len(g.Streams)))
 		for _, h := range g.Streams {
 			out = binary.BigEndian.AppendUint64(out, uint64(h))
@@ -67,6 +71,13 @@
 	return binary.BigEndian.AppendUint64(out, xxhash.Sum64(out))
 }
 
+func boolByte(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func appendText(out []byte, text string) []byte {
 	return append(binary.AppendUvarint(out, uint64(len(text))), text...)
 }
@@ -83,7 +94,7 @@
 	d := rowDecoder{rest: body[1:]}
 	row := Row{WrittenAt: time.UnixMilli(int64(d.fixed()))}
 	for len(d.rest) > 0 && !d.failed {
-		g := RowGroup{Service: d.text(), Version: d.text()}
+		g := RowGroup{Service: d.text(), Version: d.text(), Begun: d.flag()}
 		for range d.count(hashBytes) {
 			g.Streams = append(g.Streams, StreamHash(d.fixed()))
 		}
@@ -121,6 +132,11 @@
 	return binary.BigEndian.Uint64(taken)
 }
 
+func (d *rowDecoder) flag() bool {
+	taken := d.take(1)
+	return taken != nil && taken[0] == 1
+}
+
 // count returns a number of items that each have a size in bytes, which must be there.
 func (d *rowDecoder) count(size int) int {
 	n, used := binary.Uvarint(d.rest)
@@ -154,6 +170,7 @@
 type indexGroup struct {
 	service   string
 	version   string
+	begun     bool
 	writtenAt time.Time
 }
 
@@ -164,7 +181,7 @@
 	}
 	x.Rows++
 	for _, g := range r.Groups {
-		x.groups = append(x.groups, indexGroup{g.Service, g.Version, r.WrittenAt})
+		x.groups = append(x.groups, indexGroup{g.Service, g.Version, g.Begun, r.WrittenAt})
 		for _, h := range g.Streams {
 			x.add(h, len(x.groups)-1)
 		}
@@ -179,7 +196,11 @@
 		return
 	}
 	before, now := x.groups[e.group], x.groups[group]
-	if !e.conflict && (before.service != now.service || before.version != now.version) {
+	switch {
+	case now.begun && !before.begun:
+		x.entries[h] = indexEntry{group: int32(group)}
+	case before.begun && !now.begun:
+	case !e.conflict && (before.service != now.service || before.version != now.version):
 		e.conflict = true
 		x.entries[h] = e
 		x.Conflicts++
@@ -190,6 +211,7 @@
 type Found struct {
 	Origin    Origin
 	Known     bool
+	Begun     bool      // Its first event had come when the row was written, so that its origin does not change.
 	Conflict  bool      // Two rows say different origins.
 	WrittenAt time.Time // When the row was written, by the clock of its router.
 }
@@ -204,5 +226,5 @@
 		return Found{Conflict: true}
 	}
 	g := x.groups[e.group]
-	return Found{Origin: Origin{Stream: stream, Service: g.service, Version: g.version}, Known: true, WrittenAt: g.writtenAt}
+	return Found{Origin: Origin{Stream: stream, Service: g.service, Version: g.version}, Known: true, Begun: g.begun, WrittenAt: g.writtenAt}
 }
--- a/internal/origin/served.go
+++ b/internal/origin/served.go
@@ -88,6 +88,9 @@
 	case !ok:
 	case !served.begun, len(s.streams) > maxRetainedStreams:
 		delete(s.streams, stream)
+		if served.inRow {
+			s.changes++ // The stream may begin elsewhere.
+		}
 	default:
 		served.ended = true
 	}
@@ -95,7 +98,10 @@
 
 // row returns the streams of the services for which needed reports true, and forgets those that ended long ago.
 func (s *servedStreams) row(now time.Time, needed func(service string) bool) Row {
-	type group struct{ service, version string }
+	type group struct {
+		service, version string
+		begun            bool
+	}
 	hashes := map[group][]StreamHash{}
 	neededFor := map[string]bool{}
 	n := 0
@@ -117,12 +123,12 @@
 		}
 		n++
 		served.inRow = true
-		g := group{served.service, served.version}
+		g := group{served.service, served.version, served.begun}
 		hashes[g] = append(hashes[g], served.hash)
 	}
 	row := Row{WrittenAt: now}
 	for g, streams := range hashes {
-		row.Groups = append(row.Groups, RowGroup{g.service, g.version, streams})
+		row.Groups = append(row.Groups, RowGroup{g.service, g.version, g.begun, streams})
 	}
 	return row
 }
--- a/pkg/endpoint/move_test.go
+++ b/pkg/endpoint/move_test.go
@@ -125,3 +125,14 @@
 	}
 	return all
 }
+
+// TestStreamDoesNotMoveToAPlaceWhoseVersionHasChanged lets the entry of an endpoint change between reservation and move.
+func TestStreamDoesNotMoveToAPlaceWhoseVersionHasChanged(t *testing.T) {
+	p := moving(t, Policy{}, streamRequest(start, "1"))
+	p.Handle(start, FirstToken{"1"})
+	require.Equal(t, []Action{Reserved{Send{"1", "b", "v1", 2}}}, p.Handle(start, MoveRequested{"1"}))
+	p.Handle(start, Configured{[]Endpoint{twoEndpoints.Endpoints[0], {Name: "b", Serves: []string{"m"}, Version: "v2", Slots: 2}}})
+	p.Handle(start, Moved{"1", Silent})
+	j := p.jobs["1"]
+	require.False(t, j.target != nil && j.target.Version != j.Version, "a stream of %s is in flight at %s of %s", j.Version, j.target.Name, j.target.Version)
+}
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -470,3 +470,56 @@
 		})
 	}
 }
+
+// TestRetriesOfASilenceThatIsLongerThanMaxArrivalDelay pauses most endpoints for longer than an attempt counts as pending.
+func TestRetriesOfASilenceThatIsLongerThanMaxArrivalDelay(t *testing.T) {
+	for _, silence := range []time.Duration{11 * time.Second, 15 * time.Second, 40 * time.Second} {
+		f := newRetryFleet(1)
+		f.rate["m"] = 10
+		f.run(20 * time.Second)
+		for i := range 8 {
+			f.pause(fmt.Sprint("m", i), silence)
+		}
+		f.failing["m"] = 0.3
+		f.run(silence + 25*time.Second)
+		f.requireRetriesWithinLimits(t)
+	}
+}
+
+// TestAnswerThatWaitedToBeReadConfirmsNothing lets a router stall while the answer of an endpoint, which then stands still, waits in its socket.
+func TestAnswerThatWaitedToBeReadConfirmsNothing(t *testing.T) {
+	p := &Pool{Policy: Policy{RetryReserve: 100}}
+	p.Handle(start, Configured{twoEndpoints.Endpoints[:1]})
+	submitTo(p, start, "1") // Its answer is in the socket; the endpoint stands still from now on.
+	sent := start.Add(10 * time.Millisecond)
+	submitTo(p, sent, "2")
+	later := sent.Add(300 * time.Millisecond) // The router was suspended.
+	p.Handle(later, Answered{"1"})
+	require.False(t, p.jobs["2"].arrivals.arrived, "request 2 cannot have been read yet")
+}
+
+// TestNothingIsPendingAfterTheTrafficEnds lets requests end in every way, and then none come.
+func TestNothingIsPendingAfterTheTrafficEnds(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newRetryFleet(seed)
+		f.rate["m"], f.rate["s"] = 10, 10
+		for range 20 {
+			f.run(time.Second)
+			f.disturb()
+			for _, r := range f.routers {
+				for service, l := range r.pool.retries {
+					require.GreaterOrEqual(t, l.pending, 0, service)
+				}
+			}
+		}
+		f.pause("m0", time.Hour)
+		f.run(10 * time.Second)
+		f.rate["m"], f.rate["s"] = 0, 0
+		f.run(40 * time.Second)
+		for _, r := range f.routers {
+			require.Empty(t, r.pool.jobs)
+			require.Empty(t, r.pool.unconfirmed)
+			require.Empty(t, r.pool.retries)
+		}
+	}
+}
