--- a/internal/gateway/archive.go
+++ b/internal/gateway/archive.go
@@ -24,13 +24,13 @@
 type originArchive struct {
 	g *Gateway
 
-	mu       sync.Mutex
-	schedule origin.ReadSchedule // Guarded by mu.
-	next     *originRead         // The read that has not begun yet; nil if there is none; guarded by mu.
-	current  *originRead         // The read that is under way; nil if there is none; guarded by mu.
-	reading  bool                // A read is scheduled or under way; guarded by mu.
-	last     *originRead         // The last read that succeeded; nil if there is none; guarded by mu.
-	odd      map[string]uint64   // Versions of the rows that could not be decoded in the last read, by key; guarded by mu.
+	mu        sync.Mutex
+	schedule  origin.ReadSchedule // Guarded by mu.
+	next      *originRead         // The read that has not begun yet; nil if there is none; guarded by mu.
+	current   *originRead         // The read that is under way; nil if there is none; guarded by mu.
+	reading   bool                // A read is scheduled or under way; guarded by mu.
+	last      *originRead         // The last read that succeeded; nil if there is none; guarded by mu.
+	malformed map[string]uint64   // Versions of the rows that could not be decoded in the last read, by key; guarded by mu.
 }
 
 // originRead is one read of all rows. Its fields except done are set when done is closed.
@@ -176,19 +176,19 @@
 // decode returns an index of the rows. Entries that are not rows are skipped and logged once; mu must be held.
 func (a *originArchive) decode(entries []keyvalue.Entry, runs map[string]uint64) *origin.Index {
 	index := &origin.Index{}
-	odd := map[string]uint64{}
+	malformed := map[string]uint64{}
 	for _, e := range entries {
 		row, err := origin.DecodeRow(e.Value)
 		if err != nil {
-			odd[e.Key] = e.Version
-			if a.odd[e.Key] != e.Version {
+			malformed[e.Key] = e.Version
+			if a.malformed[e.Key] != e.Version {
 				a.g.log.Warn("origins not read", zap.String("Key", e.Key), zap.Int("Bytes", len(e.Value)), logfile.Error(err))
 			}
 			continue
 		}
 		index.Add(row, hasEnded(strings.TrimPrefix(e.Key, originPrefix), runs))
 	}
-	a.odd = odd
+	a.malformed = malformed
 	return index
 }
 
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -120,14 +120,14 @@
 // TestEndpointWhoseEntryTurnsUnreadableIsUsedBriefly guards against using an endpoint for ever because another writer has
 // replaced its entry, and against losing all endpoints at once for the time that they take to write their entries again.
 func TestEndpointWhoseEntryTurnsUnreadableIsUsedBriefly(t *testing.T) {
-	odd := func(name string) keyvalue.Entry { return keyvalue.Entry{Key: "e/" + name, Value: []byte("odd")} }
+	malformed := func(name string) keyvalue.Entry { return keyvalue.Entry{Key: "e/" + name, Value: []byte("malformed")} }
 	for _, snapshot := range []bool{false, true} {
 		e := newEntries("back", "gone", "deleted")
 		if snapshot {
-			e.applySnapshot(start, []keyvalue.Entry{odd("back"), odd("gone"), odd("deleted")})
+			e.applySnapshot(start, []keyvalue.Entry{malformed("back"), malformed("gone"), malformed("deleted")})
 		} else {
 			for _, name := range []string{"back", "gone", "deleted"} {
-				e.applyChange(start, keyvalue.Change{Entry: odd(name)})
+				e.applyChange(start, keyvalue.Change{Entry: malformed(name)})
 			}
 		}
 		later := start.Add(time.Second)
@@ -136,7 +136,7 @@
 		e.remove(later, "deleted")
 		require.False(t, e.usableAt(later, "deleted"), "an endpoint without an entry has left")
 		e.applyChange(later, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/back", Value: []byte("ready")}})
-		e.applyChange(later, keyvalue.Change{Entry: odd("gone")})
+		e.applyChange(later, keyvalue.Change{Entry: malformed("gone")})
 		require.True(t, e.usableAt(start.Add(time.Minute), "back"))
 		require.False(t, e.usableAt(start.Add(missingGrace), "gone"), "further unreadable entries do not prolong the use")
 	}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -294,8 +294,8 @@
 	f.store.set(func() { require.LessOrEqual(t, f.store.reads, 2) })
 }
 
-// TestOddRowsAreSkipped puts a torn row and bytes of another form beside a sound row, and reads them twice.
-func TestOddRowsAreSkipped(t *testing.T) {
+// TestMalformedRowsAreSkipped puts a torn row and bytes of another form beside a sound row, and reads them twice.
+func TestMalformedRowsAreSkipped(t *testing.T) {
 	f := newOriginFleet(t, &faultyStore{})
 	f.begin("1", "v1")
 	f.originRow.step(time.Now())
--- a/internal/gateway/registration_test.go
+++ b/internal/gateway/registration_test.go
@@ -8,13 +8,13 @@
 	"go.uber.org/zap"
 )
 
-// TestOddRegistrationsAreNotUsed guards against giving callers and routers addresses or sizes from the entry of another writer.
-func TestOddRegistrationsAreNotUsed(t *testing.T) {
+// TestMalformedRegistrationsAreNotUsed guards against giving callers and routers addresses or sizes from the entry of another writer.
+func TestMalformedRegistrationsAreNotUsed(t *testing.T) {
 	const sound = `{"VM":"vm-1","Incarnation":1,"DataCentre":"z","Peer":"10.0.0.1:80","Front":"10.0.0.1:81"}`
 	m := members{g: &Gateway{log: zap.NewNop()}, registrations: map[string]registration{}}
 	m.addRegistration(memberPrefix+"vm-1", []byte(sound))
 	require.Contains(t, m.registrations, "vm-1")
-	for _, odd := range []string{
+	for _, malformed := range []string{
 		"", "null", "[]", "{}", "\xff", strings.Repeat("[", 1<<16),
 		strings.Replace(sound, "vm-1", "vm-2", 1),
 		strings.Replace(sound, "10.0.0.1:80", "", 1),
@@ -28,9 +28,9 @@
 		strings.Replace(sound, `"Incarnation":1`, `"Size":1e999`, 1),
 	} {
 		fresh := members{g: &Gateway{log: zap.NewNop()}, registrations: map[string]registration{}}
-		fresh.addRegistration(memberPrefix+"vm-1", []byte(odd))
-		require.Empty(t, fresh.registrations, "%.200s", odd)
-		m.addRegistration(memberPrefix+"vm-1", []byte(odd))
+		fresh.addRegistration(memberPrefix+"vm-1", []byte(malformed))
+		require.Empty(t, fresh.registrations, "%.200s", malformed)
+		m.addRegistration(memberPrefix+"vm-1", []byte(malformed))
 		require.Equal(t, "10.0.0.1:81", m.registrations["vm-1"].Front, "the sound registration stands, as probes tell whether its router lives")
 	}
 	m.addRegistration(memberPrefix, []byte(strings.Replace(sound, "vm-1", "", 1)))
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -194,9 +194,9 @@
 
 // TestUnreadableRecordProvesNothing lets another writer replace the record of two versions before all routers start again.
 func TestUnreadableRecordProvesNothing(t *testing.T) {
-	odd, err := ParseRecord([]byte(`{"Versions":`))
+	malformed, err := ParseRecord([]byte(`{"Versions":`))
 	require.Error(t, err)
-	s := recordStore{revision: 7, record: odd}
+	s := recordStore{revision: 7, record: malformed}
 	h := s.newHistory(start, "v2")
 	require.True(t, s.write(t, start.Add(time.Second), h, true))
 	e := Evidence{Fresh: true, Own: h.View("s")}
--- a/internal/origin/row.go
+++ b/internal/origin/row.go
@@ -40,8 +40,8 @@
 	hashBytes     = 8
 )
 
-// errOddRow means that bytes are not those of a whole row.
-var errOddRow = errors.New("not a row of origins")
+// errMalformedRow means that bytes are not those of a whole row.
+var errMalformedRow = errors.New("not a row of origins")
 
 // Encode returns the row as bytes:
 //
@@ -85,11 +85,11 @@
 // DecodeRow returns the row that Encode made bytes of. Bytes that are torn or of another form are an error.
 func DecodeRow(data []byte) (Row, error) {
 	if len(data) < 1+8+checksumBytes || data[0] != rowFormat {
-		return Row{}, errOddRow
+		return Row{}, errMalformedRow
 	}
 	body, checksum := data[:len(data)-checksumBytes], data[len(data)-checksumBytes:]
 	if xxhash.Sum64(body) != binary.BigEndian.Uint64(checksum) {
-		return Row{}, errors.Wrap(errOddRow, "checksum")
+		return Row{}, errors.Wrap(errMalformedRow, "checksum")
 	}
 	d := rowDecoder{rest: body[1:]}
 	row := Row{WrittenAt: time.UnixMilli(int64(d.fixed()))}
@@ -101,7 +101,7 @@
 		row.Groups = append(row.Groups, g)
 	}
 	if d.failed {
-		return Row{}, errOddRow
+		return Row{}, errMalformedRow
 	}
 	return row, nil
 }
--- a/internal/request/budget_test.go
+++ b/internal/request/budget_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// TestRetriesOfASilenceStayWithinTheWindow lets requests come to an endpoint that stands still over several windows. They may
+// TestRetriesOfASilenceStayWithinTheWindow lets requests come to an endpoint that is paused over several windows. They may
 // move to another one, and the silent one reads them all when it goes on.
 func TestRetriesOfASilenceStayWithinTheWindow(t *testing.T) {
 	const window, reserve, perWindow, windows = time.Second, 4, 8, 3
--- a/pkg/endpoint/arrival.go
+++ b/pkg/endpoint/arrival.go
@@ -26,7 +26,7 @@
 
 // arrivals says which attempts of a request may still arrive at endpoints.
 //
-// An endpoint that stands still reads an attempt when it goes on, even if its
+// An endpoint that is paused reads an attempt when it resumes, even if its
 // connection was closed meanwhile. The other attempts of the request may have
 // arrived elsewhere by then, so that this one is the arrival beyond the first.
 type arrivals struct {
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -486,11 +486,12 @@
 	}
 }
 
-// TestAnswerThatWaitedToBeReadConfirmsNothing lets a router stall while the answer of an endpoint, which then stands still, waits in its socket.
+// TestAnswerThatWaitedToBeReadConfirmsNothing lets a router stall while the answer of an endpoint, which is paused then, waits in
+// its socket.
 func TestAnswerThatWaitedToBeReadConfirmsNothing(t *testing.T) {
 	p := &Pool{Policy: Policy{RetryReserve: 100}}
 	p.Handle(start, Configured{twoEndpoints.Endpoints[:1]})
-	submitTo(p, start, "1") // Its answer is in the socket; the endpoint stands still from now on.
+	submitTo(p, start, "1") // Its answer is in the socket; the endpoint is paused from now on.
 	sent := start.Add(10 * time.Millisecond)
 	submitTo(p, sent, "2")
 	later := sent.Add(300 * time.Millisecond) // The router was suspended.
