internal/command: settings that are still being written are not taken over

What callers would see: after a SIGHUP, or a change of the file that the poll notices, a gateway put the first part of a half-written settings file in force. That part may be valid by itself but lacks [Memory] and [Drain], so that the bound of the memory was gone and a stop counted with the default grace period of 8 s, in which the platform kills it. Cause: the file was read once, at the moment of the signal. Ruled out: an empty file (refused, the old settings stay) and the poll (it notes the time of change before it reads, so that the whole file follows a second later; until then the part stood).

Change: a changed file is read until two reads 100 ms apart are the same, 20 at most. Failed first: TestHalfWrittenSettingsAreNotTakenOver shows that the first part is valid; readSettled is new, before it the first read counted. Also new, and held at once: TestStopAtTheStartIsInOrder (SIGHUP, SIGTERM, SIGHUP, SIGTERM while the settings are read for the first time). Held before: SIGTERM twice, SIGHUP during and after the drain.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"runtime/debug"
@@ -87,7 +88,7 @@
 			}
 		}
 		lastModified = modTime(file)
-		settings, err := readGatewaySettings(file)
+		settings, err := readChangedSettings(file)
 		if err != nil {
 			log.Error("settings not reloaded", zap.String("File", file), logfile.Error(err))
 			continue
@@ -97,6 +98,35 @@
 	}
 }
 
+// readChangedSettings reads the settings of a file that is perhaps still being written.
+func readChangedSettings(file string) (gateway.Settings, error) {
+	read := func() ([]byte, error) { return os.ReadFile(file) }
+	text, err := readSettled(read, func() { time.Sleep(settleTime) })
+	if err != nil {
+		return gateway.Settings{}, errors.Wrap(err, "reading the settings")
+	}
+	return gateway.ReadSettings(file, text)
+}
+
+const (
+	settleTime  = 100 * time.Millisecond // Time for which a settings file has to stay as it is.
+	settleReads = 20                     // Reads after which a file that goes on changing is taken as it is.
+)
+
+// readSettled reads until two reads in a row give the same, with a pause between them. Settings of which only the first part
+// has been written may be valid, but lack limits.
+func readSettled(read func() ([]byte, error), pause func()) ([]byte, error) {
+	text, err := read()
+	for range settleReads {
+		pause()
+		last := text
+		if text, err = read(); err == nil && bytes.Equal(text, last) {
+			break
+		}
+	}
+	return text, err
+}
+
 // modTime returns the modification time of a file, or the zero time if it cannot be read.
 func modTime(file string) time.Time {
 	info, err := os.Stat(file)
--- a/internal/command/gateway_test.go
+++ b/internal/command/gateway_test.go
@@ -10,9 +10,39 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/gateway"
 	"github.com/foxtaillanding/foxtaillanding/internal/standin"
 )
 
+// TestHalfWrittenSettingsAreNotTakenOver reads settings while they are written in parts, as after a second SIGHUP. The first
+// part was valid and was taken over: it lacked the limit of the memory and the grace period.
+func TestHalfWrittenSettingsAreNotTakenOver(t *testing.T) {
+	whole := "VM = \"vm-1\"\n[Listen]\nFront = \"127.0.0.1:1\"\nPeer = \"127.0.0.1:2\"\n[Store]\nAddress = \"127.0.0.1:3\"\n" +
+		"[Memory]\nLimitMegabytes = 100\n[Drain]\nGraceMilliseconds = 3000\n"
+	half, _, _ := strings.Cut(whole, "[Memory]")
+	_, err := gateway.ReadSettings("gateway.toml", []byte(half))
+	require.NoError(t, err, "the first part is valid by itself")
+	reads := 0
+	parts := []string{"", half, whole[:len(whole)-5], whole}
+	text, err := readSettled(func() ([]byte, error) {
+		reads++
+		if reads == 3 {
+			return nil, os.ErrNotExist // The file is replaced.
+		}
+		return []byte(parts[min(reads, len(parts))-1]), nil
+	}, func() {})
+	require.NoError(t, err)
+	require.Equal(t, whole, string(text))
+
+	reads = 0
+	_, err = readSettled(func() ([]byte, error) {
+		reads++
+		return []byte{byte(reads)}, nil
+	}, func() {})
+	require.NoError(t, err)
+	require.Equal(t, 1+settleReads, reads, "a file that changes all the time is read in the end")
+}
+
 // TestChangedSettingsAreReloadedWithoutSignal rewrites the settings file of a running gateway, first with invalid settings,
 // which must not keep it from loading the valid ones that follow.
 func TestChangedSettingsAreReloadedWithoutSignal(t *testing.T) {
--- a/internal/command/signals_test.go
+++ b/internal/command/signals_test.go
@@ -153,10 +153,9 @@
 	require.NoError(t, <-ended, "the gateway did not stop in order")
 }
 
-// TestSettingsChangeAtTheStartEndsNoProcess sends SIGHUP to a process that is still reading its settings, which come from
-// a pipe so that the moment is known. The signal ended it.
-func TestSettingsChangeAtTheStartEndsNoProcess(t *testing.T) {
-	f := newGatewayFixture(t, "1")
+// startSignalled starts the gateway and sends it signals while it is still reading its settings, which come from a pipe so
+// that the moment is known.
+func (f gatewayFixture) startSignalled(t *testing.T, signals ...syscall.Signal) <-chan error {
 	text, err := os.ReadFile(f.settings)
 	require.NoError(t, err)
 	regular := f.settings + ".regular"
@@ -167,12 +166,32 @@
 	out, err := os.OpenFile(f.settings, os.O_WRONLY, 0) // Returns when the gateway has opened it.
 	require.NoError(t, err)
 	require.NoError(t, os.Rename(regular, f.settings)) // For the reload.
-	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
-	time.Sleep(100 * time.Millisecond)
+	for _, s := range signals {
+		require.NoError(t, cmd.Process.Signal(s))
+		time.Sleep(100 * time.Millisecond)
+	}
 	_, err = out.Write(text)
 	require.NoError(t, err)
 	require.NoError(t, out.Close())
-	f.awaitReady(t, ended)
+	return ended
+}
+
+// TestSettingsChangeAtTheStartEndsNoProcess sends SIGHUP to a process that has just started. The signal ended it.
+func TestSettingsChangeAtTheStartEndsNoProcess(t *testing.T) {
+	f := newGatewayFixture(t, "1")
+	f.awaitReady(t, f.startSignalled(t, syscall.SIGHUP))
+}
+
+// TestStopAtTheStartIsInOrder sends stop signals and SIGHUP to a process that has just started.
+func TestStopAtTheStartIsInOrder(t *testing.T) {
+	f := newGatewayFixture(t, "1")
+	ended := f.startSignalled(t, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		require.NoError(t, err, "the gateway did not stop in order")
+	case <-time.After(waitTimeout):
+		require.Fail(t, "the gateway did not stop")
+	}
 }
 
 // TestHangupDoesNotEndTheChatRouter sends SIGHUP to a chat router, which takes its settings from the store, with a request
