internal/gateway: a short grace period leaves its first five sixths for requests

What callers saw: with a grace period below 5.4 s, streams that a stopping router had admitted early were cut before the last sixth of the grace began, at 2 s after 1.1 s. Cause: the reserve for the end of a stop was 0.9 s whatever the grace, and a grace that became shorter during the stop was not counted. Ruled out: the deadline of a request that is handed on (it is bounded by the drain of the router that got it, and refused by a stopping peer whose drain is shorter).

Change: the reserve is a sixth of the grace and 0.9 s at most; a reload with a shorter grace shortens the drain under way. With 8 s nothing changes (reserve 0.9 s).

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +14,8 @@
 // Timing of a shutdown.
 const (
 	drainPollInterval = 20 * time.Millisecond
-	stopReserve       = 900 * time.Millisecond // Part of the grace period kept for returning grants and stopping.
+	maxStopReserve    = 900 * time.Millisecond // Longest time at the end of the grace period for returning grants and stopping.
+	stopReserveParts  = 6                      // The time is at most one of so many equal parts of the grace period; requests are served in the others.
 	minServeTime      = 3 * directoryTTL       // Some callers cache a list of addresses for three times its TTL.
 	flushDelay        = 50 * time.Millisecond  // For answers that were handed to the operating system but not sent yet.
 )
@@ -24,25 +24,24 @@
 // requests in flight, returns the grants and stops.
 func (g *Gateway) Shutdown(now time.Time) {
 	grace := time.Duration(g.grace.Load())
-	d := &drain{since: now, until: now.Add(grace - stopReserve)}
+	d := newDrain(now, grace)
 	if !g.drain.CompareAndSwap(nil, d) {
 		return
 	}
 	g.log.Info("stopping", zap.Int64("InFlight", g.inFlight.Load()))
 	g.members.publishSelf(now)
 	g.announceDraining()
-	ctx, cancel := context.WithDeadline(context.Background(), d.until)
-	defer cancel()
-	decision.Pause(min(minServeTime, grace/2), ctx.Done())
-	g.waitIdle(ctx)
+	listedUntil := time.Now().Add(min(minServeTime, grace/2))
+	waitUntil(g.drainEnd, func() bool { return !time.Now().Before(listedUntil) })
+	waitUntil(g.drainEnd, g.idle)
 	g.closing.Store(true)
 	g.budgets.Handle(time.Now(), budget.Drain{})
-	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopReserve/2)
-	defer cancelStop()
-	waitUntil(stopCtx, func() bool { return g.budgets.Drained() && g.peers.Settled() })
+	stopBy := time.Now().Add(stopReserve(grace) / 2)
+	stopEnd := func() time.Time { return stopBy }
+	waitUntil(stopEnd, func() bool { return g.budgets.Drained() && g.peers.Settled() })
 	returned := g.budgets.Drained()
 	g.budgets.Leave(time.Now())
-	g.waitIdle(stopCtx)
+	waitUntil(stopEnd, g.idle)
 	decision.Pause(flushDelay, nil)
 	close(g.stop)
 	g.log.Info("stopped", zap.Bool("GrantsReturned", returned), zap.Int64("InFlight", g.inFlight.Load()))
@@ -57,6 +56,34 @@
 	until time.Time
 }
 
+// newDrain returns the drain after a stop request at now, if the process is killed a grace period later.
+func newDrain(now time.Time, grace time.Duration) *drain {
+	return &drain{since: now, until: now.Add(grace - stopReserve(grace))}
+}
+
+// stopReserve returns the part of a grace period that is kept for returning grants and stopping.
+func stopReserve(grace time.Duration) time.Duration {
+	return min(maxStopReserve, grace/stopReserveParts)
+}
+
+// drainEnd returns when a draining router stops serving.
+func (g *Gateway) drainEnd() time.Time { return g.drain.Load().until }
+
+// shortenDrain ends a drain earlier if the grace period has become shorter since its stop request. A longer one is not taken
+// over, since the process may be killed as it was announced before.
+func (g *Gateway) shortenDrain(grace time.Duration) {
+	for {
+		d := g.drain.Load()
+		if d == nil {
+			return
+		}
+		shorter := newDrain(d.since, grace)
+		if !shorter.until.Before(d.until) || g.drain.CompareAndSwap(d, shorter) {
+			return
+		}
+	}
+}
+
 // lenientShare is the fraction of a drain in which every request is admitted, because nearly all end well before the
 // router stops and callers may not know of another router yet.
 const lenientShare = 0.4
@@ -98,14 +125,13 @@
 	}
 }
 
-// waitIdle waits until no request is in flight.
-func (g *Gateway) waitIdle(ctx context.Context) {
-	waitUntil(ctx, func() bool { return g.inFlight.Load() == 0 })
-}
+// idle reports whether no request is in flight.
+func (g *Gateway) idle() bool { return g.inFlight.Load() == 0 }
 
-func waitUntil(ctx context.Context, done func() bool) {
-	for ctx.Err() == nil && !done() {
-		decision.Pause(drainPollInterval, ctx.Done())
+// waitUntil waits until done reports true, until the time that end returns at most.
+func waitUntil(end func() time.Time, done func() bool) {
+	for time.Now().Before(end()) && !done() {
+		decision.Pause(drainPollInterval, nil)
 	}
 }
 
@@ -115,6 +141,7 @@
 	g.maxInFlight.Store(inFlightLimit(s.Memory))
 	g.limitBodies(s.Memory)
 	g.grace.Store(int64(s.grace()))
+	g.shortenDrain(s.grace())
 	g.endpoints.Handle(now, retryLimits(s.Retry))
 	g.log.Info("settings reloaded",
 		zap.Bool("NeedsRestart", old.Listen != s.Listen || old.Store != s.Store || old.VM != s.VM || old.DataCentre != s.DataCentre))
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// TestShortGraceLeavesItsFirstFiveSixthsForRequests guards against a fault of the class of review/3: of a grace period below 5.4 s
+// more than the last sixth was kept for stopping, so that streams which were admitted early were cut before that sixth began.
+func TestShortGraceLeavesItsFirstFiveSixthsForRequests(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second, time.Minute} {
+		d := newDrain(start, grace)
+		require.False(t, d.until.Before(start.Add(5*grace/6)), "%v", grace)
+		require.True(t, d.until.Before(start.Add(grace)), "%v", grace)
+		require.True(t, d.admits(start.Add(grace/5), time.Hour), "%v: early requests are served, whatever their length", grace)
+	}
+}
+
+// TestGraceThatBecomesShorterEndsADrainEarlier changes the grace period while the router stops.
+func TestGraceThatBecomesShorterEndsADrainEarlier(t *testing.T) {
+	g := newTestGateway(t)
+	g.shortenDrain(time.Second) // Not stopping.
+	g.drain.Store(newDrain(start, 8*time.Second))
+	s := g.cfg.Settings
+	for _, step := range []struct{ milliseconds, until int64 }{{20000, 7100}, {3000, 2500}, {8000, 2500}} {
+		s.Drain.GraceMilliseconds = step.milliseconds
+		g.Reload(start, s)
+		require.Equal(t, start.Add(time.Duration(step.until)*time.Millisecond), g.drainEnd())
+	}
+}
+
 func TestDurationsForgetOldPeaks(t *testing.T) {
 	var d durations
 	r := &route.Route{Name: "r", Kind: route.Idempotent, Timeout: 10 * time.Second}
