internal/request: nothing but the events after the last one follows in a stream

Cause: each sealed answer with a status below 300 was cut into events at its blank lines, whatever its type, and the IDs of the events were not compared. Ruled out: the end of the body (read correctly) and sealed 3xx, 4xx, 5xx (end the stream as broken).

Change: an answer goes on with a stream only with status 200 and text/event-stream, and each event needs an ID above the last one. Anything else is a failed attempt, logged as "answer does not fit the stream". While the caller has nothing, an answer of another type is passed on whole and unchanged. Why this works: the check stands where events are delivered, so that no way to the caller goes past it, also not the events of a peer of an earlier build.

--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -137,9 +137,10 @@
 	if revision, err := strconv.ParseUint(h.Get(headerRevision), 10, 64); err == nil {
 		c.revision = revision
 	}
-	head := request.AnswerHead{ID: id, Sealed: true, NotRun: c.elsewhere}
+	passedOn := c.dialect.ParseHead(id, status, h)
+	head := request.AnswerHead{ID: id, Sealed: true, NotRun: c.elsewhere, Unary: passedOn.Unary}
 	if !c.refused { // A router of an earlier build passes on what an endpoint answers to a request that it may have run.
-		head.Denied = c.dialect.ParseHead(id, status, h).Denied
+		head.Denied = passedOn.Denied
 	}
 	return head
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -138,6 +138,7 @@
 	NotRun  bool          // The endpoint states that it did not run the request.
 	Denied  bool          // The status tells callers that the request did not run, but the endpoint does not state it.
 	Encoded bool          // The body has a content encoding, so it is not the one that the endpoint sealed.
+	Unary   bool          // The body is not a series of events.
 	Load    *Load         // Nil if the endpoint reported none.
 	Leaving bool          // The endpoint is leaving.
 	Rest    time.Duration // Time for which the endpoint wants no requests from this router; zero if it does not say so.
@@ -170,8 +171,9 @@
 
 // Event is one event of a stream.
 type Event struct {
-	Raw []byte // Bytes for the caller; nil if it receives none.
-	ID  string // Empty if the stream cannot be resumed after this event.
+	Raw     []byte // Bytes for the caller; nil if it receives none.
+	ID      string // A decimal number; empty if the stream cannot be resumed after this event.
+	Comment bool   // It has nothing but comments, which callers ignore.
 }
 
 // Reply is the answer for a caller. Exactly one of Refusal, Body and Stream applies.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -326,7 +327,11 @@
 	case a.head.Denied && !r.req.Repeatable:
 		r.discard(a)
 		return endpoint.Incomplete, nil
-	case r.req.Streams && status < 300:
+	case r.goesOn() && status < 300 && (a.head.Unary || status != http.StatusOK):
+		r.logInvalidAnswer(a, errors.Wrap(ErrInvalidStream, "not a series of events"))
+		a.abort()
+		return endpoint.Incomplete, nil
+	case r.req.Streams && status < 300 && !a.head.Unary:
 		return r.startStream(a)
 	}
 	body, err := a.readBody(r.req)
@@ -343,6 +348,9 @@
 	return endpoint.Finished, out
 }
 
+// goesOn reports whether the caller has events of the stream already, so that nothing but the events after them may follow.
+func (r *run) goesOn() bool { return r.req.Streams && r.lastEventID != "" }
+
 // discard reads the short answer of an endpoint that rejected the request, so that the connection can be reused.
 func (r *run) discard(a *attempt) {
 	if a.resp.ContentLength < 0 || a.resp.ContentLength > maxStaleBytes || a.head.Encoded {
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -44,10 +44,15 @@
 func (r *run) startStream(a *attempt) (endpoint.Outcome, *Reply) {
 	s := &Stream{run: r, attempt: a, events: r.req.Codec.Events(a.body), release: a.abortOn(r.req.CallerGone)}
 	first, err := s.events.Next()
-	if err == nil && r.startsAnew(first) {
+	switch {
+	case err != nil:
+	case r.startsAnew(first):
 		err = errMoved
+	default:
+		err = r.checkOrder(first)
 	}
 	if err != nil && err != io.EOF {
+		r.logInvalidAnswer(a, err)
 		s.release()
 		a.abort()
 		if r.callerGone() {
@@ -69,6 +74,16 @@
 	return endpoint.Finished, &Reply{Status: a.resp.StatusCode, Headers: answerHeaders(a), Stream: s}
 }
 
+// logInvalidAnswer logs an answer that is not a stream, or not the rest of the one that the caller has.
+func (r *run) logInvalidAnswer(a *attempt, err error) {
+	if !errors.Is(err, ErrInvalidStream) {
+		return
+	}
+	r.f.Log.Info("answer does not fit the stream",
+		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", r.endpoint), zap.String("Address", a.conn.Address()),
+		zap.Int("Status", a.resp.StatusCode), zap.String("LastEvent", r.lastEventID), logfile.Error(err))
+}
+
 // failureOutcome maps an error of an attempt to the outcome reported for the endpoint.
 func failureOutcome(err error) endpoint.Outcome {
 	var timeout net.Error
@@ -85,7 +100,9 @@
 func (s *Stream) deliver(e Event) {
 	s.lastAt = time.Now()
 	s.pending = e.Raw
-	s.run.events++
+	if !e.Comment {
+		s.run.events++
+	}
 	s.run.observe(time.Now(), reach.Received{Endpoint: s.run.endpoint})
 	if e.ID != "" {
 		s.run.lastEventID = e.ID
@@ -139,6 +156,9 @@
 		s.run.stall.begin(now, s.stallTimeout())
 	}
 	e, err := s.events.Next()
+	if err == nil {
+		err = s.run.checkOrder(e)
+	}
 	s.next = s.run.stall.end()
 	switch err {
 	case nil:
@@ -182,7 +202,7 @@
 // brokenOutcome maps an error of the stream to the outcome reported for its endpoint.
 func (s *Stream) brokenOutcome(err error) endpoint.Outcome {
 	switch {
-	case errors.Is(err, errMoved):
+	case errors.Is(err, errMoved), errors.Is(err, ErrInvalidStream):
 		return endpoint.Incomplete // It has spoken after all.
 	case s.next != nil:
 		return endpoint.Silent
