pkg/endpoint: a request does not go on at a place whose endpoint has changed

Cause (ORDER): a place for a silent stream was reserved at an endpoint of the stream's version; its entry changed the version before the stream went there, and nobody looked again. Ruled out: taking the place back when the entry changes (the request may be on its way there already, so the check belongs where it goes).

Change: Moved is answered with MoveDenied (PlaceChanged) if the endpoint no longer fits; the attempt ends, the place and its retry are given back, and the request asks for another one. Line "place lost".

--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -121,6 +121,20 @@
 	return reserved, denial
 }
 
+// Move ends the attempt in flight of a request and begins the next one at its reserved place. It reports false if the place can
+// no longer be used, so that the request has no attempt in flight.
+func (e *Endpoints) Move(now time.Time, id string, outcome endpoint.Outcome) bool {
+	moved := true
+	for _, action := range decision.Apply(&e.mu, e.pool.Handle, now, endpoint.Event(endpoint.Moved{ID: id, Outcome: outcome})) {
+		if _, denied := action.(endpoint.MoveDenied); denied {
+			moved = false
+			continue
+		}
+		e.perform(now, action)
+	}
+	return moved
+}
+
 // RetryBudget returns the state of the retry budget for a model or service.
 func (e *Endpoints) RetryBudget(now time.Time, service string) endpoint.RetryBudget {
 	e.mu.Lock()
--- a/internal/request/move.go
+++ b/internal/request/move.go
@@ -236,6 +236,19 @@
 	return conn, err
 }
 
+// move ends the attempt in flight, so that the request goes on at a place. It reports false if the endpoint there has changed
+// since the place was reserved, so that the request needs another one.
+func (r *run) move(to *place, outcome endpoint.Outcome) bool {
+	now := time.Now()
+	if r.f.Endpoints.Move(now, r.req.RunID, r.observeEnd(outcome)) {
+		return true
+	}
+	r.f.Log.Info("place lost", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Endpoint", to.send.Endpoint),
+		zap.String("EndpointVersion", to.send.Version), zap.Stringer("Reason", endpoint.PlaceChanged))
+	r.f.giveBack(to, false)
+	return false
+}
+
 // giveBack gives a place back that is not used.
 func (f *Forwarder) giveBack(p *place, unreachable bool) {
 	if p == nil {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -204,8 +204,9 @@
 			r.checkCrash(outcome)
 			return out
 		}
-		outcome = r.observeEnd(outcome)
-		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
+		if !r.move(next, outcome) {
+			return nil
+		}
 		send, conn = next.send, next.conn
 	}
 }
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/foxtaillanding/foxtaillanding/internal/connection"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 	"github.com/foxtaillanding/foxtaillanding/pkg/reach"
@@ -187,9 +186,11 @@
 	r.f.Log.Info("stream broke", zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Address", s.attempt.conn.Address()), zap.String("EndpointVersion", r.version),
 		zap.Int64("Events", r.events), zap.Duration("Silence", time.Since(s.lastAt)), zap.Bool("GivenUp", s.next != nil || outcome == endpoint.Silent), logfile.Error(err))
 	if s.next != nil {
-		outcome = r.observeEnd(outcome)
-		r.f.Endpoints.Handle(time.Now(), endpoint.Moved{ID: r.req.RunID, Outcome: outcome})
-		return s.resume(r.try(s.takeNext()))
+		next := s.takeNext()
+		if !r.move(next, outcome) {
+			return s.resume(nil)
+		}
+		return s.resume(r.try(next.send, next.conn))
 	}
 	r.reportOutcome(outcome, 0)
 	r.checkCrash(outcome)
@@ -214,11 +215,11 @@
 	return outcome
 }
 
-// takeNext returns the attempt with which the stream goes on.
-func (s *Stream) takeNext() (endpoint.Send, *connection.Conn) {
+// takeNext returns the place at which the stream goes on.
+func (s *Stream) takeNext() *place {
 	next := s.next
 	s.next = nil
-	return next.send, next.conn
+	return next
 }
 
 // minStallTimeout is the shortest silence after which a stream without a StallTimeout may move to another endpoint.
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -8,6 +8,9 @@
 type MoveRequested struct{ ID string }
 
 // Moved reports that the attempt in flight has ended and that the one at the reserved place begins.
+//
+// The answer is MoveDenied if the endpoint there has changed meanwhile and may not serve the request any more; the request has
+// no attempt in flight then.
 type Moved struct {
 	ID      string
 	Outcome Outcome // Of the attempt that has ended.
@@ -46,13 +49,14 @@
 	AttemptsExhausted
 	SuspectBlocked // The request or a part of its prompt crashes endpoints.
 	RetryBudgetEmpty
-	NoPlace // No other endpoint that may serve the request can take it now.
+	NoPlace      // No other endpoint that may serve the request can take it now.
+	PlaceChanged // The endpoint at the reserved place has another version or serves something else now.
 )
 
-var denialNames = [...]string{"NotInFlight", "NotRepeatable", "AttemptsExhausted", "SuspectBlocked", "RetryBudgetEmpty", "NoPlace"}
+var denialNames = [...]string{"NotInFlight", "NotRepeatable", "AttemptsExhausted", "SuspectBlocked", "RetryBudgetEmpty", "NoPlace", "PlaceChanged"}
 
 // String returns the name of the reason as written in logs.
-func (d Denial) String() string { return denialNames[min(d, NoPlace)] }
+func (d Denial) String() string { return denialNames[min(d, PlaceChanged)] }
 
 // handleMove applies an event of a request that may move to another endpoint.
 func (p *Pool) handleMove(now time.Time, ev Event) []Action {
@@ -117,6 +121,9 @@
 		return nil
 	}
 	next := j.place
+	if !next.fits(j.selector()) {
+		return append(p.endAttempt(now, Ended{ID: ev.ID, Outcome: ev.Outcome}), MoveDenied{ev.ID, PlaceChanged})
+	}
 	j.place = nil
 	actions := p.endAttempt(now, Ended{ID: ev.ID, Outcome: ev.Outcome})
 	p.startAttempt(now, j, next)
