pkg/endpoint: an answer that waited for a suspended router confirms nothing sent after it

Cause (BUDGET): when an endpoint answers, attempts that were sent to it 100 ms before count as arrived. A router that was suspended reads an answer long after it was said, so that attempts were taken to have arrived that the endpoint, paused by then, had not read; their retries then came beside a full window.

Change: a time of over 100 ms without any event tells that the process may have been suspended. For 200 ms after it an answer counts as said when the events ceased. Without traffic confirmations come up to some 0.4 s later, which only delays retries.

Not covered: two suspensions within 200 ms.

--- a/pkg/endpoint/arrival.go
+++ b/pkg/endpoint/arrival.go
@@ -11,6 +11,13 @@
 	// an endpoint says may have been on its way when the attempt was sent.
 	minAnswerDelay = 100 * time.Millisecond
 
+	// suspensionGap is the time without any event after which this process may have been suspended. A router without traffic
+	// has such gaps too; what it hears then confirms attempts a little later.
+	suspensionGap = minAnswerDelay
+
+	// catchUpTime is how long after a suspension a process may still read answers that have waited for it.
+	catchUpTime = 200 * time.Millisecond
+
 	// arrivalSpread is the time within which an endpoint that goes on after a silence reads all that was sent to it meanwhile.
 	arrivalSpread = 500 * time.Millisecond
 
@@ -81,10 +88,29 @@
 	p.setArrivals(x.request, true, x.request.open-1)
 }
 
+// observeGap notes when this process may have been suspended, of which a time without events tells.
+func (p *Pool) observeGap(now time.Time) {
+	if !p.handledAt.IsZero() && now.Sub(p.handledAt) > suspensionGap {
+		p.suspendedAt = p.handledAt
+		p.caughtUpAt = now.Add(catchUpTime)
+	}
+	p.handledAt = now
+}
+
+// saidAt returns the latest time by which an endpoint has certainly said what is read now: an answer may have waited in its
+// socket while this process was suspended.
+func (p *Pool) saidAt(now time.Time) time.Time {
+	if now.Before(p.caughtUpAt) {
+		return p.suspendedAt
+	}
+	return now
+}
+
 // hear confirms the attempts that an endpoint must have read, since it says something now.
 func (p *Pool) hear(now time.Time, endpoint string) {
+	said := p.saidAt(now)
 	for _, x := range p.unconfirmed[endpoint] {
-		if now.Sub(x.at) >= minAnswerDelay {
+		if said.Sub(x.at) >= minAnswerDelay {
 			p.confirm(now, x)
 		}
 	}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -18,6 +18,9 @@
 	backends      map[string]*backend
 	started       bool      // Whether there have been endpoints; those that are added later have just started.
 	startedAt     time.Time // Time of the first event.
+	handledAt     time.Time // Time of the last event.
+	suspendedAt   time.Time // When this process was last suspended, as far as a time without events tells.
+	caughtUpAt    time.Time // When it has read what came meanwhile.
 	names         []string  // Keys of backends, sorted, so that decisions do not depend on map order.
 	jobs          map[string]*job
 	queue         queue
@@ -47,6 +50,7 @@
 // Handle applies an event at time now and returns the actions to carry out.
 func (p *Pool) Handle(now time.Time, ev Event) []Action {
 	p.init(now)
+	p.observeGap(now)
 	switch ev := ev.(type) {
 	case Configured:
 		p.configure(now, ev.Endpoints)
