pkg/endpoint: no move to an endpoint that has left or restarted since the place was reserved

Change: a place counts only if its endpoint is still the one in the pool. TestStreamDoesNotMoveToAPlaceWhoseEndpointIsGone failed before ("expected MoveDenied, actual nil", removed and restarted).

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -14,8 +14,8 @@
 // Timing of a shutdown.
 const (
 	drainPollInterval = 20 * time.Millisecond
-	maxStopReserve    = 900 * time.Millisecond // Longest time at the end of the grace period for returning grants and stopping.
-	stopReserveParts  = 6                      // The time is at most one of so many equal parts of the grace period; requests are served in the others.
+	maxStopReserve    = 900 * time.Millisecond // Longest time that is kept at the end of the grace period for returning grants and stopping.
+	stopReserveParts  = 6                      // At most one of so many equal parts of the grace period is kept.
 	minServeTime      = 3 * directoryTTL       // Some callers cache a list of addresses for three times its TTL.
 	flushDelay        = 50 * time.Millisecond  // For answers that were handed to the operating system but not sent yet.
 )
@@ -36,7 +36,7 @@
 	waitUntil(g.drainEnd, g.idle)
 	g.closing.Store(true)
 	g.budgets.Handle(time.Now(), budget.Drain{})
-	stopBy := time.Now().Add(stopReserve(grace) / 2)
+	stopBy := time.Now().Add(g.drain.Load().reserve / 2)
 	stopEnd := func() time.Time { return stopBy }
 	waitUntil(stopEnd, func() bool { return g.budgets.Drained() && g.peers.Settled() })
 	returned := g.budgets.Drained()
@@ -52,18 +52,15 @@
 
 // drain is the period from a stop request until the router stops serving.
 type drain struct {
-	since time.Time
-	until time.Time
+	since   time.Time
+	until   time.Time
+	reserve time.Duration // From until on, for returning grants and stopping.
 }
 
 // newDrain returns the drain after a stop request at now, if the process is killed a grace period later.
 func newDrain(now time.Time, grace time.Duration) *drain {
-	return &drain{since: now, until: now.Add(grace - stopReserve(grace))}
-}
-
-// stopReserve returns the part of a grace period that is kept for returning grants and stopping.
-func stopReserve(grace time.Duration) time.Duration {
-	return min(maxStopReserve, grace/stopReserveParts)
+	reserve := min(maxStopReserve, grace/stopReserveParts)
+	return &drain{since: now, until: now.Add(grace - reserve), reserve: reserve}
 }
 
 // drainEnd returns when a draining router stops serving.
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -24,10 +24,9 @@
 
 // Next returns the next complete event, or io.EOF if the stream ended after a complete event.
 func (r *SSEReader) Next() (Event, error) {
-	var e Event
-	hasText := false // The event has a line that is not blank.
-	e.Comment = true
-	partial := false // The last slice ended within a line.
+	e := Event{Comment: true} // Until a line is a field.
+	hasText := false          // The event has a line that is not blank.
+	partial := false          // The last slice ended within a line.
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -328,7 +328,7 @@
 	case a.head.Denied && !r.req.Repeatable:
 		r.discard(a)
 		return endpoint.Incomplete, nil
-	case r.goesOn() && status < 300 && (a.head.Unary || status != http.StatusOK):
+	case r.continues() && status < 300 && (a.head.Unary || status != http.StatusOK):
 		r.logInvalidAnswer(a, errors.Wrap(ErrInvalidStream, "not a series of events"))
 		a.abort()
 		return endpoint.Incomplete, nil
@@ -349,8 +349,8 @@
 	return endpoint.Finished, out
 }
 
-// goesOn reports whether the caller has events of the stream already, so that nothing but the events after them may follow.
-func (r *run) goesOn() bool { return r.req.Streams && r.lastEventID != "" }
+// continues reports whether the caller has events of the stream already, so that only the events after them may follow.
+func (r *run) continues() bool { return r.req.Streams && r.lastEventID != "" }
 
 // discard reads the short answer of an endpoint that rejected the request, so that the connection can be reused.
 func (r *run) discard(a *attempt) {
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -9,8 +9,8 @@
 
 // Moved reports that the attempt in flight has ended and that the one at the reserved place begins.
 //
-// The answer is MoveDenied if the endpoint there has changed meanwhile and may not serve the request any more; the request has
-// no attempt in flight then.
+// The answer is MoveDenied if the endpoint there has left, restarted or changed meanwhile, so that it may not serve the request
+// any more; the request has no attempt in flight then.
 type Moved struct {
 	ID      string
 	Outcome Outcome // Of the attempt that has ended.
@@ -50,7 +50,7 @@
 	SuspectBlocked // The request or a part of its prompt crashes endpoints.
 	RetryBudgetEmpty
 	NoPlace      // No other endpoint that may serve the request can take it now.
-	PlaceChanged // The endpoint at the reserved place has another version or serves something else now.
+	PlaceChanged // The endpoint at the reserved place has left, restarted or changed.
 )
 
 var denialNames = [...]string{"NotInFlight", "NotRepeatable", "AttemptsExhausted", "SuspectBlocked", "RetryBudgetEmpty", "NoPlace", "PlaceChanged"}
@@ -121,7 +121,7 @@
 		return nil
 	}
 	next := j.place
-	if !next.fits(j.selector()) {
+	if p.backends[next.Name] != next || !next.fits(j.selector()) {
 		return append(p.endAttempt(now, Ended{ID: ev.ID, Outcome: ev.Outcome}), MoveDenied{ev.ID, PlaceChanged})
 	}
 	j.place = nil
--- a/pkg/endpoint/move_test.go
+++ b/pkg/endpoint/move_test.go
@@ -126,6 +126,24 @@
 	return all
 }
 
+// TestStreamDoesNotMoveToAPlaceWhoseEndpointIsGone removes an endpoint between reservation and move, and adds it again as after
+// a restart.
+func TestStreamDoesNotMoveToAPlaceWhoseEndpointIsGone(t *testing.T) {
+	for name, restarted := range map[string]bool{"removed": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			p := moving(t, Policy{}, streamRequest(start, "1"))
+			p.Handle(start, FirstToken{"1"})
+			require.IsType(t, Reserved{}, p.Handle(start, MoveRequested{"1"})[0])
+			p.Handle(start, Configured{twoEndpoints.Endpoints[:1]})
+			if restarted {
+				p.Handle(start, Configured{[]Endpoint{twoEndpoints.Endpoints[0], {Name: "b", Serves: []string{"m"}, Version: "v2", Slots: 2}}})
+			}
+			require.Equal(t, []Action{MoveDenied{"1", PlaceChanged}}, p.Handle(start, Moved{"1", Silent}))
+			require.Nil(t, p.jobs["1"].target)
+		})
+	}
+}
+
 // TestStreamDoesNotMoveToAPlaceWhoseVersionHasChanged lets the entry of an endpoint change between reservation and move.
 func TestStreamDoesNotMoveToAPlaceWhoseVersionHasChanged(t *testing.T) {
 	p := moving(t, Policy{}, streamRequest(start, "1"))
