internal/proof: one virtual time for the models of pkg/endpoint, pkg/reach and pkg/budget

Five models (retries, brittle endpoints, balancers, paths, budgets) had each a heap of timers and its loop of their own. They embed proof.VirtualTime now.

--- a/pkg/budget/script_escrow_test.go
+++ b/pkg/budget/script_escrow_test.go
@@ -22,9 +22,9 @@
 		}
 		e.handle(s, r, PeersChanged{Peers: e.peers(s, r)})
 		e.handle(s, r, Tick{})
-		s.after(50*time.Millisecond, tick)
+		s.After(50*time.Millisecond, tick)
 	}
-	s.after(0, tick)
+	s.After(0, tick)
 	return h
 }
 
@@ -55,7 +55,7 @@
 // reserve requests a reservation at one router; answer is called once.
 func (e escrow) reserve(s *script, r *scriptRouter, id string, tokens int64, forwarded bool, answer func(accepted bool)) {
 	s.pending[id+e.name(r)] = pendingReservation{tokens, answer}
-	e.handle(s, r, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: s.now.Add(10 * time.Second), Forwarded: forwarded})
+	e.handle(s, r, Reserve{Request: id, Budget: testBudget, Tokens: tokens, Deadline: s.Now.Add(10 * time.Second), Forwarded: forwarded})
 }
 
 // pendingReservation is a reservation that a holder has not decided on.
@@ -67,13 +67,13 @@
 func (e escrow) handle(s *script, r *scriptRouter, ev Event) {
 	epoch := r.epoch
 	later := func(d time.Duration, ev Event) {
-		s.after(d, func() {
+		s.After(d, func() {
 			if r.epoch == epoch {
 				e.handle(s, r, ev)
 			}
 		})
 	}
-	for _, action := range e.holder(s, r).Handle(s.now, ev) {
+	for _, action := range e.holder(s, r).Handle(s.Now, ev) {
 		switch action := action.(type) {
 		case Dispatch:
 			p := s.pending[action.Request+e.name(r)]
@@ -131,7 +131,7 @@
 		later(peerDelay, ForwardRefused{f.Request, f.Peer})
 		return
 	}
-	s.after(peerDelay, func() {
+	s.After(peerDelay, func() {
 		if other.dead {
 			later(0, ForwardRefused{f.Request, f.Peer})
 			return
@@ -152,8 +152,8 @@
 		later(peerDelay, RecallDone{c.Budget, c.Peer})
 		return
 	}
-	s.sequence++
-	id := fmt.Sprint("recall-", s.sequence)
+	s.Sequence++
+	id := fmt.Sprint("recall-", s.Sequence)
 	answered := false
 	done := func() {
 		if !answered {
@@ -162,7 +162,7 @@
 		}
 	}
 	s.recalls[id] = done
-	s.after(time.Second, done)
+	s.After(time.Second, done)
 	e.handle(s, other, RecallRequested{c.Budget, id})
 }
 
@@ -173,8 +173,8 @@
 		later(peerDelay, RaiseDone{raise, false})
 		return
 	}
-	s.sequence++
-	id := fmt.Sprint("raise-", s.sequence)
+	s.Sequence++
+	id := fmt.Sprint("raise-", s.Sequence)
 	s.raises[id] = func(ok bool) { later(2*peerDelay, RaiseDone{raise, ok}) }
 	e.handle(s, other, RaiseRequested{raise.Budget, e.name(r), raise.Seals, raise.Ceiling, raise.Spent, id})
 }
--- a/pkg/budget/script_test.go
+++ b/pkg/budget/script_test.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -9,13 +8,15 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/proof"
 )
 
 // script is one simulation, in virtual time and with seeded faults, of routers that share a budget.
 type script struct {
+	proof.VirtualTime // Its sequence also numbers recalls and raises.
+
 	random    *rand.Rand
-	now       time.Time
-	events    eventHeap
 	store     fakeStore
 	storeDown bool
 	routers   []*scriptRouter
@@ -24,10 +25,9 @@
 	running   int64 // Tokens reserved by requests that endpoints run.
 	spent     int64 // Tokens used by finished requests.
 
-	sequence int                           // Last number given to an event, recall or raise.
-	pending  map[string]pendingReservation // By request ID and router name.
-	recalls  map[string]func()             // Called when the recall with this ID is answered.
-	raises   map[string]func(bool)         // Called when the raise with this ID is answered.
+	pending map[string]pendingReservation // By request ID and router name.
+	recalls map[string]func()             // Called when the recall with this ID is answered.
+	raises  map[string]func(bool)         // Called when the raise with this ID is answered.
 }
 
 // figures are the measurements of a script, as counts and numbers of tokens.
@@ -68,38 +68,6 @@
 	holder      *Holder
 }
 
-type timedEvent struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type eventHeap []timedEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push adds an event.
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(timedEvent)) }
-
-// Pop removes the last event.
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
-func (s *script) after(d time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, timedEvent{s.now.Add(d), s.sequence, run})
-}
-
 const (
 	scriptDuration  = 10 * time.Minute
 	storeDelay      = 5 * time.Millisecond
@@ -114,7 +82,7 @@
 
 // runScript runs one script and returns its figures; cover is the prepaid budget as a multiple of the expected demand.
 func runScript(seed uint64, m method, cover float64) figures {
-	s := &script{random: rand.New(rand.NewPCG(seed, 1)), now: start, method: m,
+	s := &script{random: rand.New(rand.NewPCG(seed, 1)), VirtualTime: proof.VirtualTime{Now: start}, method: m,
 		pending: map[string]pendingReservation{}, recalls: map[string]func(){}, raises: map[string]func(bool){}}
 	s.store.record.Budget = testBudget
 	weights := []float64{2, 1, 2, 1, 1, 0.5}
@@ -126,17 +94,14 @@
 	demand := sum * requestRate * scriptDuration.Seconds() * meanTokens * meanUse
 	s.topUp("first", int64(demand*cover*0.7))
 	for i := range 3 {
-		s.after(scriptDuration*time.Duration(i+1)/4, func() { s.topUp(fmt.Sprint("top-up-", i), int64(demand*cover*0.1)) })
+		s.After(scriptDuration*time.Duration(i+1)/4, func() { s.topUp(fmt.Sprint("top-up-", i), int64(demand*cover*0.1)) })
 	}
 	for _, r := range s.routers {
 		s.arrive(r)
 	}
 	s.scheduleFaults()
 	end := start.Add(scriptDuration)
-	for len(s.events) > 0 && s.events[0].at.Before(end) {
-		next := heap.Pop(&s.events).(timedEvent)
-		s.now = next.at
-		next.run()
+	for s.Next(end) {
 		s.figures.overspend = max(s.figures.overspend, s.spent-s.store.record.Prepaid())
 	}
 	return s.figures
@@ -152,18 +117,18 @@
 	moment := func() time.Duration { return time.Duration(s.random.Float64() * 0.8 * float64(scriptDuration)) }
 	length := func() time.Duration { return time.Minute + time.Duration(s.random.Float64()*float64(2*time.Minute)) }
 	outage := moment()
-	s.after(outage, func() { s.storeDown = true })
-	s.after(outage+length(), func() { s.storeDown = false })
+	s.After(outage, func() { s.storeDown = true })
+	s.After(outage+length(), func() { s.storeDown = false })
 	for range 2 {
 		r := s.routers[s.random.IntN(len(s.routers))]
 		at := moment()
-		s.after(at, func() { s.kill(r) })
-		s.after(at+5*time.Second, func() { r.dead = false })
+		s.After(at, func() { s.kill(r) })
+		s.After(at+5*time.Second, func() { r.dead = false })
 	}
 	r := s.routers[s.random.IntN(len(s.routers))]
 	at := moment()
-	s.after(at, func() { r.partitioned = true })
-	s.after(at+length(), func() { r.partitioned = false })
+	s.After(at, func() { r.partitioned = true })
+	s.After(at+length(), func() { r.partitioned = false })
 }
 
 func (s *script) kill(r *scriptRouter) {
@@ -173,13 +138,13 @@
 	r.dead = true
 	s.figures.deaths++
 	holder := routerName(r)
-	s.after(strandedAfter, func() { s.figures.stranded += s.method.stranded(s, holder) })
+	s.After(strandedAfter, func() { s.figures.stranded += s.method.stranded(s, holder) })
 	r.epoch++
 	r.holder = nil
 }
 
 func (s *script) arrive(r *scriptRouter) {
-	s.after(time.Duration(s.random.ExpFloat64()/(r.weight*requestRate)*float64(time.Second)), func() {
+	s.After(time.Duration(s.random.ExpFloat64()/(r.weight*requestRate)*float64(time.Second)), func() {
 		s.arrive(r)
 		if r.dead {
 			return
@@ -195,7 +160,7 @@
 	s.running += tokens
 	epoch := r.epoch
 	used := int64(float64(tokens) * (0.2 + 0.4*s.random.Float64()))
-	s.after(requestDuration, func() {
+	s.After(requestDuration, func() {
 		s.running -= tokens
 		s.spent += used
 		if r.epoch == epoch {
--- a/pkg/endpoint/balancer_test.go
+++ b/pkg/endpoint/balancer_test.go
@@ -20,7 +20,7 @@
 }
 
 func (p *poolBalancer) handle(sim *simulation, ev Event) {
-	for _, action := range p.pool.Handle(sim.now, ev) {
+	for _, action := range p.pool.Handle(sim.Now, ev) {
 		switch action := action.(type) {
 		case Send:
 			sim.send(p.requests[action.ID], action.Endpoint)
@@ -29,7 +29,7 @@
 		case BroadcastSuspect:
 			for _, other := range sim.balancers {
 				if other != balancer(p) && !p.ignoreSuspects {
-					sim.after(5*time.Millisecond, func() { other.(*poolBalancer).handle(sim, SuspectReported(action)) })
+					sim.After(5*time.Millisecond, func() { other.(*poolBalancer).handle(sim, SuspectReported(action)) })
 				}
 			}
 		}
@@ -39,7 +39,7 @@
 func (p *poolBalancer) arrive(sim *simulation, req *simRequest) {
 	p.requests[req.id] = req
 	class, _ := ParseClass(req.Class)
-	fingerprint := uint64(sim.seq)
+	fingerprint := uint64(sim.Sequence)
 	if req.crashes && !p.ignoreSuspects {
 		fingerprint = 1
 	}
--- a/pkg/endpoint/bench_engine_test.go
+++ b/pkg/endpoint/bench_engine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/proof"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
@@ -75,37 +75,10 @@
 		"Interactive": 1700 * time.Millisecond, "Standard": 5 * time.Second, "Batch": 30 * time.Second}[req.Class])
 }
 
-// timer runs a function at a time; seq orders timers of the same time.
-type timer struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-// timerHeap implements heap.Interface.
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq)
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push appends a timer.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop removes the last timer.
-func (h *timerHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // simulation runs the recorded load through routers and engines in virtual time.
 type simulation struct {
-	now       time.Time
-	heap      timerHeap
-	seq       int
+	proof.VirtualTime
+
 	engines   map[string]*engine
 	names     []string
 	requests  []*simRequest
@@ -128,13 +101,8 @@
 	tick(sim *simulation)
 }
 
-func (sim *simulation) after(d time.Duration, run func()) {
-	sim.seq++
-	heap.Push(&sim.heap, timer{sim.now.Add(d), sim.seq, run})
-}
-
 func newSimulation(balancers []balancer) *simulation {
-	sim := &simulation{now: start, engines: map[string]*engine{}, balancers: balancers, random: rand.New(rand.NewPCG(3, 3))}
+	sim := &simulation{VirtualTime: proof.VirtualTime{Now: start}, engines: map[string]*engine{}, balancers: balancers, random: rand.New(rand.NewPCG(3, 3))}
 	for i, speed := range []float64{90, 90, 70, 60, 45, 45, 30, 30, 25, 18} {
 		slots := 8
 		if speed <= 30 {
@@ -177,8 +145,8 @@
 			sim.prepare(req)
 		}
 		sim.requests = append(sim.requests, req)
-		sim.after(time.Duration(a.At*float64(gap)), func() {
-			req.arrived = sim.now
+		sim.After(time.Duration(a.At*float64(gap)), func() {
+			req.arrived = sim.Now
 			sim.balancers[req.router].arrive(sim, req)
 		})
 	}
@@ -188,14 +156,11 @@
 		for _, b := range sim.balancers {
 			b.tick(sim)
 		}
-		sim.after(50*time.Millisecond, tick)
+		sim.After(50*time.Millisecond, tick)
 	}
-	sim.after(0, tick)
+	sim.After(0, tick)
 	sim.sendReports()
-	for len(sim.heap) > 0 && sim.heap[0].at.Before(end) {
-		next := heap.Pop(&sim.heap).(timer)
-		sim.now = next.at
-		next.run()
+	for sim.Next(end) {
 	}
 }
 
@@ -209,13 +174,13 @@
 		}
 		events := sim.loseSome(e.events)
 		e.events = nil
-		sim.after(time.Second, func() {
+		sim.After(time.Second, func() {
 			for _, b := range sim.balancers {
 				b.report(sim, name, l, events)
 			}
 		})
 	}
-	sim.after(time.Second, sim.sendReports)
+	sim.After(time.Second, sim.sendReports)
 }
 
 // loseSome drops a random tenth of the cache events.
@@ -229,7 +194,7 @@
 func (sim *simulation) send(req *simRequest, name string) {
 	e := sim.engines[name]
 	if e.dead {
-		sim.after(5*time.Millisecond, func() { sim.balancers[req.router].ended(sim, req, true) })
+		sim.After(5*time.Millisecond, func() { sim.balancers[req.router].ended(sim, req, true) })
 		return
 	}
 	e.waiting = append(e.waiting, req)
@@ -245,7 +210,7 @@
 	e.dead = true
 	broken := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting, e.cached = nil, nil, nil
-	sim.after(deadTime, func() { e.dead = false })
+	sim.After(deadTime, func() { e.dead = false })
 	for _, req := range broken {
 		req.first = time.Time{}
 		sim.balancers[req.router].ended(sim, req, true)
@@ -275,7 +240,7 @@
 		}
 		output := float64(req.OutputTokens) / e.TokensPerSecond * e.slow
 		epoch := e.epoch
-		sim.after(seconds(prompt), func() {
+		sim.After(seconds(prompt), func() {
 			if e.epoch != epoch {
 				return
 			}
@@ -283,14 +248,14 @@
 				sim.crash(e)
 				return
 			}
-			req.first = sim.now
+			req.first = sim.Now
 			sim.balancers[req.router].first(sim, req)
 		})
-		sim.after(seconds(prompt+output), func() {
+		sim.After(seconds(prompt+output), func() {
 			if e.epoch != epoch {
 				return
 			}
-			req.end = sim.now
+			req.end = sim.Now
 			e.running = slices.DeleteFunc(e.running, func(other *simRequest) bool { return other == req })
 			sim.balancers[req.router].ended(sim, req, false)
 			sim.startWaiting(e)
--- a/pkg/endpoint/brittle_model_test.go
+++ b/pkg/endpoint/brittle_model_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/proof"
 )
 
 // brittleEndpoint runs a request in each slot, queues a few and rejects the others. If it rejects too many within a
@@ -31,10 +32,8 @@
 // brittleFleet is a fleet of routers before endpoints that are brittle from the start and queue less from queueShrinksAt on.
 type brittleFleet struct {
 	brittleCase
+	proof.VirtualTime
 
-	now       time.Time
-	heap      timerHeap
-	seq       int
 	random    *rand.Rand
 	pools     []*Pool
 	names     []string
@@ -77,7 +76,7 @@
 
 func newBrittleFleet(c brittleCase) *brittleFleet {
 	c.length = cmp.Or(c.length, brittleEnd)
-	f := &brittleFleet{brittleCase: c, now: start, random: rand.New(rand.NewPCG(9, uint64(c.routers))), endpoints: map[string]*brittleEndpoint{}, requests: map[string]*brittleRequest{}}
+	f := &brittleFleet{brittleCase: c, VirtualTime: proof.VirtualTime{Now: start}, random: rand.New(rand.NewPCG(9, uint64(c.routers))), endpoints: map[string]*brittleEndpoint{}, requests: map[string]*brittleRequest{}}
 	for n := range c.endpoints {
 		name := fmt.Sprintf("e-%03d", n)
 		f.endpoints[name] = &brittleEndpoint{name: name, inFlight: map[*brittleRequest]bool{}}
@@ -93,9 +92,9 @@
 
 func (f *brittleFleet) newRouter(n int) *Pool {
 	p := &Pool{Policy: Policy{Seed: uint64(n + 1), ReportLag: time.Millisecond}}
-	p.Handle(f.now, Configured{f.configured("")})
-	p.Handle(f.now, RoutersCounted{Routers: f.routers})
-	p.Handle(f.now, RoutersListed{Self: f.names[n], Routers: slices.Clone(f.names)})
+	p.Handle(f.Now, Configured{f.configured("")})
+	p.Handle(f.Now, RoutersCounted{Routers: f.routers})
+	p.Handle(f.Now, RoutersListed{Self: f.names[n], Routers: slices.Clone(f.names)})
 	return p
 }
 
@@ -111,11 +110,6 @@
 	return list
 }
 
-func (f *brittleFleet) after(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.heap, timer{f.now.Add(d), f.seq, run})
-}
-
 // delay is the time that a message takes.
 func (f *brittleFleet) delay() time.Duration {
 	return time.Millisecond + time.Duration(f.random.Int64N(int64(10*time.Millisecond)))
@@ -130,35 +124,32 @@
 func (f *brittleFleet) run() {
 	f.arrive()
 	for n := range f.pools {
-		f.after(time.Duration(f.random.Int64N(int64(newsPeriod))), func() { f.exchangeNews(n) })
+		f.After(time.Duration(f.random.Int64N(int64(newsPeriod))), func() { f.exchangeNews(n) })
 	}
 	f.tick()
 	if f.joins {
-		f.after(5*time.Second, f.restartRouter)
+		f.After(5*time.Second, f.restartRouter)
 	}
-	for len(f.heap) > 0 && f.heap[0].at.Before(start.Add(f.length+drainTime)) {
-		next := heap.Pop(&f.heap).(timer)
-		f.now = next.at
-		next.run()
+	for f.Next(start.Add(f.length + drainTime)) {
 	}
 }
 
 func (f *brittleFleet) arrive() {
-	if f.now.Sub(start) > f.length {
+	if f.Now.Sub(start) > f.length {
 		return
 	}
 	load := 0.5
-	if f.now.Sub(start)%(3*time.Second) >= 2*time.Second {
+	if f.Now.Sub(start)%(3*time.Second) >= 2*time.Second {
 		load = 1.5
 	}
-	f.after(seconds(f.random.ExpFloat64()/f.capacity()/load), f.arrive)
+	f.After(seconds(f.random.ExpFloat64()/f.capacity()/load), f.arrive)
 	f.offered++
 	req := &brittleRequest{id: fmt.Sprint(f.offered), router: f.random.IntN(f.routers)}
 	if f.hot && f.random.IntN(2) == 0 {
 		req.router = 0
 	}
 	f.requests[req.id] = req
-	r := Request{ID: req.id, Service: "m", OutputTokens: 1, Deadline: f.now.Add(2 * time.Second), Fingerprint: uint64(f.offered), Repeatable: true}
+	r := Request{ID: req.id, Service: "m", OutputTokens: 1, Deadline: f.Now.Add(2 * time.Second), Fingerprint: uint64(f.offered), Repeatable: true}
 	f.handle(req.router, Submitted{r})
 }
 
@@ -168,12 +159,12 @@
 			f.handle(n, Tick{})
 		}
 	}
-	f.after(100*time.Millisecond, f.tick)
+	f.After(100*time.Millisecond, f.tick)
 }
 
 // exchangeNews lets a router and a random other one tell each other what they know.
 func (f *brittleFleet) exchangeNews(n int) {
-	f.after(newsPeriod, func() { f.exchangeNews(n) })
+	f.After(newsPeriod, func() { f.exchangeNews(n) })
 	other := f.random.IntN(f.routers)
 	told, heard := f.newsOf(n), f.newsOf(other)
 	for _, r := range told {
@@ -186,7 +177,7 @@
 
 // newsOf returns what one message of a router has room for.
 func (f *brittleFleet) newsOf(n int) []BrittleReported {
-	reports := f.pools[n].BrittleReports(f.now)
+	reports := f.pools[n].BrittleReports(f.Now)
 	f.random.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
 	return reports[:min(len(reports), newsPerMessage)]
 }
@@ -195,16 +186,16 @@
 func (f *brittleFleet) restartRouter() {
 	n := f.random.IntN(f.routers)
 	f.pools[n] = f.newRouter(n)
-	f.after(3*time.Second, f.restartRouter)
+	f.After(3*time.Second, f.restartRouter)
 }
 
 func (f *brittleFleet) handle(n int, ev Event) {
-	for _, action := range f.pools[n].Handle(f.now, ev) {
+	for _, action := range f.pools[n].Handle(f.Now, ev) {
 		switch action := action.(type) {
 		case Send:
 			req := f.requests[action.ID]
 			req.at = f.endpoints[action.Endpoint]
-			f.after(f.delay(), func() { f.receive(req) })
+			f.After(f.delay(), func() { f.receive(req) })
 		case Refuse:
 			f.refused++
 		}
@@ -213,7 +204,7 @@
 
 // head passes on what the head of an answer says.
 func (f *brittleFleet) head(req *brittleRequest, load Load, turnedAway bool) {
-	f.handle(req.router, BrittleReported{Endpoint: req.at.name, Tolerated: f.tolerated, At: f.now})
+	f.handle(req.router, BrittleReported{Endpoint: req.at.name, Tolerated: f.tolerated, At: f.Now})
 	if turnedAway {
 		f.handle(req.router, CapacityRejected{Endpoint: req.at.name})
 	}
@@ -226,12 +217,12 @@
 func (f *brittleFleet) receive(req *brittleRequest) {
 	e := req.at
 	limit := queueBefore
-	if f.now.Sub(start) > queueShrinksAt {
+	if f.Now.Sub(start) > queueShrinksAt {
 		limit = queueAfter
 	}
 	switch {
 	case e.down:
-		f.after(f.delay(), func() {
+		f.After(f.delay(), func() {
 			f.handle(req.router, ConnectionRefused{Endpoint: e.name})
 			f.end(req, Rejected)
 		})
@@ -249,12 +240,12 @@
 	e := req.at
 	f.rejected++
 	load := Load{Running: e.running, Waiting: len(e.waiting)}
-	e.rejections = addTime(e.rejections, f.now, time.Second)
-	f.after(f.delay(), func() {
+	e.rejections = addTime(e.rejections, f.Now, time.Second)
+	f.After(f.delay(), func() {
 		f.head(req, load, true)
 		f.end(req, Rejected)
 	})
-	if len(e.rejections) > f.tolerated && f.now.Sub(start) > queueShrinksAt {
+	if len(e.rejections) > f.tolerated && f.Now.Sub(start) > queueShrinksAt {
 		f.fall(e)
 	}
 }
@@ -273,20 +264,20 @@
 	e.inFlight[req] = true
 	epoch := e.epoch
 	prefill := f.service / 10
-	f.after(prefill+f.delay(), func() {
+	f.After(prefill+f.delay(), func() {
 		if e.epoch == epoch {
 			f.head(req, Load{Running: e.running, Waiting: len(e.waiting)}, false)
 			f.handle(req.router, FirstToken{req.id})
 		}
 	})
-	f.after(prefill+seconds(f.service.Seconds()*f.random.ExpFloat64()*0.9)+11*time.Millisecond, func() {
+	f.After(prefill+seconds(f.service.Seconds()*f.random.ExpFloat64()*0.9)+11*time.Millisecond, func() {
 		if e.epoch != epoch {
 			return
 		}
 		e.running--
 		delete(e.inFlight, req)
 		f.served++
-		f.after(f.delay(), func() { f.end(req, Finished) })
+		f.After(f.delay(), func() { f.end(req, Finished) })
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
@@ -308,9 +299,9 @@
 	}
 	slices.SortFunc(ids, func(x, y *brittleRequest) int { return cmp.Compare(x.id, y.id) })
 	for _, req := range ids {
-		f.after(f.delay(), func() { f.end(req, Died) })
+		f.After(f.delay(), func() { f.end(req, Died) })
 	}
-	f.after(downTime, func() {
+	f.After(downTime, func() {
 		e.down = false
 		for n := range f.pools {
 			f.handle(n, Configured{f.configured(e.name)})
--- a/pkg/endpoint/retry_model_test.go
+++ b/pkg/endpoint/retry_model_test.go
@@ -1,13 +1,14 @@
 package endpoint
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/proof"
 )
 
 // Limits that the retries of the modelled fleet have to keep, and the margin by which its routers stay below them.
@@ -30,9 +31,9 @@
 
 // retryFleet is a model in virtual time of the routers of one fleet. It counts the arrivals at the endpoints.
 type retryFleet struct {
-	now       time.Time
+	proof.VirtualTime
+
 	random    *rand.Rand
-	due       modelTimers
 	routers   []*modelRouter
 	endpoints map[string]*modelEndpoint
 	limits    RetryBudgetChanged
@@ -44,7 +45,6 @@
 	sent      map[string][]time.Time   // Requests of callers, by service.
 	repeats   map[string][]time.Time   // Arrivals beyond the first of each request, by service.
 	served    int
-	sequence  int
 }
 
 // modelRouter is one router with the requests that it serves.
@@ -73,42 +73,20 @@
 	pausedUntil time.Time
 }
 
-// modelTimer is a function that is called at a time.
-type modelTimer struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-// modelTimers is a heap of timers by time, implementing heap.Interface.
-type modelTimers []modelTimer
-
-func (t modelTimers) Len() int { return len(t) }
-func (t modelTimers) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t modelTimers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *modelTimers) Push(x any)   { *t = append(*t, x.(modelTimer)) }
-func (t *modelTimers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // newRetryFleet returns a fleet with nine endpoints of service m and three of service s, and no traffic.
 func newRetryFleet(seed uint64) *retryFleet {
 	f := &retryFleet{
-		now:       start,
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		endpoints: map[string]*modelEndpoint{},
-		limits:    RetryBudgetChanged{RetryRatio: modelMargin * modelRatio, FleetRetryReserve: modelMargin * modelSlack},
-		stall:     time.Second,
-		timeout:   8 * time.Second,
-		rate:      map[string]float64{},
-		work:      map[string]time.Duration{"m": 400 * time.Millisecond, "s": 100 * time.Millisecond},
-		failing:   map[string]float64{},
-		sent:      map[string][]time.Time{},
-		repeats:   map[string][]time.Time{},
+		VirtualTime: proof.VirtualTime{Now: start},
+		random:      rand.New(rand.NewPCG(seed, seed)),
+		endpoints:   map[string]*modelEndpoint{},
+		limits:      RetryBudgetChanged{RetryRatio: modelMargin * modelRatio, FleetRetryReserve: modelMargin * modelSlack},
+		stall:       time.Second,
+		timeout:     8 * time.Second,
+		rate:        map[string]float64{},
+		work:        map[string]time.Duration{"m": 400 * time.Millisecond, "s": 100 * time.Millisecond},
+		failing:     map[string]float64{},
+		sent:        map[string][]time.Time{},
+		repeats:     map[string][]time.Time{},
 	}
 	for i := range 12 {
 		e := Endpoint{Name: fmt.Sprint("m", i), Serves: []string{"m"}, Slots: 256}
@@ -127,36 +105,19 @@
 	return f
 }
 
-// after calls a function once a time has passed.
-func (f *retryFleet) after(d time.Duration, run func()) {
-	f.sequence++
-	heap.Push(&f.due, modelTimer{f.now.Add(d), f.sequence, run})
-}
-
-// run lets virtual time pass.
-func (f *retryFleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.due) > 0 && !f.due[0].at.After(end) {
-		next := heap.Pop(&f.due).(modelTimer)
-		f.now = next.at
-		next.run()
-	}
-	f.now = end
-}
-
 // pause stops an endpoint for a time, unless it is paused already.
 func (f *retryFleet) pause(name string, d time.Duration) {
-	if e := f.endpoints[name]; !f.now.Before(e.pausedUntil) {
-		e.pausedUntil = f.now.Add(d)
+	if e := f.endpoints[name]; !f.Now.Before(e.pausedUntil) {
+		e.pausedUntil = f.Now.Add(d)
 	}
 }
 
 // start begins a new process with an empty pool; the requests of the one before are lost.
 func (r *modelRouter) start() {
 	f := r.fleet
-	f.sequence++
+	f.Sequence++
 	r.pool = &Pool{Policy: Policy{
-		Seed: uint64(f.sequence), RetryRatio: f.limits.RetryRatio, FleetRetryReserve: f.limits.FleetRetryReserve,
+		Seed: uint64(f.Sequence), RetryRatio: f.limits.RetryRatio, FleetRetryReserve: f.limits.FleetRetryReserve,
 		BaseEjectionTime: 500 * time.Millisecond, MaxEjectionTime: 4 * time.Second, MaxQueue: 1024,
 	}}
 	r.jobs = map[string]*modelRequest{}
@@ -182,33 +143,33 @@
 		expected := f.rate[service] * modelTick.Seconds()
 		for expected > 0 {
 			if f.random.Float64() < expected {
-				f.after(time.Duration(f.random.Int64N(int64(modelTick))), func() { r.submit(service) })
+				f.After(time.Duration(f.random.Int64N(int64(modelTick))), func() { r.submit(service) })
 			}
 			expected--
 		}
 	}
-	f.after(modelTick, r.tick)
+	f.After(modelTick, r.tick)
 }
 
 func (r *modelRouter) submit(service string) {
 	f := r.fleet
-	f.sequence++
-	f.sent[service] = append(f.sent[service], f.now)
-	x := &modelRequest{id: fmt.Sprint(f.sequence), service: service, router: r, pool: r.pool}
+	f.Sequence++
+	f.sent[service] = append(f.sent[service], f.Now)
+	x := &modelRequest{id: fmt.Sprint(f.Sequence), service: service, router: r, pool: r.pool}
 	r.jobs[x.id] = x
-	f.after(f.timeout, func() {
+	f.After(f.timeout, func() {
 		if x.ended {
 			return
 		}
 		x.end()
 		x.handle(Withdrawn{x.id})
 	})
-	r.handle(Submitted{Request{ID: x.id, Service: service, OutputTokens: 1, Fingerprint: uint64(f.sequence), Deadline: f.now.Add(f.timeout), Repeatable: true, MaxAttempts: 3}})
+	r.handle(Submitted{Request{ID: x.id, Service: service, OutputTokens: 1, Fingerprint: uint64(f.Sequence), Deadline: f.Now.Add(f.timeout), Repeatable: true, MaxAttempts: 3}})
 }
 
 // handle passes an event to the pool and carries out its actions.
 func (r *modelRouter) handle(ev Event) {
-	for _, action := range r.pool.Handle(r.fleet.now, ev) {
+	for _, action := range r.pool.Handle(r.fleet.Now, ev) {
 		switch action := action.(type) {
 		case Send:
 			r.jobs[action.ID].send(action.Endpoint)
@@ -246,14 +207,14 @@
 	x.attempt++
 	attempt := x.attempt
 	e := f.endpoints[name]
-	f.after(modelHop, func() { f.whenAwake(e, func() { x.arrive(e, attempt) }) })
-	f.after(f.stall, func() { x.search(attempt) })
+	f.After(modelHop, func() { f.whenAwake(e, func() { x.arrive(e, attempt) }) })
+	f.After(f.stall, func() { x.search(attempt) })
 }
 
 // whenAwake calls a function once an endpoint is not paused.
 func (f *retryFleet) whenAwake(e *modelEndpoint, run func()) {
-	if f.now.Before(e.pausedUntil) {
-		f.after(e.pausedUntil.Sub(f.now), func() { f.whenAwake(e, run) })
+	if f.Now.Before(e.pausedUntil) {
+		f.After(e.pausedUntil.Sub(f.Now), func() { f.whenAwake(e, run) })
 		return
 	}
 	run()
@@ -266,7 +227,7 @@
 		return
 	}
 	x.handle(MoveRequested{x.id})
-	f.after(modelPause, func() { x.search(attempt) })
+	f.After(modelPause, func() { x.search(attempt) })
 }
 
 // arrive lets an endpoint read an attempt, whose connection may have been closed meanwhile.
@@ -274,14 +235,14 @@
 	f := x.router.fleet
 	x.arrivals++
 	if x.arrivals > 1 {
-		f.repeats[x.service] = append(f.repeats[x.service], f.now)
+		f.repeats[x.service] = append(f.repeats[x.service], f.Now)
 	}
 	if !x.current(attempt) {
 		return
 	}
 	work := time.Duration((0.5 + f.random.Float64()) * float64(f.work[x.service]))
 	fails := f.random.Float64() < f.failing[x.service]
-	f.after(work, func() { f.whenAwake(e, func() { x.answer(attempt, fails) }) })
+	f.After(work, func() { f.whenAwake(e, func() { x.answer(attempt, fails) }) })
 }
 
 // answer ends an attempt with an answer of its endpoint.
--- a/pkg/endpoint/retry_scripts_test.go
+++ b/pkg/endpoint/retry_scripts_test.go
@@ -12,9 +12,9 @@
 func TestRetriesOfOneServiceAreNotEarnedByAnother(t *testing.T) {
 	f := newRetryFleet(1)
 	f.rate["m"], f.rate["s"] = 60, 8
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	f.failing["s"] = 1
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
 
@@ -24,15 +24,15 @@
 	f := newRetryFleet(1)
 	f.stall, f.timeout = 700*time.Millisecond, 20*time.Second
 	f.rate["m"], f.rate["s"] = 8, 30
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	f.failing["m"] = 0.2
 	for range 3 {
 		for i := range 9 {
 			f.pause(fmt.Sprint("m", i), 1200*time.Millisecond)
 		}
-		f.run(6 * time.Second)
+		f.Run(6 * time.Second)
 	}
-	f.run(10 * time.Second)
+	f.Run(10 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
 
@@ -42,12 +42,12 @@
 	f.stall, f.timeout = time.Minute, time.Minute
 	f.work["m"] = 24 * time.Second
 	f.rate["m"] = 12
-	f.run(14 * time.Second)
+	f.Run(14 * time.Second)
 	f.rate["m"] = 2
 	f.work["m"] = 50 * time.Millisecond
-	f.run(6 * time.Second)
+	f.Run(6 * time.Second)
 	f.failing["m"] = 1
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
 
@@ -55,12 +55,12 @@
 func TestRetriesOfALongSilenceArriveTogether(t *testing.T) {
 	f := newRetryFleet(1)
 	f.rate["m"] = 10
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	for i := range 8 {
 		f.pause(fmt.Sprint("m", i), 12*time.Second)
 	}
 	f.failing["m"] = 0.2
-	f.run(27 * time.Second)
+	f.Run(27 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
 
@@ -69,18 +69,18 @@
 	f := newRetryFleet(1)
 	f.rate["m"] = 2
 	f.failing["m"] = 1
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	for range 2 {
 		for _, r := range f.routers {
 			r.start()
 			r.count(1)
 		}
-		f.run(4 * time.Second)
+		f.Run(4 * time.Second)
 	}
 	for _, r := range f.routers {
 		r.count(len(f.routers))
 	}
-	f.run(20 * time.Second)
+	f.Run(20 * time.Second)
 	f.requireRetriesWithinLimits(t)
 }
 
@@ -104,16 +104,16 @@
 		r := f.routers[f.random.IntN(len(f.routers))]
 		r.start()
 		r.count(1)
-		f.after(time.Duration(f.random.Int64N(int64(3*time.Second))), func() { r.count(len(f.routers)) })
+		f.After(time.Duration(f.random.Int64N(int64(3*time.Second))), func() { r.count(len(f.routers)) })
 	case 6:
 		r := f.routers[f.random.IntN(len(f.routers))]
 		r.count(1 + f.random.IntN(len(f.routers)))
-		f.after(time.Duration(f.random.Int64N(int64(5*time.Second))), func() { r.count(len(f.routers)) })
+		f.After(time.Duration(f.random.Int64N(int64(5*time.Second))), func() { r.count(len(f.routers)) })
 	case 7:
 		share := 0.2 + 0.8*f.random.Float64()
 		for _, r := range f.routers {
 			r.handle(RetryBudgetChanged{share * f.limits.RetryRatio, share * f.limits.FleetRetryReserve})
-			f.after(time.Duration(f.random.Int64N(int64(8*time.Second))), func() { r.handle(f.limits) })
+			f.After(time.Duration(f.random.Int64N(int64(8*time.Second))), func() { r.handle(f.limits) })
 		}
 	}
 }
@@ -125,10 +125,10 @@
 			f := newRetryFleet(seed)
 			f.rate["m"], f.rate["s"] = 10, 10
 			for range 30 {
-				f.run(time.Duration((0.2 + 4*f.random.Float64()) * float64(time.Second)))
+				f.Run(time.Duration((0.2 + 4*f.random.Float64()) * float64(time.Second)))
 				f.disturb()
 			}
-			f.run(20 * time.Second)
+			f.Run(20 * time.Second)
 			f.requireRetriesWithinLimits(t)
 		})
 	}
@@ -139,12 +139,12 @@
 	for _, silence := range []time.Duration{11 * time.Second, 15 * time.Second, 40 * time.Second} {
 		f := newRetryFleet(1)
 		f.rate["m"] = 10
-		f.run(20 * time.Second)
+		f.Run(20 * time.Second)
 		for i := range 8 {
 			f.pause(fmt.Sprint("m", i), silence)
 		}
 		f.failing["m"] = 0.3
-		f.run(silence + 25*time.Second)
+		f.Run(silence + 25*time.Second)
 		f.requireRetriesWithinLimits(t)
 	}
 }
@@ -168,7 +168,7 @@
 		f := newRetryFleet(seed)
 		f.rate["m"], f.rate["s"] = 10, 10
 		for range 20 {
-			f.run(time.Second)
+			f.Run(time.Second)
 			f.disturb()
 			for _, r := range f.routers {
 				for service, l := range r.pool.retries {
@@ -177,9 +177,9 @@
 			}
 		}
 		f.pause("m0", time.Hour)
-		f.run(10 * time.Second)
+		f.Run(10 * time.Second)
 		f.rate["m"], f.rate["s"] = 0, 0
-		f.run(40 * time.Second)
+		f.Run(40 * time.Second)
 		for _, r := range f.routers {
 			require.Empty(t, r.pool.jobs)
 			require.Empty(t, r.pool.unconfirmed)
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -19,7 +19,7 @@
 					if kind == closed && n < 256 {
 						w.idleLimit()
 					}
-					w.run(5 * time.Second)
+					w.Run(5 * time.Second)
 					require.Zero(t, w.changes, what)
 					w.setCut(kind)
 					took := w.runUntil(5*time.Second, w.lost)
@@ -27,12 +27,12 @@
 						require.LessOrEqual(t, took, 1500*time.Millisecond, what)
 					}
 					require.True(t, w.lost(), what)
-					w.run(3 * time.Second)
+					w.Run(3 * time.Second)
 					require.Equal(t, 1, w.changes, what)
 					w.setCut(none)
 					took = w.runUntil(5*time.Second, func() bool { return !w.lost() })
 					require.LessOrEqual(t, took, time.Second, what)
-					w.run(3 * time.Second)
+					w.Run(3 * time.Second)
 					require.Equal(t, 2, w.changes, what)
 				}
 			}
@@ -45,12 +45,12 @@
 		for _, pace := range []time.Duration{200 * time.Millisecond, 20 * time.Millisecond} {
 			for seed := range uint64(8) {
 				w := newWorld(t, test.n, pace, seed)
-				w.run(5 * time.Second)
+				w.Run(5 * time.Second)
 				for i := range test.dead {
 					w.kill(i)
-					w.run(time.Duration(w.random.Int64N(int64(50 * time.Millisecond))))
+					w.Run(time.Duration(w.random.Int64N(int64(50 * time.Millisecond))))
 				}
-				w.run(10 * time.Second)
+				w.Run(10 * time.Second)
 				require.Zero(t, w.changes, "%d of %d endpoints dead, a request each %v, seed %d", test.dead, test.n, pace, seed)
 			}
 		}
@@ -60,7 +60,7 @@
 func TestNoProbesWhileAttemptsSucceed(t *testing.T) {
 	for _, n := range []int{1, 3, 256} {
 		w := newWorld(t, n, 20*time.Millisecond, 1)
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		require.Zero(t, w.probes, "%d endpoints", n)
 	}
 }
@@ -88,7 +88,7 @@
 	for i := range 5 {
 		w.kill(i)
 	}
-	w.run(10 * time.Second)
+	w.Run(10 * time.Second)
 	require.LessOrEqual(t, w.probes, 10*probesPerRound+5*probesPerRound)
 }
 
@@ -100,10 +100,10 @@
 	w.dead[0] = true
 	for range 20 {
 		w.handle(Broke{w.name(0)})
-		w.after(BreakSettleTime, func() { w.handle(Judge{}) })
-		w.run(time.Millisecond)
+		w.After(BreakSettleTime, func() { w.handle(Judge{}) })
+		w.Run(time.Millisecond)
 	}
-	w.run(time.Second)
+	w.Run(time.Second)
 	require.False(t, w.monitor.Cut())
 	require.Equal(t, probesPerRound, w.probes)
 }
@@ -133,10 +133,10 @@
 		for _, i := range test.dead {
 			w.dead[i] = true
 			w.handle(ConnectFailed{w.name(i)})
-			w.run(time.Second)
+			w.Run(time.Second)
 			w.handle(Received{w.name(0)})
 		}
-		w.run(5 * time.Second)
+		w.Run(5 * time.Second)
 		for i := range test.n {
 			if !w.dead[i] {
 				w.handle(Sent{w.name(i)})
@@ -148,7 +148,7 @@
 		}
 		w.setCut(test.cut)
 		require.Equal(t, test.several, w.monitor.SeveralBroke(w.name(0)), test.name)
-		w.run(BreakSettleTime + ProbeTimeout)
+		w.Run(BreakSettleTime + ProbeTimeout)
 		require.False(t, w.monitor.Judging(), test.name)
 		require.Equal(t, test.blamed, w.monitor.Cut(), test.name)
 	}
@@ -187,9 +187,9 @@
 		n := []int{1, 2, 3, 8, 40}[random.IntN(5)]
 		w := newWorld(t, n, time.Duration(20+random.IntN(180))*time.Millisecond, seed)
 		w.idleLimit()
-		unreachableAt := w.now.Add(-time.Hour) // When no connection could be opened last.
+		unreachableAt := w.Now.Add(-time.Hour) // When no connection could be opened last.
 		w.onLost = func() {
-			require.LessOrEqual(t, w.now.Sub(unreachableAt), ProbeTimeout+20*time.Millisecond, "seed %d: lost although endpoints were reachable", seed)
+			require.LessOrEqual(t, w.Now.Sub(unreachableAt), ProbeTimeout+20*time.Millisecond, "seed %d: lost although endpoints were reachable", seed)
 		}
 		for range 40 {
 			switch random.IntN(4) {
@@ -211,13 +211,13 @@
 func (w *world) walk(seed uint64, d time.Duration, unreachableAt *time.Time) {
 	const detection, recovery = 2 * time.Second, time.Second
 	reachable := func() bool { return w.cut == none && len(w.dead) < w.n }
-	began := w.now
-	for w.now.Sub(began) < d {
+	began := w.Now
+	for w.Now.Sub(began) < d {
 		if !reachable() {
-			*unreachableAt = w.now
+			*unreachableAt = w.Now
 		}
-		w.run(10 * time.Millisecond)
-		switch since := w.now.Sub(began); {
+		w.Run(10 * time.Millisecond)
+		switch since := w.Now.Sub(began); {
 		case !reachable() && since > detection:
 			require.True(w.t, w.lost(), "seed %d: %s, %d of %d dead, not lost after %v", seed, w.cut, len(w.dead), w.n, since)
 		case reachable() && since > recovery && len(w.dead) == 0:
--- a/pkg/reach/world_test.go
+++ b/pkg/reach/world_test.go
@@ -1,13 +1,14 @@
 package reach
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/proof"
 )
 
 // cutKind says what happens to the connections of the router.
@@ -30,12 +31,11 @@
 
 // world is a router with its endpoints in virtual time.
 type world struct {
+	proof.VirtualTime
+
 	t       *testing.T
 	monitor Monitor
 	random  *rand.Rand
-	now     time.Time
-	queue   scheduled
-	jobs    int
 	n       int
 	dead    map[int]bool
 	cut     cutKind
@@ -53,30 +53,9 @@
 	retries  int
 }
 
-type job struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type scheduled []job
-
-func (s scheduled) Len() int { return len(s) }
-func (s scheduled) Less(i, j int) bool {
-	return s[i].at.Before(s[j].at) || s[i].at.Equal(s[j].at) && s[i].seq < s[j].seq
-}
-func (s scheduled) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *scheduled) Push(x any)   { *s = append(*s, x.(job)) }
-func (s *scheduled) Pop() any {
-	old := *s
-	last := old[len(old)-1]
-	*s = old[:len(old)-1]
-	return last
-}
-
 func newWorld(t *testing.T, n int, pace time.Duration, seed uint64) *world {
 	w := &world{
-		t: t, n: n, cut: none, pace: pace, now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC), random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, n: n, cut: none, pace: pace, VirtualTime: proof.VirtualTime{Now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}, random: rand.New(rand.NewPCG(seed, 1)),
 		monitor: Monitor{Seed: seed}, dead: map[int]bool{}, idle: map[int]int{}, active: map[int]map[*attempt]bool{},
 	}
 	var names []string
@@ -84,9 +63,9 @@
 		names = append(names, w.name(i))
 	}
 	w.handle(Configured{names})
-	w.after(tickPeriod, w.tick)
+	w.After(tickPeriod, w.tick)
 	if pace > 0 {
-		w.after(0, w.request)
+		w.After(0, w.request)
 	}
 	return w
 }
@@ -100,43 +79,28 @@
 	return i
 }
 
-func (w *world) after(d time.Duration, f func()) {
-	w.jobs++
-	heap.Push(&w.queue, job{w.now.Add(d), w.jobs, f})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		next := heap.Pop(&w.queue).(job)
-		w.now = next.at
-		next.run()
-	}
-	w.now = end
-}
-
 // runUntil runs until done or for d, and returns the time that it took.
 func (w *world) runUntil(d time.Duration, done func() bool) time.Duration {
-	began := w.now
-	for w.now.Sub(began) < d && !done() {
-		w.run(10 * time.Millisecond)
+	began := w.Now
+	for w.Now.Sub(began) < d && !done() {
+		w.Run(10 * time.Millisecond)
 	}
-	return w.now.Sub(began)
+	return w.Now.Sub(began)
 }
 
 func (w *world) tick() {
 	w.handle(Tick{})
-	w.after(tickPeriod, w.tick)
+	w.After(tickPeriod, w.tick)
 }
 
 func (w *world) handle(ev Event) {
-	for _, action := range w.monitor.Handle(w.now, ev) {
+	for _, action := range w.monitor.Handle(w.Now, ev) {
 		switch action := action.(type) {
 		case Probe:
 			w.probe(action)
 		case Lost:
 			w.changes++
-			w.lostAt = w.now
+			w.lostAt = w.Now
 			require.GreaterOrEqual(w.t, len(action.Evidence), min(2, w.n))
 			if w.onLost != nil {
 				w.onLost()
@@ -165,12 +129,12 @@
 	if opened {
 		result = Opened
 	}
-	w.after(took, func() { w.handle(Probed{p.Endpoint, p.Round, result}) })
+	w.After(took, func() { w.handle(Probed{p.Endpoint, p.Round, result}) })
 }
 
 func (w *world) request() {
 	w.attempt(retries)
-	w.after(time.Duration((0.5+w.random.Float64())*float64(w.pace)), w.request)
+	w.After(time.Duration((0.5+w.random.Float64())*float64(w.pace)), w.request)
 }
 
 func (w *world) attempt(left int) {
@@ -183,7 +147,7 @@
 	}
 	const dialTimeout = 800 * time.Millisecond
 	opened, took := w.connect(i, dialTimeout)
-	w.after(took, func() {
+	w.After(took, func() {
 		if !opened {
 			w.handle(ConnectFailed{w.name(i)})
 			w.fail(i, left)
@@ -201,7 +165,7 @@
 		w.active[i] = map[*attempt]bool{}
 	}
 	w.active[i][a] = true
-	w.after(time.Duration((0.5+w.random.Float64())*float64(answerTime)), func() {
+	w.After(time.Duration((0.5+w.random.Float64())*float64(answerTime)), func() {
 		if !w.active[i][a] || w.dead[i] || w.cut == hanging {
 			return
 		}
@@ -210,7 +174,7 @@
 		w.handle(Ended{w.name(i)})
 		w.idle[i]++
 	})
-	w.after(2*time.Second, func() { // The deadline.
+	w.After(2*time.Second, func() { // The deadline.
 		if w.active[i][a] {
 			delete(w.active[i], a)
 			w.handle(Ended{w.name(i)})
@@ -231,8 +195,8 @@
 	for a := range w.active[i] {
 		delete(w.active[i], a)
 		w.handle(Broke{w.name(i)})
-		w.after(BreakSettleTime, func() { w.handle(Judge{}) })
-		w.after(BreakSettleTime+roundTrip, func() { w.fail(i, a.retries) })
+		w.After(BreakSettleTime, func() { w.handle(Judge{}) })
+		w.After(BreakSettleTime+roundTrip, func() { w.fail(i, a.retries) })
 	}
 }
 
@@ -252,7 +216,7 @@
 		w.cut = none
 		for i := range w.n {
 			w.kill(i)
-			w.run(5 * time.Millisecond)
+			w.Run(5 * time.Millisecond)
 		}
 	}
 }
@@ -262,5 +226,5 @@
 // idleLimit closes all idle connections every 200 ms.
 func (w *world) idleLimit() {
 	clear(w.idle)
-	w.after(200*time.Millisecond, w.idleLimit)
+	w.After(200*time.Millisecond, w.idleLimit)
 }
