--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -54,6 +54,7 @@
 	const storeTimeout = time.Second
 	g, err := gateway.New(gateway.Config{
 		Settings: settings,
+		Features: platform.Features(settings.Platform.Contracts),
 		Dialect:  platform.Dialect{},
 		Store:    platform.NewStore(settings.Store.Address, storeTimeout),
 		Log:      log,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 // Config holds the settings and dependencies of a Gateway.
 type Config struct {
 	Settings Settings
+	Features Features
 	Dialect  Dialect
 	Store    Store
 	Log      *zap.Logger // Nil discards the log.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,8 @@
 	Drain      DrainSettings
 	Retry      RetrySettings
 	Capacity   CapacitySettings
+	Platform   PlatformSettings
+	Cold       ColdSettings
 }
 
 // Listen holds the addresses that the process listens on; an empty one disables its listener.
@@ -65,6 +67,18 @@
 	LinkMegabits float64 // Bandwidth of the VM's link in megabits per second; zero if not known.
 }
 
+// PlatformSettings describes the deployment in the platform's own words.
+type PlatformSettings struct {
+	Contracts []string // Parts of the platform's rules that are in force.
+}
+
+// ColdSettings limits what all routers together may send to a cold endpoint within a second: Excess times the requests per second
+// that it bears, plus Slack.
+type ColdSettings struct {
+	Excess float64
+	Slack  float64
+}
+
 // Requests per second that a VM can forward, per unit of its resources.
 const (
 	requestsPerCore    = 350
@@ -154,6 +168,9 @@
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		problems = append(problems, "Retry: Ratio and Slack must not be negative")
 	}
+	if s.Cold.Excess < 0 || s.Cold.Slack < 0 {
+		problems = append(problems, "Cold: Excess and Slack must not be negative")
+	}
 	return problems
 }
 
