pkg/budget: homes hold a fifth of what is left in place of 6 s of demand

Change: the target of a grant is a fifth of what is free or held here, between 2 and 20 s of demand.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,7 +237,12 @@
 // budgetPolicy sizes grants so that a router can keep serving while the store is unreachable, and its crash strands few tokens.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		Horizon:      6 * time.Second, // A longer one bridges longer outages of the store, a shorter one strands fewer tokens if all routers are lost.
+		// Each of the two homes of a budget holds up to a fifth of what is left, so that a loss of all routers strands at most 2/7 of it,
+		// and while it is plenty they bridge overlapping outages of the store.
+		Horizon:        20 * time.Second,
+		MinHorizon:     2 * time.Second,
+		ReserveDivisor: 5,
+
 		Step:         2 * time.Second,
 		ShareDivisor: 3,
 		SealAfter:    6 * time.Second,
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -94,8 +94,17 @@
 }
 
 // grantTarget returns the headroom that a grant should leave: the demand of the horizon plus the tokens reserved now.
+//
+// With a ReserveDivisor, the demand counts only as far as the tokens that are left allow. While plenty is left, a grant bridges a
+// long outage of the store; as it runs out, less is lost together with the routers that hold it.
 func (a *account) grantTarget(p Policy) int64 {
-	return int64(a.demand()*p.Horizon.Seconds()) + a.reserved
+	covered := int64(a.demand() * p.Horizon.Seconds())
+	if p.ReserveDivisor > 0 {
+		left := a.record.Free() + max(0, a.headroom())
+		least := int64(a.demand() * p.MinHorizon.Seconds())
+		covered = max(least, min(covered, left/p.ReserveDivisor))
+	}
+	return covered + a.reserved
 }
 
 // ceilingStep returns the tokens that should be usable after the ceiling is raised.
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -8,6 +8,8 @@
 // Policy configures the size of a holder's grants and the timing of its calls; zero fields take the defaults.
 type Policy struct {
 	Horizon             time.Duration // Time for which a grant covers the estimated demand, beyond the immediate need.
+	ReserveDivisor      int64         // If not zero, the Horizon counts only up to 1/ReserveDivisor of the tokens that are free or held by this holder.
+	MinHorizon          time.Duration // The part of the Horizon that counts whatever is left; used with a ReserveDivisor.
 	ShareDivisor        int64         // A grant takes at most 1/ShareDivisor of the free tokens beyond the immediate need.
 	Step                time.Duration // Time for which a raise of the ceiling covers the demand; it bounds the tokens stranded by a router's death.
 	SealAfter           time.Duration // Absence of a holder after which its witness seals the account.
--- a/pkg/budget/script_test.go
+++ b/pkg/budget/script_test.go
@@ -17,6 +17,7 @@
 	proof.VirtualTime // Its sequence also numbers recalls and raises.
 
 	random    *rand.Rand
+	lasts     time.Duration // How long an endpoint takes for a request.
 	store     fakeStore
 	storeDown bool
 	routers   []*scriptRouter
@@ -80,15 +81,23 @@
 	strandedAfter = time.Minute // Time after a death at which tokens still held count as stranded.
 )
 
-// runScript runs one script and returns its figures; cover is the prepaid budget as a multiple of the expected demand.
-func runScript(seed uint64, m method, cover float64) figures {
-	s := &script{random: rand.New(rand.NewPCG(seed, 1)), VirtualTime: proof.VirtualTime{Now: start}, method: m,
+// newScript returns a script without tokens, load or faults, with a router of each weight.
+func newScript(seed uint64, m method, weights ...float64) *script {
+	s := &script{random: rand.New(rand.NewPCG(seed, 1)), VirtualTime: proof.VirtualTime{Now: start}, method: m, lasts: requestDuration,
 		pending: map[string]pendingReservation{}, recalls: map[string]func(){}, raises: map[string]func(bool){}}
 	s.store.record.Budget = testBudget
-	weights := []float64{2, 1, 2, 1, 1, 0.5}
-	var sum float64
 	for i, w := range weights {
 		s.routers = append(s.routers, &scriptRouter{index: i, weight: w})
+	}
+	return s
+}
+
+// runScript runs one script and returns its figures; cover is the prepaid budget as a multiple of the expected demand.
+func runScript(seed uint64, m method, cover float64) figures {
+	weights := []float64{2, 1, 2, 1, 1, 0.5}
+	s := newScript(seed, m, weights...)
+	var sum float64
+	for _, w := range weights {
 		sum += w
 	}
 	demand := sum * requestRate * scriptDuration.Seconds() * meanTokens * meanUse
@@ -160,7 +169,7 @@
 	s.running += tokens
 	epoch := r.epoch
 	used := int64(float64(tokens) * (0.2 + 0.4*s.random.Float64()))
-	s.After(requestDuration, func() {
+	s.After(s.lasts, func() {
 		s.running -= tokens
 		s.spent += used
 		if r.epoch == epoch {
