pkg/fleet: routers are listed after a sign of life; new incarnations are told of losses

Cause: a router that had just started took the registrations of routers that died up to 10 s before for signs of life, and the updates that they are dead had been passed on already. After the loss of a whole data centre, the others were told of each loss one by one, which took longer than the 7 s for which a lost router may be named.

Change: Listed returns the routers that callers may be sent to: those with an update that their router itself has issued (heartbeat above 0), and none of a data centre that may be lost as a whole unless heard since. Messages to a new incarnation carry introductions: recent losses and routers that were just heard. Losses are passed on before other updates, in random order, and each router's own conclusion that a suspected router is dead is not passed on, because all others come to it. Routers known only from registrations are not passed on.

TestLostPathIsPassedOn: its setup gives all routers a first heartbeat, as they have after a period; its limits stay the same.

Tests: go test ./pkg/fleet passes (22 s). TestLostRoutersAreNotNamedForLong over rosters of 6, 73 and 295 in virtual time: at most 5.4 s; with the rosters before this change 11.4 s to 16 s (end of the test), so it fails.

--- a/pkg/fleet/path_test.go
+++ b/pkg/fleet/path_test.go
@@ -22,6 +22,7 @@
 func (c *cluster) introduce() {
 	var all []Member
 	for _, r := range c.rosters {
+		r.Self.Heartbeat = 1 // Otherwise they would still have to pass on each other's first heartbeat.
 		all = append(all, r.Self)
 	}
 	for _, r := range c.rosters {
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"math"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,7 +21,8 @@
 	probeQueue []string         // VMs still to be probed in the current round.
 	leaving    map[string]bool  // VMs that the platform's list shows as leaving.
 	random     *rand.Rand
-	lookups    lookups // Cleared by Handle when a result may change.
+	lookups    lookups   // Cleared by Handle when a result may change.
+	now        time.Time // Time of the last event.
 }
 
 // peer is the state of another VM.
@@ -34,11 +34,15 @@
 	changedAt   time.Time // Time of the last change of state or incarnation.
 	transmits   int       // Messages that carried an update about the VM since changedAt.
 	probedAt    time.Time
+	startSeenAt time.Time // Time at which the incarnation was learned of.
+	heardAt     time.Time // Time of the last message of the incarnation itself, or of another sign of life.
+	lostAt      time.Time // Time at which the VM became suspected or dead.
 }
 
 // Handle applies one event at time now and returns the actions to carry out.
 func (r *Roster) Handle(now time.Time, ev Event) []Action {
 	r.init()
+	r.now = now
 	state := r.Self.State
 	actions := r.apply(now, ev)
 	if r.changesLookups(ev, actions, state) {
@@ -70,23 +74,6 @@
 	}
 }
 
-// Updates returns the updates for the next outgoing message, at most UpdatesPerMessage.
-//
-// They are this router's own state and the least transmitted updates about others;
-// each call counts as a transmission.
-func (r *Roster) Updates() []Member {
-	r.init()
-	updates := []Member{r.Self}
-	limit := retransmitFactor * bits.Len(uint(len(r.peers)+1))
-	pending := r.peersWhere(func(p *peer) bool { return p.known && p.transmits < limit })
-	slices.SortStableFunc(pending, func(a, b *peer) int { return cmp.Compare(a.transmits, b.transmits) })
-	for _, p := range pending[:min(len(pending), UpdatesPerMessage-1)] {
-		p.transmits++
-		updates = append(updates, p.Member)
-	}
-	return updates
-}
-
 // Members returns this router and all others about which updates were received, sorted by VM.
 func (r *Roster) Members() []Member {
 	r.init()
@@ -179,6 +166,7 @@
 		}
 		changed = r.merge(now, u) || changed
 	}
+	r.hearSender(now, updates)
 	if changed {
 		return []Action{MembersChanged{}}
 	}
@@ -206,14 +194,23 @@
 		p.changedAt = now
 		p.transmits = 0
 	}
-	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath {
+	confirms := p.Heartbeat == 0 && u.Heartbeat > 0
+	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath || confirms {
 		p.transmits = 0
 	}
 	u.Address = p.Address
 	u.DataCentre = p.DataCentre
 	u.Size = p.Size
+	before := *p
 	p.Member = u
 	p.known = true
+	if !before.known || before.Incarnation != u.Incarnation {
+		p.startSeenAt = now
+	}
+	if p.lost() && !before.lost() {
+		p.lostAt = now
+	}
+	p.hear(now, before.Member)
 	return changed
 }
 
@@ -228,6 +225,7 @@
 	}
 	p.State = Suspected
 	p.changedAt = now
+	p.lostAt = now
 	p.transmits = 0
 	return []Action{MembersChanged{}}
 }
@@ -254,7 +252,7 @@
 	for range n {
 		if p := r.nextProbe(now); p != nil {
 			p.probedAt = now
-			actions = append(actions, Probe{p.VM, p.Address, r.Updates()})
+			actions = append(actions, Probe{p.VM, p.Address, r.UpdatesFor(p.VM)})
 		}
 	}
 	return actions
@@ -265,9 +263,8 @@
 	var actions []Action
 	for _, p := range r.peersWhere(func(p *peer) bool { return p.State == Suspected }) {
 		if now.Sub(p.changedAt) >= SuspicionTimeout {
-			p.State = Dead
+			p.State = Dead // Not passed on: each router that knows of the suspicion comes to it by itself.
 			p.changedAt = now
-			p.transmits = 0
 			actions = append(actions, MembersChanged{})
 		}
 	}
