internal/gateway, internal/membership: the directory names listed routers only

Cause: the directory named every router that the roster took for alive, also from a registration alone.

Change: frontAddresses uses Members.Listed. The answer to a probe is made for its sender, so that a new incarnation gets introductions.

Tests: go test ./internal/membership passes.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -20,7 +20,7 @@
 func (m *members) frontAddresses(caller, dataCentre string) []string {
 	var serving []fleet.Member
 	fronts := map[string]string{}
-	for _, p := range m.All() {
+	for _, p := range m.Listed() {
 		address := m.frontAddress(p.VM)
 		if p.State != fleet.Alive || address == "" {
 			continue
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -119,7 +119,12 @@
 // AnswerProbe applies the updates in a peer's probe and returns those of this router.
 func (m *Members) AnswerProbe(now time.Time, updates []fleet.Member) []fleet.Member {
 	m.Handle(now, fleet.UpdatesReceived{Updates: updates})
-	return m.Updates()
+	if len(updates) == 0 {
+		return m.Updates()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.UpdatesFor(updates[0].VM) // The sender's own update comes first.
 }
 
 // Updates returns the updates to send in the next message to a peer.
@@ -150,6 +155,13 @@
 	return m.roster.Members()
 }
 
+// Listed returns the routers that callers may be sent to, this one included.
+func (m *Members) Listed() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Listed()
+}
+
 // Expected returns the number of routers that are expected to serve, this one included.
 //
 // It counts the routers that are alive, and the configured ones about which no update was received yet unless a probe
