Evacuated data centres: feed, exchange between routers, effect on endpoints

Cause: operators may ask that nothing more is sent to the endpoints of a data centre (docs/design/hard-load.md, part A).

Change: with Features.Evacuations, the feed "evacuations" follows the operators' keys without a batch delay. Probes and their answers carry the newest revision, and the set if the peer is behind; routers of earlier builds, which reject unknown fields, get the field only after they have answered with it. The set of the highest revision is in force, also without the store. entries.updatePool marks the endpoints of evacuated data centres as leaving; a router that has just started configures its pool once it knows the evacuations, or after 3 s.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -43,6 +43,10 @@
 	EntryName(key string) string
 	// EntryPrefix returns the key prefix of all entries in the store.
 	EntryPrefix() string
+	// EvacuationPrefix returns the key prefix of the evacuations in the store.
+	EvacuationPrefix() string
+	// EvacuatedDataCentre returns the data centre that an evacuation's key names, or an empty string if it is malformed.
+	EvacuatedDataCentre(key string) string
 }
 
 // DirectoryQuery is a caller's query for the addresses to use.
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -153,11 +153,25 @@
 	return since >= 0 && since < expiryWindow
 }
 
-// updatePool passes the tracked endpoints to the pool, with those that may get no new requests marked as leaving. Versions
-// that are not recorded yet are written down.
+// namesIn returns the names of the endpoints in a data centre, sorted.
+func (e *entries) namesIn(dataCentre string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var names []string
+	for name, ep := range e.tracked {
+		if ep.DataCentre == dataCentre {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// updatePool passes the tracked endpoints to the pool, with those that may get no new requests marked as leaving: also those
+// of evacuated data centres. Versions that are not recorded yet are written down.
 func (e *entries) updatePool(now time.Time) {
 	t := e.g.table.Load()
-	if t == nil {
+	if t == nil || e.g.evacuations.awaited(now, evacuationsWait) {
 		return
 	}
 	e.updateMu.Lock()
@@ -167,6 +181,7 @@
 		return !ep.missingSince.IsZero() && now.Sub(ep.missingSince) > missingRetention
 	})
 	e.observeVersions(now, t)
+	evacuated := e.g.evacuations.evacuated()
 	list := make([]placement.EndpointConfig, 0, len(e.tracked))
 	for _, name := range slices.Sorted(maps.Keys(e.tracked)) {
 		ep := e.tracked[name]
@@ -176,7 +191,7 @@
 			spec.PromptTokensPerSecond = initialPromptRate
 			spec.TokensPerSecond = initialTokenRate
 		}
-		list = append(list, placement.EndpointConfig{Endpoint: spec, Address: ep.Address, Leaving: !e.usable(now, ep)})
+		list = append(list, placement.EndpointConfig{Endpoint: spec, Address: ep.Address, Leaving: evacuated[ep.DataCentre] || !e.usable(now, ep)})
 	}
 	restarted := e.restarted
 	e.restarted = map[string]bool{}
@@ -203,10 +218,10 @@
 	initialTokenRate  = 150
 )
 
-// tick advances the clock of the pool. While entries are missing or versions wait to be recorded, it also updates the pool,
-// so that their grace periods end in time, and reports that there are such.
+// tick advances the clock of the pool. While entries are missing, versions wait to be recorded or the pool has not been
+// configured for want of the evacuations, it also updates the pool, so that their grace periods end in time, and reports that.
 func (e *entries) tick(now time.Time) (pending bool) {
-	pending = e.g.versions.history.Pending()
+	pending = e.g.versions.history.Pending() || e.g.evacuations.awaited(now, evacuationsWait+evacuationsCheck)
 	e.mu.Lock()
 	for _, ep := range e.tracked {
 		pending = pending || !ep.missingSince.IsZero()
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -19,6 +19,10 @@
 
 func (entryDialect) EntryPrefix() string { return "e/" }
 
+func (entryDialect) EvacuationPrefix() string { return "v/" }
+
+func (entryDialect) EvacuatedDataCentre(key string) string { return strings.TrimPrefix(key, "v/") }
+
 func (entryDialect) EntryName(key string) string { return strings.TrimPrefix(key, "e/") }
 
 func (d entryDialect) Entry(key string, value []byte) (Entry, error) {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -22,6 +22,7 @@
 	prefix     string
 	onSnapshot func(now time.Time, entries []keyvalue.Entry) // Called with all keys that exist.
 	onChange   func(now time.Time, c keyvalue.Change)        // Called for each change after that.
+	onUpdate   func(now time.Time, u feed.Update)            // Called with each update as a whole, in place of the two above; may be nil.
 
 	probes       bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
 	batchDelay   time.Duration       // Pause after each answer of the store, so that the next one covers several changes.
@@ -37,6 +38,10 @@
 
 // deliver passes an update to the owner of the feed.
 func (f *feedState) deliver(now time.Time, u feed.Update) {
+	if f.onUpdate != nil {
+		f.onUpdate(now, u)
+		return
+	}
 	if !u.Snapshot {
 		for _, c := range u.Changes {
 			f.onChange(now, c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	budgets      ledger.Ledger
 	endpoints    placement.Endpoints
 	entries      entries
+	evacuations  evacuations
 	feeds        map[string]*feedState // By name; not changed after New.
 	members      members
 	peers        *peer.Client
@@ -176,6 +177,11 @@
 		IsHome:    g.peers.IsHome,
 	}
 	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
+	if g.cfg.Features.Evacuations {
+		g.evacuations.setup(g)
+		g.peers.Evacuations = &g.evacuations
+		g.peerService.Evacuations = &g.evacuations
+	}
 	g.feeds = g.newFeeds()
 	g.overload.LinkBytesPerSecond = settings.Capacity.linkBytesPerSecond()
 	g.ticker = decision.Ticker{Busy: tickPeriod, Idle: idlePeriod}
@@ -357,6 +363,9 @@
 	} {
 		feeds[f.name] = f
 	}
+	if g.cfg.Features.Evacuations {
+		feeds[evacuationsFeed] = g.evacuations.newFeed()
+	}
 	return feeds
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -22,13 +22,17 @@
 // ErrUnknownPeer reports that no live router has the given incarnation name.
 var ErrUnknownPeer = errors.New("no live router has this incarnation name")
 
+// errRejected reports that a router could not read a message.
+var errRejected = errors.New("the router did not read the message")
+
 // Client calls the other routers. Its exported fields are set before the first call.
 type Client struct {
-	Members    *membership.Members
-	Endpoints  *placement.Endpoints // Clears the suspects whose requests have finished at a peer.
-	Key        func() string        // Returns the shared key of the routers; if nil, no key is sent.
-	Log        *zap.Logger
-	Background func(func()) // Runs a call asynchronously.
+	Members     *membership.Members
+	Endpoints   *placement.Endpoints // Clears the suspects whose requests have finished at a peer.
+	Evacuations Evacuations          // Nil if evacuations are off.
+	Key         func() string        // Returns the shared key of the routers; if nil, no key is sent.
+	Log         *zap.Logger
+	Background  func(func()) // Runs a call asynchronously.
 
 	timeout time.Duration
 	http    *fasthttp.Client
@@ -38,7 +42,8 @@
 	suspicions []suspectMessage     // Waiting to be sent; guarded by mu.
 	failedAt   map[string]time.Time // Start of the last loan call that failed, by address; guarded by mu.
 
-	settlements settlements
+	settlements    settlements
+	knownRevisions knownRevisions
 }
 
 // NewClient returns a client whose HTTP requests time out after timeout, those of loans after reserveTimeout.
@@ -92,7 +97,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "calling the router at %s", address)
 	}
-	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+	if status := resp.StatusCode(); status == fasthttp.StatusBadRequest {
+		return nil, errors.Wrapf(errRejected, "calling the router at %s", address)
+	} else if status != fasthttp.StatusOK {
 		return nil, errors.Newf("the router at %s answered with status %d", address, status)
 	}
 	return append([]byte(nil), resp.Body()...), nil
@@ -111,7 +118,8 @@
 
 // Probe sends updates about members to the router at address and returns the updates that it answers with.
 //
-// Both sides also exchange the suspicions of requests and of parts of prompts that they refuse, the limits of endpoints, and which are brittle.
+// Both sides also exchange the suspicions of requests and of parts of prompts that they refuse, the limits of endpoints, which are
+// brittle, and which data centres are evacuated.
 func (c *Client) Probe(address string, updates []fleet.Member) ([]fleet.Member, error) {
 	var answer probeMessage
 	began := time.Now()
@@ -120,11 +128,20 @@
 		Suspects: blockedSuspects(began, c.Endpoints),
 		Limits:   limitMessages(began, c.Endpoints),
 		Brittle:  brittleMessages(began, c.Endpoints),
+
+		Evacuations: c.knownRevisions.message(c.Evacuations, address),
 	}
-	if err := c.Post(address, ProbePath, message, &answer); err != nil {
+	err := c.Post(address, ProbePath, message, &answer)
+	c.knownRevisions.record(address, answer.Evacuations)
+	if err != nil && message.Evacuations != nil {
+		message.Evacuations = nil // The peer may have restarted with an earlier build since its last answer.
+		err = c.retryProbe(address, message, &answer, err)
+	}
+	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
+	adoptEvacuations(now, c.Evacuations, answer.Evacuations, senderOf(answer.Updates))
 	adoptSuspects(now, c.Endpoints, answer.Suspects)
 	clearSuspects(now, c.Endpoints, answer.Known)
 	adoptLimits(now, c.Endpoints, answer.Limits)
@@ -132,6 +149,14 @@
 	return answer.Updates, nil
 }
 
+// retryProbe sends a probe again whose first attempt failed with err, if the peer rejected the message itself.
+func (c *Client) retryProbe(address string, message probeMessage, answer *probeMessage, err error) error {
+	if !errors.Is(err, errRejected) {
+		return err
+	}
+	return c.Post(address, ProbePath, message, answer)
+}
+
 // ReadFeed asks a router for the changes of a feed; the call may wait for them.
 func (c *Client) ReadFeed(reader string, q FeedQuery) (FeedReply, error) {
 	var answer FeedReply
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -49,14 +49,16 @@
 }
 
 // probeMessage is a probe or the answer to one. It spreads the suspicions of what is refused to routers that
-// missed their announcement, for example because they started later, the limits that endpoints name, and which endpoints are
-// brittle.
+// missed their announcement, for example because they started later, the limits that endpoints name, which endpoints are
+// brittle, and which data centres are evacuated.
 type probeMessage struct {
 	Updates  []fleet.Member
 	Suspects []suspectMessage `json:",omitempty"`
 	Known    suspectReply     // Which of the suspects in the probe are known safe; only in an answer.
 	Limits   []limitMessage   `json:",omitempty"`
 	Brittle  []brittleMessage `json:",omitempty"`
+
+	Evacuations *evacuationMessage `json:",omitempty"` // Absent where evacuations are off, and in probes of peers that may not know the field.
 }
 
 // limitMessage tells the limit that an endpoint named in an answer, or that it named none.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -10,16 +10,18 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/placement"
 	"github.com/foxtaillanding/foxtaillanding/internal/strict"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
+	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
 // Service answers the calls of other routers.
 type Service struct {
-	Members   *membership.Members
-	Budgets   *ledger.Ledger
-	Endpoints *placement.Endpoints
-	Origins   *origin.Registry
-	Versions  Versions                 // Nil if there is no record of versions.
-	IsHome    func(budget string) bool // Reports whether this router holds grants of a budget ready.
+	Members     *membership.Members
+	Budgets     *ledger.Ledger
+	Endpoints   *placement.Endpoints
+	Evacuations Evacuations // Nil if evacuations are off.
+	Origins     *origin.Registry
+	Versions    Versions                 // Nil if there is no record of versions.
+	IsHome      func(budget string) bool // Reports whether this router holds grants of a budget ready.
 }
 
 // Answer handles a message and returns the encoded answer. If the path is not one of this package, known is false.
@@ -66,18 +68,33 @@
 	return answer, true, err
 }
 
-// answerProbe applies a peer's probe and answers with this router's updates, suspicions, and limits and brittleness of endpoints.
+// answerProbe applies a peer's probe and answers with this router's updates, suspicions, limits and brittleness of endpoints, and evacuations.
 func (s *Service) answerProbe(now time.Time, m probeMessage) probeMessage {
-	known := s.handleSuspects(now, m.Suspects)
+	safe := s.handleSuspects(now, m.Suspects)
 	adoptLimits(now, s.Endpoints, m.Limits)
 	adoptBrittle(now, s.Endpoints, m.Brittle)
+	var known uint64
+	if m.Evacuations != nil {
+		known = m.Evacuations.Revision
+		adoptEvacuations(now, s.Evacuations, m.Evacuations, senderOf(m.Updates))
+	}
 	return probeMessage{
 		Updates:  s.Members.AnswerProbe(now, m.Updates),
 		Suspects: blockedSuspects(now, s.Endpoints),
-		Known:    known,
+		Known:    safe,
 		Limits:   limitMessages(now, s.Endpoints),
 		Brittle:  brittleMessages(now, s.Endpoints),
+
+		Evacuations: newEvacuationMessage(s.Evacuations, known),
+	}
+}
+
+// senderOf returns the name of the router that sent updates: its own update comes first.
+func senderOf(updates []fleet.Member) string {
+	if len(updates) == 0 {
+		return ""
 	}
+	return updates[0].Name()
 }
 
 // answerOrigin answers what this router knows of a stream and of the versions of its service.
