pkg/endpoint: cold endpoints get a bounded number of requests from all routers together

Change: senders to a cold endpoint are chosen by rendezvous hashing over all routers that ever registered (RoutersRegistered), each with a token bucket that begins empty. An endpoint that failed is taken for cold until it answers, and then for its cold time. Endpoints without a ColdRate are treated as before.

--- /dev/null
+++ b/internal/gateway/cold.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
+)
+
+// observeCold notes for how long the entry of an endpoint says that it is cold. Late and repeated entries do not shorten it.
+func (ep *trackedEndpoint) observeCold(now time.Time) {
+	if until := now.Add(ep.ColdFor); ep.ColdFor > 0 && until.After(ep.coldUntil) {
+		ep.coldUntil = until
+	}
+}
+
+// describeCold sets what the pool needs to know about the endpoint while it is cold.
+func (ep *trackedEndpoint) describeCold(now time.Time, s *route.Service, spec *endpoint.Endpoint) {
+	spec.ColdRate = s.ColdRate
+	spec.ColdFor = s.ColdFor
+	spec.ColdLeft = max(0, ep.coldUntil.Sub(now))
+}
+
+// logCold logs that an endpoint is taken for cold, or no longer.
+func (g *Gateway) logCold(c endpoint.ColdChanged) {
+	if !c.Cold {
+		g.log.Info("endpoint no longer cold", zap.String("Endpoint", c.Endpoint))
+		return
+	}
+	g.log.Info("endpoint cold", zap.String("Endpoint", c.Endpoint), zap.Duration("For", c.For), zap.Bool("Doubted", c.Doubted), zap.Duration("Interval", c.Interval))
+}
+
+// coldEndpoints returns the number of endpoints that are taken for cold.
+func (g *Gateway) coldEndpoints() int64 {
+	n := int64(0)
+	for _, v := range g.endpoints.State(time.Now()).Endpoints {
+		if v.Cold {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -60,6 +60,7 @@
 	DataCentre string
 	Version    string // Version of its software; empty if unknown.
 	Slots      int
-	Leaving    bool  // The endpoint is shutting down and must get no new requests.
-	StartedAt  int64 // Start time of the endpoint in Unix milliseconds; zero if unknown.
+	Leaving    bool          // The endpoint is shutting down and must get no new requests.
+	ColdFor    time.Duration // Time for which it stays cold from now on; zero if it is not.
+	StartedAt  int64         // Start time of the endpoint in Unix milliseconds; zero if unknown.
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -34,6 +34,7 @@
 
 	missingSince time.Time // When its entry was found to be missing or unreadable; zero while it exists.
 	unreadable   bool      // The entry exists, but another writer has made it unreadable.
+	coldUntil    time.Time // Latest end of the time for which one of its entries said that it is cold.
 }
 
 // Timeouts for endpoints whose entries are missing.
@@ -106,6 +107,7 @@
 		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name))
 	}
 	ep.Entry = entry
+	ep.observeCold(now)
 	ep.missingSince = time.Time{}
 	ep.unreadable = false
 }
@@ -172,7 +174,11 @@
 		ep := e.tracked[name]
 		spec := endpoint.Endpoint{Name: name, Serves: []string{ep.Service}, Version: ep.Version, Slots: ep.Slots}
 		spec.Unrecorded = e.g.versions.history.Unrecorded(now, ep.Service, ep.Version)
-		if s, ok := t.Service(ep.Service); ok && s.ModelEngine {
+		s, ok := t.Service(ep.Service)
+		if ok {
+			ep.describeCold(now, s, &spec)
+		}
+		if ok && s.ModelEngine {
 			spec.PromptTokensPerSecond = initialPromptRate
 			spec.TokensPerSecond = initialTokenRate
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,7 @@
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
 	g.endpoints.OnLimitChanged = g.logLimit
 	g.endpoints.OnBrittleChanged = g.logBrittle
+	g.endpoints.OnColdChanged = g.logCold
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
 	g.budgets.Store = g.budgetStore
@@ -261,6 +262,8 @@
 		BaseEjectionTime:  500 * time.Millisecond,
 		MaxEjectionTime:   4 * time.Second,
 		MaxQueue:          1024,
+		ColdExcess:        g.cfg.Settings.Cold.Excess,
+		ColdSlack:         g.cfg.Settings.Cold.Slack,
 	}
 }
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -100,6 +100,7 @@
 	m.Endpoints.Handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
 	m.Endpoints.Handle(now, endpoint.RoutersExpected{Routers: m.mayRun()})
 	m.Endpoints.Handle(now, endpoint.RoutersListed{Self: m.Self().VM, Routers: m.senders()})
+	m.Endpoints.Handle(now, endpoint.RoutersRegistered{Self: m.Self().VM, Routers: m.registered()})
 }
 
 // mayRun returns the number of routers that may be running, this one included.
@@ -116,6 +117,13 @@
 	return m.roster.Senders()
 }
 
+// registered returns the VMs whose routers ever registered, this one included.
+func (m *Members) registered() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Registered()
+}
+
 // AnswerProbe applies the updates in a peer's probe and returns those of this router.
 func (m *Members) AnswerProbe(now time.Time, updates []fleet.Member) []fleet.Member {
 	m.Handle(now, fleet.UpdatesReceived{Updates: updates})
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -18,8 +18,9 @@
 
 // recordedEndpoints keeps the last list and the last number of routers.
 type recordedEndpoints struct {
-	listed   endpoint.RoutersListed
-	expected endpoint.RoutersExpected
+	listed     endpoint.RoutersListed
+	expected   endpoint.RoutersExpected
+	registered endpoint.RoutersRegistered
 }
 
 func (e *recordedEndpoints) Handle(_ time.Time, ev endpoint.Event) {
@@ -28,6 +29,8 @@
 		e.listed = ev
 	case endpoint.RoutersExpected:
 		e.expected = ev
+	case endpoint.RoutersRegistered:
+		e.registered = ev
 	}
 }
 
@@ -71,3 +74,16 @@
 	m.Tick(now, fleet.SelfChanged{})
 	require.Equal(t, 2, endpoints.expected.Routers)
 }
+
+// TestDeadRoutersStayRegistered guards against ranks at cold endpoints that change when routers are taken for dead: one that
+// does not answer may still send, and both sides of a partition would each have all senders.
+func TestDeadRoutersStayRegistered(t *testing.T) {
+	endpoints := &recordedEndpoints{}
+	m := &Members{Budgets: &recordedBudgets{}, Endpoints: endpoints, Background: func(func()) {}}
+	m.Init(fleet.Member{VM: "self", Incarnation: 1, Size: 1})
+	now := time.Now()
+	m.Handle(now, fleet.Configured{VMs: []fleet.ConfiguredVM{{VM: "self"}, {VM: "dead"}, {VM: "never seen"}}})
+	m.Handle(now, fleet.UpdatesReceived{Updates: []fleet.Member{{VM: "dead", Incarnation: 1, State: fleet.Dead}}})
+	require.Equal(t, endpoint.RoutersRegistered{Self: "self", Routers: []string{"dead", "never seen", "self"}}, endpoints.registered)
+	require.NotContains(t, endpoints.listed.Routers, "dead")
+}
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -20,6 +20,8 @@
 
 	OnBrittleChanged func(endpoint.BrittleChanged) // Called when it is known to have changed whether an endpoint is brittle; may be nil.
 
+	OnColdChanged func(endpoint.ColdChanged) // Called when an endpoint is taken for cold, or no longer; may be nil.
+
 	OnWaiting func() // Called when a request begins to wait for an endpoint; may be nil.
 
 	mu        sync.Mutex
@@ -170,6 +172,10 @@
 		if e.OnBrittleChanged != nil {
 			e.OnBrittleChanged(action)
 		}
+	case endpoint.ColdChanged:
+		if e.OnColdChanged != nil {
+			e.OnColdChanged(action)
+		}
 	}
 }
 
--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -17,6 +17,9 @@
 	r.f.Endpoints.Handle(now, endpoint.Answered{ID: r.req.RunID})
 	r.f.Endpoints.Handle(now, endpoint.LimitReported{Endpoint: name, Rate: a.head.Limit, At: now})
 	r.f.Endpoints.Handle(now, endpoint.BrittleReported{Endpoint: name, Tolerated: a.head.Brittle, At: now})
+	if a.head.Cold > 0 {
+		r.f.Endpoints.Handle(now, endpoint.ColdReported{Endpoint: name, For: a.head.Cold})
+	}
 	if a.head.NoRoom {
 		r.f.Endpoints.Handle(now, endpoint.CapacityRejected{Endpoint: name})
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -147,6 +147,8 @@
 
 	NoRoom bool // The endpoint had no room for the request.
 
+	Cold time.Duration // Time for which the endpoint stays cold; zero if it does not say so.
+
 	Misdirected bool // Another endpoint than the intended one answered; the head says nothing about the intended one.
 }
 
--- a/pkg/endpoint/arrival.go
+++ b/pkg/endpoint/arrival.go
@@ -143,5 +143,6 @@
 	if j, ok := p.jobs[id]; ok && j.target != nil {
 		p.confirm(now, j.sent)
 		p.hear(now, j.target.Name)
+		p.contactCold(now, j.target, j.sentAt)
 	}
 }
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -41,6 +41,8 @@
 	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
 	limit             limit     // What the endpoint says it takes from all routers together.
 	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
+	cold              cold      // What is known if the endpoint tolerates few requests after it has started.
+	rank              registeredRank
 	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
 
 	health
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -64,7 +64,7 @@
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, s selector, t tolerance) bool {
-	return b.fits(s) && b.mayBegin(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now)
+	return b.fits(s) && b.mayBegin(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now) && p.withinCold(now, b)
 }
 
 // refuseSuspects refuses the waiting requests that must not be sent any more.
@@ -92,6 +92,7 @@
 // occupy takes a place at the endpoint for an attempt of a job, and reports whether it took a request out of the endpoint's limit.
 func (b *backend) occupy(now time.Time, j *job) (limited bool) {
 	limited = b.limit.take(now)
+	b.sendCold(now)
 	b.takeBrittle(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
@@ -107,6 +108,7 @@
 	j.target = b
 	j.prefill = b.prefill(j, false, p.Policy)
 	j.sentAt = now
+	b.sendCold(now)
 	j.sentVersion = b.Version
 	j.firstTokenAt = time.Time{}
 }
@@ -124,7 +126,7 @@
 		return nil
 	}
 	home := p.home(j, func(b *backend) bool {
-		return b.fits(j.selector()) && b.mayBegin(j.selector()) && b.usable(now, tolerance{}) && !b.limit.active()
+		return b.fits(j.selector()) && b.mayBegin(j.selector()) && b.usable(now, tolerance{}) && !b.limit.active() && !b.isCold(now)
 	})
 	var best *backend
 	var lowest float64
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -42,6 +42,10 @@
 	Slots                 int      // Number of requests that it runs concurrently.
 	TokensPerSecond       float64  // Output tokens per second of one stream, used until measured.
 	PromptTokensPerSecond float64  // Prompt tokens per second, used until measured.
+
+	ColdRate float64       // Requests per second that it tolerates from all routers together while it is cold; zero if it never is.
+	ColdFor  time.Duration // Time for which it is cold after it has started.
+	ColdLeft time.Duration // Time for which it stays cold from now on, as it said itself; zero if it did not.
 }
 
 // Request describes one request to a model or service.
@@ -136,6 +140,12 @@
 	Routers []string
 }
 
+// RoutersRegistered names all routers that ever registered, dead or not, including this one, in a fixed order.
+type RoutersRegistered struct {
+	Self    string
+	Routers []string
+}
+
 // LoadReported carries a load report from an endpoint.
 type LoadReported struct {
 	Endpoint string
@@ -227,6 +237,7 @@
 func (RoutersCounted) isEvent()     {}
 func (RoutersExpected) isEvent()    {}
 func (RoutersListed) isEvent()      {}
+func (RoutersRegistered) isEvent()  {}
 func (LoadReported) isEvent()       {}
 func (LeavingUpdated) isEvent()     {}
 func (LeavingAnnounced) isEvent()   {}
--- a/pkg/endpoint/policy.go
+++ b/pkg/endpoint/policy.go
@@ -23,6 +23,8 @@
 	ReportHalfLife    time.Duration // Age up to which a load report has full weight; its weight halves with each further ReportHalfLife.
 	MaxQueue          int           // Maximum number of waiting requests.
 	CacheBenefit      float64       // Fraction of the prompt time that a cached prefix saves.
+	ColdExcess        float64       // Requests within a second that all routers together may send to a cold endpoint, as a multiple of its ColdRate.
+	ColdSlack         float64       // Requests beyond ColdExcess that a cold endpoint bears within a second.
 	SlotTolerance     float64       // Requests beyond the slots of an endpoint, as a fraction of the slots, that may be sent to it and that it queues itself.
 }
 
@@ -42,6 +44,7 @@
 	DefaultReportHalfLife   = 2 * time.Second
 	DefaultMaxQueue         = 4096
 	DefaultCacheBenefit     = 0.8
+	DefaultColdExcess       = 1
 )
 
 func (p Policy) withDefaults() Policy {
@@ -59,5 +62,6 @@
 	p.ReportHalfLife = cmp.Or(p.ReportHalfLife, DefaultReportHalfLife)
 	p.MaxQueue = cmp.Or(p.MaxQueue, DefaultMaxQueue)
 	p.CacheBenefit = cmp.Or(p.CacheBenefit, DefaultCacheBenefit)
+	p.ColdExcess = cmp.Or(p.ColdExcess, DefaultColdExcess)
 	return p
 }
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -33,20 +33,11 @@
 	expectedPeers int                       // Number of other routers that may be running, whether this one has had contact with them or not.
 	self          string                    // Name of this router; empty if the routers are not listed.
 	routers       []string                  // Names of all routers that may send to the same endpoints.
+	registered    registeredRouters
 	pathLost      bool
 	random        *rand.Rand
 }
 
-// View is the state of one endpoint in a Pool.
-type View struct {
-	Name         string
-	Running      int  // This router's requests in flight.
-	Reported     Load // Last load report.
-	Leaving      bool
-	Down         bool    // Whether the endpoint is ejected or avoided for silence.
-	TokenSeconds float64 // Measured seconds per output token.
-}
-
 // Handle applies an event at time now and returns the actions to carry out.
 func (p *Pool) Handle(now time.Time, ev Event) []Action {
 	p.init(now)
@@ -75,7 +66,7 @@
 		p.parts.expire(now)
 		p.confirmOld(now)
 		p.expireRetries(now)
-		return slices.Concat(p.expireBrittle(now), p.dispatch(now), p.shed(now))
+		return slices.Concat(p.expireBrittle(now), p.updateColds(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
 	}
@@ -95,6 +86,9 @@
 		return nil
 	case RoutersListed:
 		return p.listRouters(now, ev)
+	case RoutersRegistered:
+		p.registerRouters(now, ev)
+		return nil
 	case CacheUpdated:
 		p.updateCache(ev)
 		return nil
@@ -126,6 +120,9 @@
 		return p.updateLimit(now, ev)
 	case BrittleReported:
 		return p.updateBrittle(now, ev)
+	case ColdReported:
+		p.reportCold(now, ev)
+		return nil
 	case Answered:
 		p.recordAnswer(now, ev.ID)
 		return nil
@@ -157,32 +154,6 @@
 	}
 }
 
-// Views returns the state of each endpoint, sorted by name.
-func (p *Pool) Views(now time.Time) []View {
-	views := make([]View, 0, len(p.names))
-	for _, name := range p.names {
-		b := p.backends[name]
-		views = append(views, View{
-			Name:         name,
-			Running:      len(b.running),
-			Reported:     b.report,
-			Leaving:      b.leaving(),
-			Down:         now.Before(b.ejectedUntil) || now.Before(b.silentUntil),
-			TokenSeconds: b.tokenTime,
-		})
-	}
-	return views
-}
-
-// Waiting returns the number of requests that wait for an endpoint.
-func (p *Pool) Waiting() int { return len(p.queue.waiting) }
-
-// IsKnownGood reports whether a request with this fingerprint is known to have finished, so that it is no suspect.
-func (p *Pool) IsKnownGood(fingerprint uint64) bool { return p.suspects.isKnownGood(fingerprint) }
-
-// Suspicions returns the current suspicions, in no particular order.
-func (p *Pool) Suspicions() []Suspicion { return append(p.suspects.list(), p.parts.list()...) }
-
 // suspectsOf returns the suspects among the parts of prompts or among the requests.
 func (p *Pool) suspectsOf(part bool) *suspects {
 	if part {
@@ -211,6 +182,7 @@
 		configured[e.Name] = true
 		if b, ok := p.backends[e.Name]; ok {
 			b.describe(e)
+			p.configureCold(now, b, false)
 			continue
 		}
 		b := newBackend(e)
@@ -218,6 +190,7 @@
 			b.addedAt = now
 		}
 		p.presumeNew(now, b)
+		p.configureCold(now, b, true)
 		p.backends[e.Name] = b
 	}
 	maps.DeleteFunc(p.backends, func(name string, _ *backend) bool { return !configured[name] })
@@ -319,6 +292,7 @@
 	}
 	p.releasePlace(now, j)
 	b := j.target
+	p.observeEndCold(now, j, ev.Outcome)
 	if ev.Outcome == Died || ev.Outcome == Silent || ev.Outcome == Rejected {
 		p.saveHealth(now, b)
 	}
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -73,6 +73,8 @@
 
 // throughput is the combined throughput of those endpoints that a selector admits
 // and that are neither leaving nor ejected nor avoided for silence.
+//
+// A cold endpoint counts as one with a limit.
 type throughput struct {
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
@@ -80,7 +82,7 @@
 	limits            []limit   // Those of the other endpoints.
 	firstToken        float64   // Seconds until the first token at the fastest of them, without the prompt.
 	limitedPromptTime float64   // Seconds per prompt token of the fastest of them.
-	returnsAt         time.Time // When the first ejected or silent endpoint without a limit may be used again; zero if there is none.
+	returnsAt         time.Time // When the first ejected, silent or cold endpoint without a limit may be used freely again; zero if there is none.
 
 	brittleWait time.Duration // Shortest time until a brittle endpoint has room, if all that are not limited are brittle and have none; else zero.
 }
@@ -98,7 +100,11 @@
 			continue
 		}
 		if b.limit.active() {
-			t.addLimited(b)
+			t.addLimited(b, b.limit)
+			continue
+		}
+		if b.isCold(now) {
+			p.addCold(now, &t, b)
 			continue
 		}
 		if wait := b.brittleWait(now, cmp.Or(t.brittleWait, maxBrittleRest)); wait > 0 {
@@ -121,21 +127,29 @@
 	return b.silentUntil
 }
 
-// addAvoided records when an ejected or silent endpoint may be used again.
+// addAvoided records when an ejected, silent or cold endpoint may be used freely again.
 func (t *throughput) addAvoided(b *backend, at time.Time) {
 	if !b.limit.active() && (t.returnsAt.IsZero() || at.Before(t.returnsAt)) {
 		t.returnsAt = at
 	}
 }
 
-func (t *throughput) addLimited(b *backend) {
+func (t *throughput) addLimited(b *backend, l limit) {
 	if len(t.limits) == 0 || b.promptTime < t.limitedPromptTime {
 		t.limitedPromptTime = b.promptTime
 	}
 	if len(t.limits) == 0 || b.tokenTime < t.firstToken {
 		t.firstToken = b.tokenTime
 	}
-	t.limits = append(t.limits, b.limit)
+	t.limits = append(t.limits, l)
+}
+
+// addCold counts a cold endpoint as one with a limit, until it is no longer cold.
+func (p *Pool) addCold(now time.Time, t *throughput, b *backend) {
+	t.addLimited(b, p.coldLimit(now, b))
+	if b.cold.doubt == noDoubt {
+		t.addAvoided(b, b.cold.until)
+	}
 }
 
 // dispatchDelay is how long a request may wait after there is room for it, until the pool handles the next event.
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -68,6 +68,7 @@
 		return nil
 	}
 	p.hear(now, j.target.Name)
+	p.contactCold(now, j.target, j.sentAt)
 	if !j.target.silent() {
 		return nil
 	}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -121,6 +121,13 @@
 	return vms
 }
 
+// Registered returns all configured VMs, whatever is known of their routers, this one included, sorted.
+func (r *Roster) Registered() []string {
+	vms := append([]string{r.Self.VM}, r.peerVMs...)
+	slices.Sort(vms)
+	return vms
+}
+
 // MayRun returns the number of routers that may be running, this one included.
 //
 // A configured VM about which no update was received yet counts, even if no probe reaches it.
--- a/pkg/route/configuration.go
+++ b/pkg/route/configuration.go
@@ -62,6 +62,9 @@
 	Connections    int   // Maximum number of connections that one endpoint accepts from all callers together; 0 means unlimited.
 	TokensPerEvent int64 // Maximum number of output tokens in one event of a stream; 0 for plain services.
 	ModelEngine    bool  // Whether the endpoints are model engines.
+
+	ColdRate float64       // Requests per second that an endpoint tolerates from all routers together while it is cold; 0 if it never is.
+	ColdFor  time.Duration // Time for which an endpoint is cold after it has started.
 }
 
 // Account is a client account.
