--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -34,7 +34,7 @@
 	if a.head.Load == nil {
 		return
 	}
-	load := endpoint.Load{Running: a.head.Load.Running, Waiting: a.head.Load.Waiting}
+	load := endpoint.Load{Running: a.head.Load.Running, Waiting: a.head.Load.Waiting, Slowdown: a.head.Load.Slowdown}
 	r.f.Endpoints.Handle(now, endpoint.LoadReported{Endpoint: name, Load: load})
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -153,7 +153,11 @@
 }
 
 // Load is the load that an endpoint reports about itself.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+
+	Slowdown float64 // How long work takes there at the moment, 1 as usual; zero if it did not say so.
+}
 
 // Codec translates one request and its answer between this package and an endpoint.
 type Codec interface {
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -166,9 +166,9 @@
 	prompt := float64(b.prefill(j, home, p)+b.pendingPrefill()) * b.promptTime
 	excess := b.occupied(now, peers, p) + 1 - float64(b.Slots)
 	if excess <= 0 {
-		return prompt
+		return prompt * b.slowdownAt(now)
 	}
-	return prompt + excess/float64(b.Slots)*b.serviceSeconds(&j.Request)
+	return (prompt + excess/float64(b.Slots)*b.serviceSeconds(&j.Request)) * b.slowdownAt(now)
 }
 
 // serviceSeconds estimates the seconds for which r occupies a slot.
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -165,7 +165,11 @@
 // among those with a free slot. A small random factor breaks ties.
 func (p *Pool) cost(now time.Time, b *backend, j *job, home bool) float64 {
 	const tieBreak = 0.02
-	seconds := b.firstTokenSeconds(now, j, home, p.peers, p.Policy) + p.Policy.OutputWeight*float64(j.OutputTokens)*b.tokenTime
+	output := p.Policy.OutputWeight * float64(j.OutputTokens) * b.tokenTime
+	if j.PromptTokens == 0 {
+		output *= b.slowdownAt(now) // Nothing comes before the work is done.
+	}
+	seconds := b.firstTokenSeconds(now, j, home, p.peers, p.Policy) + output
 	seconds += p.Policy.FailureWeight * b.failures
 	if now.Before(b.silentUntil) {
 		seconds += silencePenalty
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -98,9 +98,10 @@
 
 // Load is an endpoint's report of its own load.
 type Load struct {
-	Running int
-	Waiting int
-	Leaving bool
+	Running  int
+	Waiting  int
+	Leaving  bool
+	Slowdown float64 // How long work takes there at the moment, 1 as usual; zero if it does not say so.
 }
 
 // Event is an input to Pool.Handle.
