--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -12,6 +12,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/peer"
+	"github.com/foxtaillanding/foxtaillanding/pkg/endpoint"
 )
 
 // evacuationsFeed is the name of the feed of evacuated data centres.
@@ -52,11 +53,11 @@
 	v.endpoints = g.entries.namesIn
 }
 
-// reportColdEndpoints takes endpoints for cold, because they may have been idle or restarted during an evacuation.
-//
-// The lead connects it: each endpoint gets an endpoint.ColdReported event for the ColdFor of its service.
-func (g *Gateway) reportColdEndpoints(_ time.Time, names []string) {
-	g.log.Info("endpoints taken for cold", zap.Strings("Endpoints", names))
+// reportColdEndpoints takes endpoints for cold, because they may have restarted during an evacuation.
+func (g *Gateway) reportColdEndpoints(now time.Time, names []string) {
+	for _, name := range names {
+		g.endpoints.Handle(now, endpoint.ColdReported{Endpoint: name, For: g.entries.coldTime(name)})
+	}
 }
 
 // newFeed returns the feed of the evacuations.
--- a/internal/request/report.go
+++ b/internal/request/report.go
@@ -17,6 +17,9 @@
 	r.f.Endpoints.Handle(now, endpoint.Answered{ID: r.req.RunID})
 	r.f.Endpoints.Handle(now, endpoint.LimitReported{Endpoint: name, Rate: a.head.Limit, At: now})
 	r.f.Endpoints.Handle(now, endpoint.BrittleReported{Endpoint: name, Tolerated: a.head.Brittle, At: now})
+	if a.head.Cold > 0 {
+		r.f.Endpoints.Handle(now, endpoint.ColdReported{Endpoint: name, For: a.head.Cold})
+	}
 	if a.head.NoRoom {
 		r.f.Endpoints.Handle(now, endpoint.CapacityRejected{Endpoint: name})
 	}
@@ -31,7 +34,7 @@
 	if a.head.Load == nil {
 		return
 	}
-	load := endpoint.Load{Running: a.head.Load.Running, Waiting: a.head.Load.Waiting}
+	load := endpoint.Load{Running: a.head.Load.Running, Waiting: a.head.Load.Waiting, Slowdown: a.head.Load.Slowdown}
 	r.f.Endpoints.Handle(now, endpoint.LoadReported{Endpoint: name, Load: load})
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -147,11 +147,17 @@
 
 	NoRoom bool // The endpoint had no room for the request.
 
+	Cold time.Duration // Time for which the endpoint stays cold; zero if it does not say so.
+
 	Misdirected bool // Another endpoint than the intended one answered; the head says nothing about the intended one.
 }
 
 // Load is the load that an endpoint reports about itself.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+
+	Slowdown float64 // How long work takes there at the moment, 1 as usual; zero if it did not say so.
+}
 
 // Codec translates one request and its answer between this package and an endpoint.
 type Codec interface {
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -41,6 +41,8 @@
 	restsUntil        time.Time // End of the time for which the endpoint wants no request from this router, if any.
 	limit             limit     // What the endpoint says it takes from all routers together.
 	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
+	cold              cold      // What is known if the endpoint tolerates few requests after it has started.
+	rank              registeredRank
 	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
 
 	health
@@ -164,9 +166,9 @@
 	prompt := float64(b.prefill(j, home, p)+b.pendingPrefill()) * b.promptTime
 	excess := b.occupied(now, peers, p) + 1 - float64(b.Slots)
 	if excess <= 0 {
-		return prompt
+		return prompt * b.slowdownAt(now)
 	}
-	return prompt + excess/float64(b.Slots)*b.serviceSeconds(&j.Request)
+	return (prompt + excess/float64(b.Slots)*b.serviceSeconds(&j.Request)) * b.slowdownAt(now)
 }
 
 // serviceSeconds estimates the seconds for which r occupies a slot.
