pkg/endpoint: the pace of endpoints that have started or recovered

Change: endpoints of services with a ColdRate, or whose load reports carry a slowdown, are paced after they start, recover or stop being cold. A window of unanswered requests follows the answers, and routers join by their rank among all registered ones. A router that may not send yet refuses at once what cannot wait. Other endpoints are treated as before.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -32,11 +32,29 @@
 	g.log.Info("endpoint cold", zap.String("Endpoint", c.Endpoint), zap.Duration("For", c.For), zap.Bool("Doubted", c.Doubted), zap.Duration("Interval", c.Interval))
 }
 
+// logPace logs that an endpoint is paced, or no longer.
+func (g *Gateway) logPace(c endpoint.PaceChanged) {
+	if !c.Paced {
+		g.log.Info("endpoint no longer paced", zap.String("Endpoint", c.Endpoint), zap.Float64("Window", c.Window), zap.Int("Troubles", c.Troubles), zap.Duration("For", c.For))
+		return
+	}
+	g.log.Info("endpoint paced", zap.String("Endpoint", c.Endpoint), zap.Float64("Window", c.Window), zap.Int("Rank", c.Rank))
+}
+
 // coldEndpoints returns the number of endpoints that are taken for cold.
 func (g *Gateway) coldEndpoints() int64 {
+	return g.countEndpoints(func(v endpoint.View) bool { return v.Cold })
+}
+
+// pacedEndpoints returns the number of endpoints that do not get their full load yet.
+func (g *Gateway) pacedEndpoints() int64 {
+	return g.countEndpoints(func(v endpoint.View) bool { return v.Paced })
+}
+
+func (g *Gateway) countEndpoints(counts func(endpoint.View) bool) int64 {
 	n := int64(0)
 	for _, v := range g.endpoints.State(time.Now()).Endpoints {
-		if v.Cold {
+		if counts(v) {
 			n++
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,6 +185,7 @@
 	g.endpoints.OnLimitChanged = g.logLimit
 	g.endpoints.OnBrittleChanged = g.logBrittle
 	g.endpoints.OnColdChanged = g.logCold
+	g.endpoints.OnPaceChanged = g.logPace
 	g.endpoints.Init(g.endpointPolicy())
 	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
 	g.budgets.Store = g.budgetStore
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,7 @@
 	r.Gauge("live_routers", "Routers that serve, this one included.", func() int64 { return int64(len(g.members.Peers()) + 1) })
 	r.Gauge("usable_endpoints", "Endpoints that may get new requests.", func() int64 { return int64(g.endpoints.Usable(time.Now())) })
 	r.Gauge("cold_endpoints", "Endpoints that are taken for cold.", g.coldEndpoints)
+	r.Gauge("paced_endpoints", "Endpoints that have started or recovered and do not get their full load yet.", g.pacedEndpoints)
 	r.Gauge("path_lost", "1 while the router reaches no endpoint.", g.path.lostGauge)
 	r.Gauge("path_probes", "Connections opened to find out whether the router reaches the endpoints.", g.path.probes.Load)
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -22,6 +22,8 @@
 
 	OnColdChanged func(endpoint.ColdChanged) // Called when an endpoint is taken for cold, or no longer; may be nil.
 
+	OnPaceChanged func(endpoint.PaceChanged) // Called when an endpoint is paced, or no longer; may be nil.
+
 	OnWaiting func() // Called when a request begins to wait for an endpoint; may be nil.
 
 	mu        sync.Mutex
@@ -176,6 +178,10 @@
 		if e.OnColdChanged != nil {
 			e.OnColdChanged(action)
 		}
+	case endpoint.PaceChanged:
+		if e.OnPaceChanged != nil {
+			e.OnPaceChanged(action)
+		}
 	}
 }
 
--- a/internal/placement/endpoints_test.go
+++ b/internal/placement/endpoints_test.go
@@ -49,3 +49,23 @@
 	configuring.Wait()
 	require.Zero(t, refused)
 }
+
+// TestColdAndPacedEndpointsAreTold guards against changes of belief about endpoints that no log line shows.
+func TestColdAndPacedEndpointsAreTold(t *testing.T) {
+	var e Endpoints
+	var cold []endpoint.ColdChanged
+	var paced []endpoint.PaceChanged
+	e.OnColdChanged = func(c endpoint.ColdChanged) { cold = append(cold, c) }
+	e.OnPaceChanged = func(c endpoint.PaceChanged) { paced = append(paced, c) }
+	now := time.Unix(1e9, 0)
+	e.Configure(now, []EndpointConfig{{Endpoint: endpoint.Endpoint{Name: "a", Serves: []string{"m"}, Slots: 8, ColdRate: 8.8, ColdLeft: 2 * time.Second}}}, nil)
+	for s := range 6 {
+		e.Handle(now.Add(time.Duration(s)*time.Second), endpoint.Tick{})
+	}
+	require.Len(t, cold, 2)
+	require.True(t, cold[0].Cold)
+	require.False(t, cold[1].Cold)
+	require.Len(t, paced, 2)
+	require.True(t, paced[0].Paced)
+	require.False(t, paced[1].Paced)
+}
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -43,8 +43,11 @@
 	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
 	cold              cold      // What is known if the endpoint tolerates few requests after it has started.
 	rank              registeredRank
+	reportsSlowdown   bool      // Its load reports carry a slowdown, or those of other endpoints of its service did when it was added.
+	pace              pace      // How fast it may be loaded after it has started or recovered.
 	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
 
+	answerTimes
 	health
 	saved *savedHealth // Health before the failures since the last finished request; nil if there are none.
 }
@@ -91,12 +94,12 @@
 
 // usable reports whether the endpoint accepts a new request.
 //
-// After a death or a rest, the endpoint gets one request at a time until one finishes; after a silence, until it speaks.
+// After a death or a rest, the endpoint gets one request at a time until one finishes, unless it is paced; after a silence, until it speaks.
 func (b *backend) usable(now time.Time, t tolerance) bool {
 	switch {
 	case b.leaving(), b.rests(now), now.Before(b.ejectedUntil) && !t.ejected, now.Before(b.silentUntil) && !t.silent:
 		return false
-	case b.deaths > 0, b.silent() && !t.silent:
+	case b.deaths > 0 && !b.paceable(), b.silent() && !t.silent:
 		return len(b.running) == 0
 	}
 	return true
--- a/pkg/endpoint/cold.go
+++ b/pkg/endpoint/cold.go
@@ -121,7 +121,10 @@
 		return
 	}
 	p.beginCold(now, b)
-	b.cold.until = laterOf(b.cold.until, now.Add(left))
+	if until := now.Add(left); until.After(b.cold.until) {
+		b.cold.until = until
+		b.beginPace(until)
+	}
 }
 
 // beginCold empties this router's bucket if the endpoint was not taken for cold before.
@@ -156,17 +159,22 @@
 	b.cold.doubt = noDoubt
 }
 
-// observeEndCold records what the end of an attempt says about whether its endpoint may have restarted.
-func (p *Pool) observeEndCold(now time.Time, j *job, outcome Outcome) {
+// observeEnd records what the end of an attempt says about whether its endpoint may have restarted or is overloaded.
+func (p *Pool) observeEnd(now time.Time, j *job, outcome Outcome) {
 	switch b := j.target; outcome {
 	case Died, CutOff:
 		p.doubtCold(now, b, broke)
+		b.pace.troubles++
+		b.beginPace(now.Add(p.Policy.BaseEjectionTime)) // Later if the endpoint is ejected for longer.
 	case Silent:
 		p.doubtCold(now, b, fellSilent)
 	case Rejected:
 		if !j.sent.settled { // Nothing was heard of the endpoint, so that no connection could be opened.
 			p.doubtCold(now, b, fellSilent)
+			b.beginPace(now.Add(p.Policy.BaseEjectionTime))
+			return
 		}
+		p.rejectPace(now, b, j.sentAt)
 	case Finished, Incomplete:
 		p.contactCold(now, b, j.sentAt)
 	}
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -64,7 +64,8 @@
 
 // canSend reports whether a request with a selector may be sent to an endpoint now.
 func (p *Pool) canSend(now time.Time, b *backend, s selector, t tolerance) bool {
-	return b.fits(s) && b.mayBegin(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now) && p.withinCold(now, b)
+	return b.fits(s) && b.mayBegin(s) && !b.uncertain(now, s) && b.usable(now, t) && b.hasSlot(now, p.peers, p.Policy) && b.withinLimit(now) && b.withinBrittle(now) &&
+		p.withinCold(now, b) && p.withinPace(now, b)
 }
 
 // refuseSuspects refuses the waiting requests that must not be sent any more.
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -66,7 +66,7 @@
 		p.parts.expire(now)
 		p.confirmOld(now)
 		p.expireRetries(now)
-		return slices.Concat(p.expireBrittle(now), p.updateColds(now), p.dispatch(now), p.shed(now))
+		return slices.Concat(p.expireBrittle(now), p.updateColds(now), p.updatePaces(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
 	}
@@ -191,6 +191,7 @@
 		}
 		p.presumeNew(now, b)
 		p.configureCold(now, b, true)
+		p.configurePace(now, b)
 		p.backends[e.Name] = b
 	}
 	maps.DeleteFunc(p.backends, func(name string, _ *backend) bool { return !configured[name] })
@@ -278,6 +279,7 @@
 	j.firstTokenAt = now
 	j.begun = true
 	j.bindVersion()
+	p.observeFirstToken(now, j.target, j)
 	if j.prefill >= minMeasuredPromptTokens && len(j.target.running) <= j.target.Slots {
 		j.target.measurePrompt(now.Sub(j.sentAt).Seconds(), j.prefill)
 	}
@@ -292,7 +294,7 @@
 	}
 	p.releasePlace(now, j)
 	b := j.target
-	p.observeEndCold(now, j, ev.Outcome)
+	p.observeEnd(now, j, ev.Outcome)
 	if ev.Outcome == Died || ev.Outcome == Silent || ev.Outcome == Rejected {
 		p.saveHealth(now, b)
 	}
@@ -325,7 +327,7 @@
 	case Silent:
 		b.recordSilence(now, p.Policy)
 	case Incomplete:
-		b.endSilence()
+		b.speak(now)
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
@@ -339,8 +341,9 @@
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
 	p.forgetHealth(b)
-	b.endSilence()
+	b.speak(now)
 	if j.firstTokenAt.IsZero() {
+		p.observeWholeAnswer(now, b, j, tokens)
 		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The response was not streamed.
 	} else {
 		b.measureOutput(now.Sub(j.firstTokenAt).Seconds(), tokens)
@@ -380,6 +383,7 @@
 	b.brittle.load = ev.Load
 	b.brittle.loadAt = now
 	b.report = ev.Load
+	b.reportsSlowdown = b.reportsSlowdown || ev.Load.Slowdown > 0
 	b.reportAt = now.Add(-p.Policy.ReportLag)
 	b.leavingByReport = ev.Load.Leaving
 }
@@ -395,6 +399,7 @@
 	b.ejectedUntil = now.Add(min(duration, p.Policy.MaxEjectionTime))
 	b.deaths++
 	b.endSilence() // A connection that breaks is no silence.
+	b.beginPace(b.ejectedUntil)
 	b.prefixes = newPrefixes()
 }
 
--- a/pkg/endpoint/rest.go
+++ b/pkg/endpoint/rest.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// rest sends an endpoint nothing for the requested time, and then one request at a time until one finishes.
+// rest sends an endpoint nothing for the requested time, and then one request at a time until one finishes, unless it is paced.
 func (p *Pool) rest(now time.Time, ev RestRequested) {
 	b, ok := p.backends[ev.Endpoint]
 	if !ok {
@@ -30,6 +30,7 @@
 		b.restsUntil = until
 	}
 	b.deaths = max(b.deaths, 1)
+	b.beginPace(b.restsUntil)
 }
 
 // allRest reports whether all endpoints that a selector admits and that are not leaving rest, and when the first of them returns.
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -74,7 +74,7 @@
 // throughput is the combined throughput of those endpoints that a selector admits
 // and that are neither leaving nor ejected nor avoided for silence.
 //
-// A cold endpoint counts as one with a limit.
+// A cold endpoint counts as one with a limit, and so does a paced one to which this router may not send yet.
 type throughput struct {
 	outputRate float64 // Output tokens per second of all slots of endpoints without a limit; zero if there is no such endpoint.
 	promptTime float64 // Seconds per prompt token of the fastest endpoint without a limit.
@@ -107,6 +107,10 @@
 			p.addCold(now, &t, b)
 			continue
 		}
+		if wait := p.joinsAfter(now, b); wait > 0 {
+			t.addLimited(b, paceLimit(now, wait))
+			continue
+		}
 		if wait := b.brittleWait(now, cmp.Or(t.brittleWait, maxBrittleRest)); wait > 0 {
 			t.brittleWait = wait
 			continue
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -62,6 +62,14 @@
 	b.silences = 0
 }
 
+// speak ends the silence of an endpoint that has said something.
+func (b *backend) speak(now time.Time) {
+	if b.silent() {
+		b.beginPace(now)
+	}
+	b.endSilence()
+}
+
 func (p *Pool) recordResponded(now time.Time, id string) []Action {
 	j, ok := p.jobs[id]
 	if !ok || j.target == nil {
@@ -72,6 +80,6 @@
 	if !j.target.silent() {
 		return nil
 	}
-	j.target.endSilence()
+	j.target.speak(now)
 	return p.dispatch(now)
 }
--- a/pkg/endpoint/view.go
+++ b/pkg/endpoint/view.go
@@ -11,6 +11,7 @@
 	Down         bool    // Whether the endpoint is ejected or avoided for silence.
 	TokenSeconds float64 // Measured seconds per output token.
 	Cold         bool    // Whether it is taken for cold.
+	Paced        bool    // Whether it has started or recovered and does not get its full load yet.
 }
 
 // Views returns the state of each endpoint, sorted by name.
@@ -26,6 +27,7 @@
 			Down:         now.Before(b.ejectedUntil) || now.Before(b.silentUntil),
 			TokenSeconds: b.tokenTime,
 			Cold:         b.isCold(now),
+			Paced:        p.isPaced(now, b) && !now.Before(b.pace.beganAt),
 		})
 	}
 	return views
