--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -55,6 +55,7 @@
 	r.Gauge("usable_endpoints", "Endpoints that may get new requests.", func() int64 { return int64(g.endpoints.Usable(time.Now())) })
 	r.Gauge("evacuated_data_centres", "Data centres whose endpoints get no new requests, as operators have asked.", g.evacuations.count)
 	r.Gauge("cold_endpoints", "Endpoints that are taken for cold.", g.coldEndpoints)
+	r.Gauge("paced_endpoints", "Endpoints that have started or recovered and do not get their full load yet.", g.pacedEndpoints)
 	r.Gauge("path_lost", "1 while the router reaches no endpoint.", g.path.lostGauge)
 	r.Gauge("path_probes", "Connections opened to find out whether the router reaches the endpoints.", g.path.probes.Load)
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
