pkg/admission, internal/gateway: an overloaded router closes its listener for callers for a while

Cause: some callers keep to one router as long as its address accepts connections, and overload it while others are idle. Change: pkg/admission decides, the gateway closes and opens the listener for callers, reports that it is not ready, closes connections after answers, and members carry Closed. Only with Features.RefuseConnections.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -28,7 +28,7 @@
 		fronts[p.VM] = address
 		serving = append(serving, p)
 	}
-	all := reachingEndpoints(serving)
+	all := reachingEndpoints(accepting(serving))
 	var local []fleet.Member
 	for _, p := range all {
 		if p.DataCentre == dataCentre {
@@ -45,6 +45,20 @@
 	return addresses
 }
 
+// accepting returns the routers that accept connections, or all if none does, so that lists do not become empty.
+func accepting(routers []fleet.Member) []fleet.Member {
+	var open []fleet.Member
+	for _, m := range routers {
+		if !m.Closed {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
+		return routers
+	}
+	return open
+}
+
 // reachingEndpoints returns the routers that reach the endpoints, or all if none does: then the endpoints may be to blame.
 func reachingEndpoints(routers []fleet.Member) []fleet.Member {
 	var reaching []fleet.Member
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -37,4 +37,6 @@
 	}
 }
 
-func (g *Gateway) ready() bool { return !g.draining() && g.table.Load() != nil }
+func (g *Gateway) ready() bool {
+	return !g.draining() && !g.admission.closed() && g.table.Load() != nil
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -107,7 +107,7 @@
 	g.inFlight.Add(1)
 	releaseBody := g.bodies.hold(ctx)
 	overloaded := g.overload.arrived(now, len(ctx.Request.Header.RawHeaders())+len(ctx.Request.Body()))
-	if g.draining() || overloaded {
+	if g.draining() || overloaded || from == nil && g.admission.closed() {
 		ctx.SetConnectionClose()
 	}
 	c, refusalErr := g.admit(now, ctx, from, overloaded)
@@ -156,6 +156,9 @@
 
 // writeReply writes a reply to the caller's response.
 func (c *callerRequest) writeReply(ctx *fasthttp.RequestCtx, reply *request.Reply) {
+	if c.hop == nil && c.g.admission.closed() {
+		ctx.SetConnectionClose() // The listener was closed after the request arrived.
+	}
 	if reply.Refusal != nil {
 		if reply.Refusal.Kind == refusal.CallerGone {
 			ctx.SetConnectionClose()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	closing            atomic.Bool           // New requests are refused.
 	durations          durations
 	overload           overload
+	admission          listenerControl
 	schedulerWaits     schedulerWaits // Used by tick only.
 	ticker             decision.Ticker
 
@@ -153,6 +154,7 @@
 		Size:        settings.Capacity.size(),
 	}
 	g.members.setup(g, self)
+	g.admission.setup(g)
 	g.peers = peer.NewClient(peerTimeout)
 	g.peers.Members = &g.members.Members
 	g.peers.Endpoints = &g.endpoints
@@ -286,7 +288,7 @@
 		{"Ready", g.cfg.Settings.Listen.Ready, g.serveReady},
 		{"Directory", g.cfg.Settings.Listen.Directory, g.serveDirectory},
 		{"Metrics", g.cfg.Settings.Listen.Metrics, g.metrics.Handler()},
-		{"Front", g.cfg.Settings.Listen.Front, g.serveFront},
+		{frontListener, g.cfg.Settings.Listen.Front, g.serveFront},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -302,14 +304,20 @@
 	return nil
 }
 
-// peerListener is the name of the listener for other routers.
-const peerListener = "Peer"
+// Names of listeners that are not served like the others.
+const (
+	peerListener  = "Peer"  // For other routers.
+	frontListener = "Front" // For callers.
+)
 
 func (g *Gateway) listen(name, address string, handler fasthttp.RequestHandler) error {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s for %s", address, name)
 	}
+	if name == frontListener && g.cfg.Features.RefuseConnections {
+		ln = g.admission.control(ln)
+	}
 	go g.serve(name, ln, handler)
 	return nil
 }
@@ -368,6 +376,9 @@
 	go decision.Every(fleet.ProbePeriod, g.stop, g.members.tick)
 	go g.ticker.Run(g.stop, g.tick)
 	go g.path.ticker.Run(g.stop, g.path.tick)
+	if g.cfg.Features.RefuseConnections {
+		go decision.Every(admissionPeriod, g.stop, g.admission.tick)
+	}
 	go g.originRow.run()
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -20,6 +20,7 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/membership"
+	"github.com/foxtaillanding/foxtaillanding/pkg/admission"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
@@ -96,6 +97,9 @@
 		return answer, err
 	}
 	m.OnChange = m.handleChange
+	if g.cfg.Features.RefuseConnections {
+		m.OnProbed = m.handleProbed
+	}
 	m.Init(self)
 }
 
@@ -248,15 +252,36 @@
 // selfChanged returns this router's own state.
 func (m *members) selfChanged(now time.Time) fleet.SelfChanged {
 	return fleet.SelfChanged{
-		Load:     m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate()),
+		Load:     m.load(now),
 		Revision: m.configVersion(),
 		Draining: m.g.draining(),
 		NoPath:   m.g.pathLost(now),
+		Closed:   m.g.admission.closed(),
+	}
+}
+
+// load returns the load that the directory goes by. It stays high for a while after the listener was closed, so that callers
+// return gradually.
+func (m *members) load(now time.Time) float64 {
+	load := m.g.overload.load(now, m.g.cfg.Settings.Capacity.requestRate())
+	if m.g.admission.loaded(now) {
+		return 1
+	}
+	return load
+}
+
+// handleProbed records that a router of the same data centre reaches this one.
+func (m *members) handleProbed(now time.Time, vm string) {
+	m.registrationsMu.Lock()
+	local := m.registrations[vm].DataCentre == m.g.cfg.Settings.DataCentre
+	m.registrationsMu.Unlock()
+	if local {
+		m.g.admission.handle(now, admission.PeerHeard{})
 	}
 }
 
-// announcePath tells some peers at once whether this router reaches the endpoints.
-func (m *members) announcePath(now time.Time) { m.Handle(now, m.selfChanged(now)) }
+// announceSelf tells some peers at once whether this router reaches the endpoints and accepts connections.
+func (m *members) announceSelf(now time.Time) { m.Handle(now, m.selfChanged(now)) }
 
 // fetchConfiguration fetches the configuration from the peer with the newest one if that is newer than this router's,
 // in case this router cannot read it from the store.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,10 @@
 	r.Gauge("processor_wait_milliseconds", "95th percentile of the time that goroutines waited for the processor.", func() int64 { return g.overload.lastWait().P95.Milliseconds() })
 	r.Gauge("origins_written", "Streams in the row of origins that this router last wrote to the store.", g.originRow.streams.Load)
 	r.Gauge("goroutines", "Goroutines of the process.", func() int64 { return int64(runtime.NumGoroutine()) })
+	if g.cfg.Features.RefuseConnections {
+		r.Gauge("listener_closed", "1 while the listener for callers is closed.", g.admission.closedGauge)
+		r.Total("listener_closed_seconds", "Time for which the listener for callers was closed.", func() float64 { return g.admission.closedSeconds(time.Now()) })
+	}
 	return m, r.Err()
 }
 
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/admission"
 )
 
 // overload measures whether this router gets more requests than its VM can serve; the zero value has no measurements.
@@ -35,9 +37,9 @@
 	shunShare   = 0.9 // Share of the capacity from which on callers are sent to other routers.
 	returnShare = 0.5 // Share of the capacity below which callers are sent to this router again.
 
-	linkRefuseFrom = 0.65 // Share of the link that callers may use before some requests are refused; answers and peers need the rest.
-	linkRefuseAll  = 0.85 // Share of the link from which on all are refused.
-	lateLinkExcess = 0.5  // Share of requests to refuse because of the link from which on the process is late.
+	linkRefuseFrom = 0.65                    // Share of the link that callers may use before some requests are refused; answers and peers need the rest.
+	linkRefuseAll  = 0.85                    // Share of the link from which on all are refused.
+	lateLinkExcess = admission.MinLinkExcess // Share of requests to refuse because of the link from which on the process is late.
 
 	measurePeriod   = 200 * time.Millisecond // Between two measurements of the wait for the processor.
 	minWaitSamples  = 16                     // Fewer waits say nothing about the load.
@@ -70,15 +72,17 @@
 	} else {
 		o.lateMeasures = 0
 	}
-	state = overloadState{Late: o.processorLate() || o.linkExcess() >= lateLinkExcess, Rate: o.rate, BytesPerSecond: o.byteRate}
+	state = o.stateNow()
 	changed = state.Late != o.wasLate
 	o.wasLate = state.Late
 	return state, changed
 }
 
-// overloadState describes the load of the process at a measurement.
+// overloadState describes the load of the process.
 type overloadState struct {
-	Late           bool
+	Late           bool    // Because of the processor or the link.
+	LinkExcess     float64 // Share of the requests to refuse because of the link.
+	ProcessorLate  bool
 	Rate           float64 // Requests per second.
 	BytesPerSecond float64 // Sent by callers.
 }
@@ -92,6 +96,21 @@
 	return o.processorLate() || o.linkExcess() >= lateLinkExcess
 }
 
+// state returns the current load of the process.
+func (o *overload) state(now time.Time) overloadState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.decay(now)
+	return o.stateNow()
+}
+
+// stateNow returns the load of the process; mu must be held and the rates be up to date.
+func (o *overload) stateNow() overloadState {
+	out := overloadState{LinkExcess: o.linkExcess(), ProcessorLate: o.processorLate(), Rate: o.rate, BytesPerSecond: o.byteRate}
+	out.Late = out.ProcessorLate || out.LinkExcess >= lateLinkExcess
+	return out
+}
+
 // lastWait returns the last measurement.
 func (o *overload) lastWait() schedulerWait {
 	o.mu.Lock()
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -87,7 +87,7 @@
 	}
 	if changed {
 		p.ticker.Wake()
-		p.g.background(func() { p.g.members.announcePath(time.Now()) })
+		p.g.background(func() { p.g.members.announceSelf(time.Now()) })
 	}
 }
 
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -29,6 +29,7 @@
 		return
 	}
 	g.log.Info("stopping", zap.Int64("InFlight", g.inFlight.Load()))
+	g.admission.tick(now) // Opens a closed listener, since callers with a cached list still come.
 	g.members.publishSelf(now)
 	g.announceDraining()
 	listedUntil := time.Now().Add(min(minServeTime, grace/2))
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -29,6 +29,8 @@
 	Probe func(address string, updates []fleet.Member) ([]fleet.Member, error)
 	// OnChange is called after the set of members or the state of one changed; may be nil.
 	OnChange func(now time.Time)
+	// OnProbed is called for each probe of another router with its VM; may be nil.
+	OnProbed func(now time.Time, vm string)
 
 	mu     sync.Mutex
 	roster fleet.Roster // Guarded by mu.
@@ -118,6 +120,9 @@
 
 // AnswerProbe applies the updates in a peer's probe and returns those of this router.
 func (m *Members) AnswerProbe(now time.Time, updates []fleet.Member) []fleet.Member {
+	if m.OnProbed != nil && len(updates) > 0 {
+		m.OnProbed(now, updates[0].VM) // The first update is about the sender.
+	}
 	m.Handle(now, fleet.UpdatesReceived{Updates: updates})
 	return m.Updates()
 }
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -97,6 +97,19 @@
 	r.recordError(err, name)
 }
 
+// Total creates a counter whose value is read whenever the instruments are served; it must not decrease.
+func (r *Registry) Total(name, description string, value func() float64) {
+	if r.err != nil {
+		return
+	}
+	_, err := r.meter.Float64ObservableCounter(namespace+name, metric.WithDescription(description), metric.WithFloat64Callback(
+		func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+	r.recordError(err, name)
+}
+
 // recordError keeps err and the name of its instrument if err is the first error; nil is ignored.
 func (r *Registry) recordError(err error, name string) {
 	if r.err == nil && err != nil {
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -28,10 +28,11 @@
 	Incarnation uint64  // Start time in Unix nanoseconds; a later incarnation of a VM replaces an earlier one.
 	State       State   `json:",omitempty"`
 	Refutations uint64  `json:",omitempty"` // Increased by the incarnation itself when an update reports a worse state than its own.
-	Heartbeat   uint64  `json:"Beat"`       // Increased by the incarnation itself in each period; an update with a higher one has the newer Load, Revision and NoPath.
+	Heartbeat   uint64  `json:"Beat"`       // Increased by the incarnation itself in each period; an update with a higher one has the newer Load, Revision, NoPath and Closed.
 	Load        float64 `json:",omitempty"` // Fraction of the capacity in use, 0 to 1.
 	Revision    uint64  `json:",omitempty"` // Revision of the settings in force at the router.
 	NoPath      bool    `json:",omitempty"` // The router reaches no endpoint.
+	Closed      bool    `json:",omitempty"` // The router accepts no connections of callers.
 
 	// Every router takes these fields from its configuration, so messages do not carry them.
 	Address    string  `json:"-"`
@@ -89,12 +90,14 @@
 // VMListReceived sets the VMs that are leaving according to the platform's list.
 type VMListReceived struct{ Leaving []string }
 
-// SelfChanged sets this router's own load and settings revision, whether it is draining, and whether it reaches no endpoint.
+// SelfChanged sets this router's own load and settings revision, whether it is draining, whether it reaches no endpoint, and
+// whether it accepts no connections of callers.
 type SelfChanged struct {
 	Load     float64 // Fraction of the capacity in use.
 	Revision uint64
 	Draining bool
 	NoPath   bool // A change is announced to several VMs at once.
+	Closed   bool // Likewise.
 }
 
 // Tick starts a probe period.
@@ -127,7 +130,7 @@
 const (
 	ProbePeriod       = time.Second
 	ProbesPerPeriod   = 2               // VMs that a router probes in each period.
-	AnnounceFanout    = 5               // VMs that a router tells at once that it has lost or regained its path to the endpoints.
+	AnnounceFanout    = 5               // VMs that a router tells at once that NoPath or Closed has changed.
 	UpdatesPerMessage = 9               // Maximum number of updates in a message, the sender's own included.
 	SuspicionTimeout  = 3 * time.Second // Time in which a suspected VM can refute the suspicion.
 	DeadProbeInterval = 5 * time.Second // Shortest time between probes of a dead VM.
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -206,7 +206,7 @@
 		p.changedAt = now
 		p.transmits = 0
 	}
-	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath {
+	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath || p.Closed != u.Closed {
 		p.transmits = 0
 	}
 	u.Address = p.Address
@@ -233,15 +233,16 @@
 }
 
 func (r *Roster) handleSelfChanged(now time.Time, ev SelfChanged) []Action {
-	pathChanged := r.Self.NoPath != ev.NoPath
+	urgent := r.Self.NoPath != ev.NoPath || r.Self.Closed != ev.Closed
 	r.Self.Load = ev.Load
 	r.Self.Revision = ev.Revision
 	r.Self.NoPath = ev.NoPath
+	r.Self.Closed = ev.Closed
 	r.Self.State = Alive
 	if ev.Draining {
 		r.Self.State = Draining
 	}
-	if !pathChanged {
+	if !urgent {
 		return nil
 	}
 	r.Self.Heartbeat++
