--- a/internal/gateway/reopening_test.go
+++ b/internal/gateway/reopening_test.go
@@ -22,8 +22,14 @@
 	return ln
 }
 
+// seenAnswer is what a caller sees of an answer.
+type seenAnswer struct {
+	Status int
+	Close  bool // The connection is closed after it.
+}
+
 // exchange sends a request on a connection and returns the answer.
-func exchange(t *testing.T, caller net.Conn, in *bufio.Reader) *http.Response {
+func exchange(t *testing.T, caller net.Conn, in *bufio.Reader) seenAnswer {
 	t.Helper()
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
@@ -31,14 +37,14 @@
 }
 
 // readAnswer reads one answer with its body.
-func readAnswer(t *testing.T, in *bufio.Reader) *http.Response {
+func readAnswer(t *testing.T, in *bufio.Reader) seenAnswer {
 	t.Helper()
 	answer, err := http.ReadResponse(in, nil)
 	require.NoError(t, err)
 	_, err = io.ReadAll(answer.Body)
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
-	return answer
+	return seenAnswer{answer.StatusCode, answer.Close}
 }
 
 // connect opens a connection to a listener.
@@ -76,11 +82,11 @@
 	}
 	require.NoError(t, ln.suspend())
 	close(finish)
-	require.Equal(t, http.StatusOK, readAnswer(t, in).StatusCode, "the request that was in flight")
-	require.Equal(t, http.StatusOK, exchange(t, caller, in).StatusCode, "a request on an open connection")
+	require.Equal(t, http.StatusOK, readAnswer(t, in).Status, "the request that was in flight")
+	require.Equal(t, http.StatusOK, exchange(t, caller, in).Status, "a request on an open connection")
 	require.NoError(t, ln.resume())
 	other, otherIn := connect(t, address)
-	require.Equal(t, http.StatusOK, exchange(t, other, otherIn).StatusCode, "a request on a new connection")
+	require.Equal(t, http.StatusOK, exchange(t, other, otherIn).Status, "a request on a new connection")
 }
 
 // TestConnectionsThatWaitAreAcceptedBeforeTheListenerCloses guards against resets of callers that have connected, and may have sent
@@ -99,7 +105,7 @@
 	require.NoError(t, ln.suspend())
 	go g.serve(frontListener, ln, func(*fasthttp.RequestCtx) {})
 	for i := range connections {
-		require.Equal(t, http.StatusOK, readAnswer(t, readers[i]).StatusCode, "caller %d", i)
+		require.Equal(t, http.StatusOK, readAnswer(t, readers[i]).Status, "caller %d", i)
 	}
 }
 
