--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -36,7 +36,7 @@
 		}
 	}
 	var addresses []string
-	for _, p := range listedRouters(local, all, caller, dataCentre) {
+	for _, p := range m.listed(local, all, caller, dataCentre) {
 		addresses = append(addresses, fronts[p.VM])
 	}
 	if len(addresses) == 0 {
@@ -45,6 +45,33 @@
 	return addresses
 }
 
+// listed selects the routers that a caller should use. Where overloaded routers refuse connections, a list of all local routers is
+// ordered too, because callers that look for a router may take the first one.
+func (m *members) listed(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
+	list := listedRouters(local, all, caller, dataCentre)
+	if !m.g.cfg.Features.RefuseConnections || !fitsList(local) {
+		return list
+	}
+	return byFreeCapacity(list, caller)
+}
+
+// byFreeCapacity orders routers at random for each caller, in proportion to their free capacity.
+func byFreeCapacity(routers []fleet.Member, caller string) []fleet.Member {
+	ordered := fleet.Preferred(routers, caller, len(routers), freeCapacity)
+	if len(ordered) < len(routers) {
+		return routers // Some have no size.
+	}
+	return ordered
+}
+
+// freeCapacity returns the weight of a router in the directory.
+func freeCapacity(m fleet.Member) float64 { return m.Size * max(minFreeShare, 1-m.Load) }
+
+// fitsList reports whether a list holds all routers of the caller's data centre and only these.
+func fitsList(local []fleet.Member) bool {
+	return len(local) >= minLocalRouters && len(local) < maxAddresses
+}
+
 // accepting returns the routers that accept connections, or all if none does, so that lists do not become empty.
 func accepting(routers []fleet.Member) []fleet.Member {
 	var open []fleet.Member
@@ -75,11 +102,11 @@
 
 // listedRouters selects the routers that a caller should use.
 func listedRouters(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
-	if len(local) >= minLocalRouters && len(local) < maxAddresses {
+	if fitsList(local) {
 		return local
 	}
 	return fleet.Preferred(all, caller, maxAddresses, func(m fleet.Member) float64 {
-		weight := m.Size * max(minFreeShare, 1-m.Load)
+		weight := freeCapacity(m)
 		if m.DataCentre == dataCentre || len(local) < minLocalRouters {
 			return weight
 		}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -36,6 +36,15 @@
 	l.controller.VM = g.cfg.Settings.VM
 }
 
+// controlFront returns a listener to serve in place of the given one, which closes under overload if it is that for callers and the
+// deployment calls for it.
+func (g *Gateway) controlFront(name string, ln net.Listener) net.Listener {
+	if name != frontListener || !g.cfg.Features.RefuseConnections {
+		return ln
+	}
+	return g.admission.control(ln)
+}
+
 // control returns a listener to serve in place of the one for callers.
 func (l *listenerControl) control(ln net.Listener) net.Listener {
 	l.mu.Lock()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -60,10 +61,7 @@
 		p.told = append(p.told, updates[0])
 		return nil, nil
 	}
-	var ln net.Listener = inner
-	if features.RefuseConnections {
-		ln = g.admission.control(inner)
-	}
+	ln := g.controlFront(frontListener, inner)
 	p.joinFleet()
 	t.Cleanup(func() { _ = ln.Close() })
 	go g.serve(frontListener, ln, g.serveFront)
@@ -225,6 +223,24 @@
 	require.False(t, p.admission.closed(), "a router that drains does not close")
 }
 
+// TestShortListsBeginWithFreeRouters guards against callers that take the first address of a short list and so all choose the same
+// router, or one that is overloaded.
+func TestShortListsBeginWithFreeRouters(t *testing.T) {
+	local := localRouters(newFleet(5), "dc-1") // One of them has half of the capacity.
+	local[0].Load = 1
+	first := map[string]int{}
+	const callers = 2000
+	for i := range callers {
+		list := byFreeCapacity(local, strconv.Itoa(i))
+		require.ElementsMatch(t, local, list)
+		first[list[0].VM]++
+	}
+	require.Less(t, first[local[0].VM], callers/100)
+	require.InDelta(t, 250.0/450, float64(first["dc-1-large-0"])/callers, 0.05)
+	local[0].Size = 0
+	require.Equal(t, local, byFreeCapacity(local, "caller"), "no router is left out")
+}
+
 // TestClosedRoutersAreNotListed guards against callers that are sent to a router that refuses them, and against empty lists.
 func TestClosedRoutersAreNotListed(t *testing.T) {
 	all := newFleet(5)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -315,10 +315,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s for %s", address, name)
 	}
-	if name == frontListener && g.cfg.Features.RefuseConnections {
-		ln = g.admission.control(ln)
-	}
-	go g.serve(name, ln, handler)
+	go g.serve(name, g.controlFront(name, ln), handler)
 	return nil
 }
 
--- a/pkg/fleet/closed_test.go
+++ b/pkg/fleet/closed_test.go
@@ -41,7 +41,9 @@
 			if closed {
 				want = vms - 1
 			}
+			c.messages, c.bytes = 0, 0
 			c.setClosed(1, closed)
+			t.Logf("%d VMs, closed %v: %d messages and %d bytes at once", vms, closed, c.messages, c.bytes)
 			atOnce := c.knownClosed(name(1))
 			if closed {
 				require.GreaterOrEqual(t, atOnce, min(AnnounceFanout, vms-1))
