internal/gateway: the overload is looked at less often while the router is idle

Cause: 20 wake-ups a second of idle processes cost processor time. Change: each 0.2 s, and each 50 ms while overloaded or closed.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -9,19 +9,24 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/decision"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/pkg/admission"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 )
 
-// admissionPeriod is the time between two observations of the overload, and between two attempts to open the listener again.
-const admissionPeriod = 50 * time.Millisecond
+// Times between two observations of the overload.
+const (
+	admissionPeriod     = 50 * time.Millisecond  // While overloaded or closed; also between two attempts to open the listener again.
+	admissionIdlePeriod = 200 * time.Millisecond // Otherwise; an overload is then known within 0.2 s, so that callers still move within a second.
+)
 
 // listenerControl closes the listener for callers while the router is overloaded, and opens it again.
 //
 // Without Features.RefuseConnections it controls no listener and decides nothing.
 type listenerControl struct {
 	g        *Gateway
+	ticker   decision.Ticker
 	isClosed atomic.Bool
 
 	mu          sync.Mutex
@@ -33,6 +38,7 @@
 
 func (l *listenerControl) setup(g *Gateway) {
 	l.g = g
+	l.ticker = decision.Ticker{Busy: admissionPeriod, Idle: admissionIdlePeriod}
 	l.controller.VM = g.cfg.Settings.VM
 }
 
@@ -81,10 +87,10 @@
 	return total.Seconds()
 }
 
-// tick passes the state of this router to the controller.
-func (l *listenerControl) tick(now time.Time) {
+// tick passes the state of this router to the controller and reports whether the controller waits for time to pass.
+func (l *listenerControl) tick(now time.Time) (busy bool) {
 	if !l.g.cfg.Features.RefuseConnections {
-		return
+		return false
 	}
 	state := l.g.overload.state(now)
 	observed := admission.Observed{
@@ -97,6 +103,7 @@
 		observed.Routers = localLive(l.g.members.All(), l.g.cfg.Settings.DataCentre)
 	}
 	l.handle(now, observed)
+	return state.Late || l.closed()
 }
 
 // localLive returns the live routers of a data centre.
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -130,7 +130,7 @@
 	require.Len(t, closed, 1)
 	require.EqualValues(t, 1, closed[0].ContextMap()["LinkExcess"])
 
-	p.admission.tick(p.now)
+	require.False(t, p.admission.tick(p.now), "nothing waits for time to pass")
 	require.True(t, p.ready())
 	other, otherIn := connect(t, p.address)
 	require.False(t, exchange(t, other, otherIn).Close)
@@ -192,7 +192,7 @@
 	require.NoError(t, err)
 	p.now = p.now.Add(admission.MaxClosed)
 	for range 3 {
-		p.admission.tick(p.now)
+		require.True(t, p.admission.tick(p.now), "the next attempt comes soon")
 		p.now = p.now.Add(admissionPeriod)
 		require.False(t, p.ready())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -374,7 +374,7 @@
 	go g.ticker.Run(g.stop, g.tick)
 	go g.path.ticker.Run(g.stop, g.path.tick)
 	if g.cfg.Features.RefuseConnections {
-		go decision.Every(admissionPeriod, g.stop, g.admission.tick)
+		go g.admission.ticker.Run(g.stop, g.admission.tick)
 	}
 	go g.originRow.run()
 	go decision.Every(summaryPeriod, g.stop, g.logStoreCalls)
