--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -20,7 +20,7 @@
 func (m *members) frontAddresses(caller, dataCentre string) []string {
 	var serving []fleet.Member
 	fronts := map[string]string{}
-	for _, p := range m.Listed() {
+	for _, p := range m.candidates() {
 		address := m.frontAddress(p.VM)
 		if p.State != fleet.Alive || address == "" {
 			continue
@@ -28,7 +28,7 @@
 		fronts[p.VM] = address
 		serving = append(serving, p)
 	}
-	all := reachingEndpoints(serving)
+	all := reachingEndpoints(accepting(serving))
 	var local []fleet.Member
 	for _, p := range all {
 		if p.DataCentre == dataCentre {
@@ -36,7 +36,7 @@
 		}
 	}
 	var addresses []string
-	for _, p := range listedRouters(local, all, caller, dataCentre) {
+	for _, p := range m.listed(local, all, caller, dataCentre) {
 		addresses = append(addresses, fronts[p.VM])
 	}
 	if len(addresses) == 0 {
@@ -45,6 +45,56 @@
 	return addresses
 }
 
+// candidates returns the routers that lists may name. Where data centres may be lost or evacuated as a whole, these are only the
+// ones with a sign of life, so that no lost router is named for long.
+func (m *members) candidates() []fleet.Member {
+	if m.g.cfg.Features.Evacuations {
+		return m.Listed()
+	}
+	return m.All()
+}
+
+// listed selects the routers that a caller should use. Where overloaded routers refuse connections, a list of all local routers is
+// ordered too, because callers that look for a router may take the first one.
+func (m *members) listed(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
+	list := listedRouters(local, all, caller, dataCentre)
+	if !m.g.cfg.Features.RefuseConnections || !fitsList(local) {
+		return list
+	}
+	return byFreeCapacity(list, caller)
+}
+
+// byFreeCapacity orders routers at random for each caller, in proportion to their free capacity.
+func byFreeCapacity(routers []fleet.Member, caller string) []fleet.Member {
+	ordered := fleet.Preferred(routers, caller, len(routers), freeCapacity)
+	if len(ordered) < len(routers) {
+		return routers // Some have no size.
+	}
+	return ordered
+}
+
+// freeCapacity returns the weight of a router in the directory.
+func freeCapacity(m fleet.Member) float64 { return m.Size * max(minFreeShare, 1-m.Load) }
+
+// fitsList reports whether a list holds all routers of the caller's data centre and only these.
+func fitsList(local []fleet.Member) bool {
+	return len(local) >= minLocalRouters && len(local) < maxAddresses
+}
+
+// accepting returns the routers that accept connections, or all if none does, so that lists do not become empty.
+func accepting(routers []fleet.Member) []fleet.Member {
+	var open []fleet.Member
+	for _, m := range routers {
+		if !m.Closed {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
+		return routers
+	}
+	return open
+}
+
 // reachingEndpoints returns the routers that reach the endpoints, or all if none does: then the endpoints may be to blame.
 func reachingEndpoints(routers []fleet.Member) []fleet.Member {
 	var reaching []fleet.Member
@@ -61,11 +111,11 @@
 
 // listedRouters selects the routers that a caller should use.
 func listedRouters(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
-	if len(local) >= minLocalRouters && len(local) < maxAddresses {
+	if fitsList(local) {
 		return local
 	}
 	return fleet.Preferred(all, caller, maxAddresses, func(m fleet.Member) float64 {
-		weight := m.Size * max(minFreeShare, 1-m.Load)
+		weight := freeCapacity(m)
 		if m.DataCentre == dataCentre || len(local) < minLocalRouters {
 			return weight
 		}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -55,6 +55,7 @@
 
 // reportColdEndpoints takes endpoints for cold, because they may have restarted during an evacuation.
 func (g *Gateway) reportColdEndpoints(now time.Time, names []string) {
+	g.log.Info("endpoints taken for cold", zap.Strings("Endpoints", names))
 	for _, name := range names {
 		g.endpoints.Handle(now, endpoint.ColdReported{Endpoint: name, For: g.entries.coldTime(name)})
 	}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -202,7 +202,8 @@
 		p.transmits = 0
 	}
 	confirms := p.Heartbeat == 0 && u.Heartbeat > 0
-	if math.Abs(p.Load-u.Load) >= notableLoadChange || p.NoPath != u.NoPath || confirms {
+	stateChanged := p.NoPath != u.NoPath || p.Closed != u.Closed
+	if math.Abs(p.Load-u.Load) >= notableLoadChange || stateChanged || confirms {
 		p.transmits = 0
 	}
 	u.Address = p.Address
@@ -238,15 +239,16 @@
 }
 
 func (r *Roster) handleSelfChanged(now time.Time, ev SelfChanged) []Action {
-	pathChanged := r.Self.NoPath != ev.NoPath
+	urgent := r.Self.NoPath != ev.NoPath || r.Self.Closed != ev.Closed
 	r.Self.Load = ev.Load
 	r.Self.Revision = ev.Revision
 	r.Self.NoPath = ev.NoPath
+	r.Self.Closed = ev.Closed
 	r.Self.State = Alive
 	if ev.Draining {
 		r.Self.State = Draining
 	}
-	if !pathChanged {
+	if !urgent {
 		return nil
 	}
 	r.Self.Heartbeat++
