--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,7 +187,13 @@
 	g.feeds = g.newFeeds()
 	g.overload.LinkBytesPerSecond = settings.Capacity.linkBytesPerSecond()
 	g.ticker = decision.Ticker{Busy: tickPeriod, Idle: idlePeriod}
-	g.budgets.OnWaiting = g.ticker.Wake
+	g.wireEndpoints()
+	g.wireBudgets(self.Name())
+	g.wireForwarders()
+}
+
+// wireEndpoints connects the endpoint pool with what it reports to.
+func (g *Gateway) wireEndpoints() {
 	g.endpoints.OnWaiting = g.ticker.Wake
 	g.endpoints.BroadcastSuspicion = g.peers.BroadcastSuspicion
 	g.endpoints.OnLimitChanged = g.logLimit
@@ -195,14 +201,19 @@
 	g.endpoints.OnColdChanged = g.logCold
 	g.endpoints.OnPaceChanged = g.logPace
 	g.endpoints.Init(g.endpointPolicy())
-	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(settings.Store.WritesPerSecond), perRouter(settings.Store.ReadsPerSecond))
+}
+
+// wireBudgets connects the budgets of the router with the given name with the store and the other routers.
+func (g *Gateway) wireBudgets(self string) {
+	store := g.cfg.Settings.Store
+	g.budgets.OnWaiting = g.ticker.Wake
+	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(store.WritesPerSecond), perRouter(store.ReadsPerSecond))
 	g.budgets.Store = g.budgetStore
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
 	g.budgets.Background = g.background
 	g.budgets.OnBill = g.metrics.addBilledTokens
-	g.budgets.Init(self.Name(), budgetPolicy())
-	g.wireForwarders()
+	g.budgets.Init(self, budgetPolicy())
 }
 
 // wireForwarders connects what carries requests to endpoints and to other routers with the other components.
@@ -244,55 +255,6 @@
 // peerTimeout is the timeout of a call to a peer.
 const peerTimeout = 800 * time.Millisecond
 
-// budgetPolicy sizes grants so that a router can keep serving while the store is unreachable, and its crash strands few tokens.
-func budgetPolicy() budget.Policy {
-	return budget.Policy{
-		// Each of the two homes of a budget holds up to a fifth of what is left, so that a loss of all routers strands at most 2/7 of it,
-		// and while it is plenty they bridge overlapping outages of the store.
-		Horizon:        20 * time.Second,
-		MinHorizon:     2 * time.Second,
-		ReserveDivisor: 5,
-
-		Step:         2 * time.Second,
-		ShareDivisor: 3,
-		SealAfter:    6 * time.Second,
-		FlushEvery:   5 * time.Second,
-		ReturnAfter:  30 * time.Second,
-		RetireAfter:  10 * time.Minute,
-		Backoff:      300 * time.Millisecond,
-		RecallEvery:  2 * time.Second,
-		MaxRecordAge: 2 * time.Second, // Above the default, because totals arrive with the configuration and other routers rarely return tokens.
-	}
-}
-
-// endpointPolicy returns the policy of the endpoint pool. Its retry limits keep all routers together within the limit of the fleet.
-func (g *Gateway) endpointPolicy() endpoint.Policy {
-	retries := retryLimits(g.cfg.Settings.Retry)
-	return endpoint.Policy{
-		Seed:              uint64(g.started.UnixNano()),
-		ReportLag:         time.Millisecond,
-		RetryRatio:        retries.RetryRatio,
-		FleetRetryReserve: retries.FleetRetryReserve,
-		BaseEjectionTime:  500 * time.Millisecond,
-		MaxEjectionTime:   4 * time.Second,
-		MaxQueue:          1024,
-		ColdExcess:        g.cfg.Settings.Cold.Excess,
-		ColdSlack:         g.cfg.Settings.Cold.Slack,
-	}
-}
-
-// retryLimits returns the retry limits of the settings reduced by a margin, since routers count slightly later than endpoints.
-func retryLimits(r RetrySettings) endpoint.RetryBudgetChanged {
-	const margin = 0.8
-	return endpoint.RetryBudgetChanged{RetryRatio: margin * r.Ratio, FleetRetryReserve: margin * r.Slack}
-}
-
-// perRouter divides a rate that the store grants to all routers together by the size of the smallest fleet.
-func perRouter(rate float64) int {
-	const minRouters = 4
-	return max(1, int(rate/minRouters))
-}
-
 // Start opens the listeners and joins the fleet; the gateway then serves until Shutdown.
 func (g *Gateway) Start() error {
 	listeners := []struct {
