pkg/endpoint: endpoints are paced where the configuration calls for it

Change: services with cold endpoints are paced; the setting Pace.Engines, which no deployment sets, paces all engines.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -194,6 +194,7 @@
 			ep.describeCold(now, s, &spec)
 		}
 		if ok && s.ModelEngine {
+			spec.Paced = e.g.cfg.Settings.Pace.Engines
 			spec.PromptTokensPerSecond = initialPromptRate
 			spec.TokensPerSecond = initialTokenRate
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,7 @@
 	Capacity   CapacitySettings
 	Platform   PlatformSettings
 	Cold       ColdSettings
+	Pace       PaceSettings
 }
 
 // Listen holds the addresses that the process listens on; an empty one disables its listener.
@@ -79,6 +80,11 @@
 	Slack  float64
 }
 
+// PaceSettings selects endpoints that are paced after they have started or recovered; those that may be cold always are.
+type PaceSettings struct {
+	Engines bool // All model engines.
+}
+
 // Requests per second that a VM can forward, per unit of its resources.
 const (
 	requestsPerCore    = 350
--- a/pkg/endpoint/backend.go
+++ b/pkg/endpoint/backend.go
@@ -43,7 +43,6 @@
 	brittle           brittle   // What is known if the endpoint falls over when it turns requests away.
 	cold              cold      // What is known if the endpoint tolerates few requests after it has started.
 	rank              registeredRank
-	reportsSlowdown   bool      // Its load reports carry a slowdown, or those of other endpoints of its service did when it was added.
 	pace              pace      // How fast it may be loaded after it has started or recovered.
 	addedAt           time.Time // When the endpoint was added, as new or after a restart; zero if it is one of the first.
 
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -39,6 +39,7 @@
 	Serves                []string // Names of its models or services.
 	Version               string   // Version of its software; empty if unknown.
 	Unrecorded            bool     // No stream may begin at its version yet.
+	Paced                 bool     // It is paced after it has started or recovered, also without a ColdRate.
 	Slots                 int      // Number of requests that it runs concurrently.
 	TokensPerSecond       float64  // Output tokens per second of one stream, used until measured.
 	PromptTokensPerSecond float64  // Prompt tokens per second, used until measured.
--- a/pkg/endpoint/pace.go
+++ b/pkg/endpoint/pace.go
@@ -60,7 +60,7 @@
 }
 
 // paceable reports whether the endpoint is paced after it has started or recovered.
-func (b *backend) paceable() bool { return b.ColdRate > 0 || b.reportsSlowdown }
+func (b *backend) paceable() bool { return b.Paced || b.ColdRate > 0 }
 
 // beginPace paces an endpoint from a time on.
 func (b *backend) beginPace(at time.Time) {
@@ -71,12 +71,6 @@
 
 // configurePace paces an endpoint that was added after the first ones.
 func (p *Pool) configurePace(now time.Time, b *backend) {
-	for _, name := range p.names {
-		if other, ok := p.backends[name]; ok && other.reportsSlowdown && b.servesAnyOf(other) {
-			b.reportsSlowdown = true
-			break
-		}
-	}
 	if p.started {
 		b.beginPace(laterOf(now, b.cold.until))
 	}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -383,7 +383,6 @@
 	b.brittle.load = ev.Load
 	b.brittle.loadAt = now
 	b.report = ev.Load
-	b.reportsSlowdown = b.reportsSlowdown || ev.Load.Slowdown > 0
 	b.reportAt = now.Add(-p.Policy.ReportLag)
 	b.leavingByReport = ev.Load.Leaving
 }
