Plainer names and comments in cold endpoints, pacing, admission and lost data centres

An endpoint that failed is "presumed cold" (was doubted), a data centre may be "suspected" (was doubted), routers have "contact" (were heard), pacing counts "reductions" (were troubles). The number of first routers of a paced endpoint, the losses of a data centre and the differences of evacuations have functions of their own. No behaviour changes.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -36,7 +36,7 @@
 		}
 	}
 	var addresses []string
-	for _, p := range m.listed(local, all, caller, dataCentre) {
+	for _, p := range m.selectRouters(local, all, caller, dataCentre) {
 		addresses = append(addresses, fronts[p.VM])
 	}
 	if len(addresses) == 0 {
@@ -54,9 +54,9 @@
 	return m.All()
 }
 
-// listed selects the routers that a caller should use. Where overloaded routers refuse connections, a list of all local routers is
-// ordered too, because callers that look for a router may take the first one.
-func (m *members) listed(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
+// selectRouters selects the routers that a caller should use. Where overloaded routers refuse connections, a list of all local
+// routers is ordered too, because callers that look for a router may take the first one.
+func (m *members) selectRouters(local, all []fleet.Member, caller, dataCentre string) []fleet.Member {
 	list := listedRouters(local, all, caller, dataCentre)
 	if !m.g.cfg.Features.RefuseConnections || !fitsList(local) {
 		return list
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -139,7 +139,7 @@
 		case admission.Open:
 			changed = l.open(now, action)
 		case admission.KeepOpen:
-			l.g.log.Info("listener kept open", append(l.load(now), zap.String("Reason", string(action.Reason)))...)
+			l.g.log.Info("listener kept open", append(l.loadFields(now), zap.String("Reason", string(action.Reason)))...)
 		}
 	}
 	return changed
@@ -150,7 +150,7 @@
 	l.isClosed.Store(true)
 	l.closedAt = now
 	err := l.listener.suspend()
-	l.g.log.Warn("listener closed", append(l.load(now), zap.Duration("OverloadedFor", action.OverloadedFor), zap.Int("Routers", action.Routers),
+	l.g.log.Warn("listener closed", append(l.loadFields(now), zap.Duration("OverloadedFor", action.OverloadedFor), zap.Int("Routers", action.Routers),
 		zap.Float64("Capacity", math.Round(action.Capacity)), zap.Float64("ClosedCapacity", math.Round(action.ClosedCapacity)))...)
 	if err != nil {
 		l.g.log.Warn("listener not closed cleanly", logfile.Error(err))
@@ -166,13 +166,13 @@
 	l.controller.Handle(now, admission.Opened{})
 	l.closedTotal += now.Sub(l.closedAt)
 	l.isClosed.Store(false)
-	l.g.log.Warn("listener opened", append(l.load(now), zap.String("Reason", string(action.Reason)), zap.Duration("ClosedFor", action.ClosedFor),
+	l.g.log.Warn("listener opened", append(l.loadFields(now), zap.String("Reason", string(action.Reason)), zap.Duration("ClosedFor", action.ClosedFor),
 		zap.Int("Attempt", action.Attempt))...)
 	return true
 }
 
-// load returns the figures of the overload for the log.
-func (l *listenerControl) load(now time.Time) []zap.Field {
+// loadFields returns the figures of the overload for the log.
+func (l *listenerControl) loadFields(now time.Time) []zap.Field {
 	o := l.g.overload.state(now)
 	return []zap.Field{
 		zap.Float64("LinkExcess", o.LinkExcess), zap.Bool("ProcessorLate", o.ProcessorLate), zap.Duration("Wait", l.g.overload.lastWait().P95),
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -170,7 +170,7 @@
 // reach it.
 func TestOnlyRoutersOfTheDataCentreCountAsReaching(t *testing.T) {
 	p := newPressedGateway(t, Features{RefuseConnections: true})
-	p.now = p.now.Add(admission.HeardWindow)
+	p.now = p.now.Add(admission.ProbeWindow)
 	p.members.AnswerProbe(p.now, []fleet.Member{{VM: "far", Incarnation: 1}})
 	p.members.AnswerProbe(p.now, []fleet.Member{{VM: "unknown", Incarnation: 1}})
 	p.members.AnswerProbe(p.now, nil)
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -45,13 +45,13 @@
 		g.log.Info("endpoint no longer cold", zap.String("Endpoint", c.Endpoint))
 		return
 	}
-	g.log.Info("endpoint cold", zap.String("Endpoint", c.Endpoint), zap.Duration("For", c.For), zap.Bool("Doubted", c.Doubted), zap.Duration("Interval", c.Interval))
+	g.log.Info("endpoint cold", zap.String("Endpoint", c.Endpoint), zap.Duration("For", c.For), zap.Bool("Doubted", c.Presumed), zap.Duration("Interval", c.Interval))
 }
 
 // logPace logs that an endpoint is paced, or no longer.
 func (g *Gateway) logPace(c endpoint.PaceChanged) {
 	if !c.Paced {
-		g.log.Info("endpoint no longer paced", zap.String("Endpoint", c.Endpoint), zap.Float64("Window", c.Window), zap.Int("Troubles", c.Troubles), zap.Duration("For", c.For))
+		g.log.Info("endpoint no longer paced", zap.String("Endpoint", c.Endpoint), zap.Float64("Window", c.Window), zap.Int("Troubles", c.Reductions), zap.Duration("For", c.For))
 		return
 	}
 	g.log.Info("endpoint paced", zap.String("Endpoint", c.Endpoint), zap.Float64("Window", c.Window), zap.Int("Rank", c.Rank))
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -23,7 +23,7 @@
 	maxEvacuated     = 64              // Data centres; the oldest keys count, so that later ones cannot displace them.
 	maxEvacuatedName = 256             // Bytes of a name that a peer tells.
 	evacuationsWait  = 3 * time.Second // Time from the start of the process in which endpoints are used only once the evacuations are known.
-	evacuationsCheck = time.Second     // Time after that in which each tick updates the pool, in case they are still not known.
+	evacuationsCheck = time.Second     // Time after that in which ticks still update the pool, so that it is configured without them.
 )
 
 // evacuations tracks which data centres operators have evacuated. It implements peer.Evacuations.
@@ -156,22 +156,19 @@
 	if v.known && set.Revision < v.newest.Revision {
 		return nil, nil, false
 	}
-	for _, dataCentre := range set.DataCentres {
-		if !slices.Contains(v.newest.DataCentres, dataCentre) {
-			begun = append(begun, dataCentre)
-		}
-	}
-	for _, dataCentre := range v.newest.DataCentres {
-		if !slices.Contains(set.DataCentres, dataCentre) {
-			ended = append(ended, dataCentre)
-		}
-	}
+	begun = missingFrom(v.newest.DataCentres, set.DataCentres)
+	ended = missingFrom(set.DataCentres, v.newest.DataCentres)
 	changed = !v.known || len(begun)+len(ended) > 0
 	v.newest = set
 	v.known = true
 	return begun, ended, changed
 }
 
+// missingFrom returns the names that a list does not contain, in their order.
+func missingFrom(list, names []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(list, name) })
+}
+
 // Newest returns the set in force.
 func (v *evacuations) Newest() peer.EvacuatedSet {
 	v.mu.Lock()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -276,7 +276,7 @@
 	local := m.registrations[vm].DataCentre == m.g.cfg.Settings.DataCentre
 	m.registrationsMu.Unlock()
 	if local {
-		m.g.admission.handle(now, admission.PeerHeard{})
+		m.g.admission.handle(now, admission.ProbeReceived{})
 	}
 }
 
--- a/internal/placement/endpoints_test.go
+++ b/internal/placement/endpoints_test.go
@@ -50,7 +50,7 @@
 	require.Zero(t, refused)
 }
 
-// TestColdAndPacedEndpointsAreTold guards against changes of belief about endpoints that no log line shows.
+// TestColdAndPacedEndpointsAreTold guards against changes of cold and paced endpoints that are not reported to the log.
 func TestColdAndPacedEndpointsAreTold(t *testing.T) {
 	var e Endpoints
 	var cold []endpoint.ColdChanged
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -156,7 +156,7 @@
 type Load struct {
 	Running, Waiting, Slots int
 
-	Slowdown float64 // How long work takes there at the moment, 1 as usual; zero if it did not say so.
+	Slowdown float64 // Factor by which work takes longer than usual at the moment; zero if not reported.
 }
 
 // Codec translates one request and its answer between this package and an endpoint.
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -17,10 +17,10 @@
 	MinRouters     = 3                       // Live routers of a data centre below which none closes.
 	OpenShare      = 0.25                    // Share of a data centre's capacity whose routers, the largest, never close.
 	MaxClosedShare = 0.25                    // Share of a data centre's capacity that may be closed at a time.
-	// HeardWindow is the time since another router of the data centre was last heard after which none is taken to reach this one.
-	// With 71 routers in 3 data centres a router is probed by one of its own 0.6 times a second, so that in 8 s
-	// none is heard with a probability below 1%.
-	HeardWindow = 8 * time.Second
+	// ProbeWindow is the time without a probe after which no router of the data centre is taken to reach this one. Routers probe
+	// others at random: with 71 in 3 data centres, one of its own probes a router 0.6 times a second, so that a router that is
+	// reached goes without a probe for 8 s with a probability below 1%.
+	ProbeWindow = 8 * time.Second
 )
 
 // Controller decides for one router when its listener for callers closes and opens.
@@ -33,7 +33,7 @@
 	overloadedSince time.Time  // Zero while the router is not overloaded.
 	closedAt        time.Time  // When the listener was last closed.
 	openedAt        time.Time  // When it was last opened again; zero if it never was closed.
-	heardAt         time.Time  // When another router of the data centre was last heard.
+	probedAt        time.Time  // When another router of the data centre last probed this one.
 	reason          OpenReason // Why the listener is being opened.
 	attempts        int        // Number of attempts to open it.
 	kept            KeepReason // Last reason reported by KeepOpen; empty while the router is not overloaded.
@@ -53,8 +53,8 @@
 	switch ev := ev.(type) {
 	case Observed:
 		return c.observe(now, ev)
-	case PeerHeard:
-		c.heardAt = now
+	case ProbeReceived:
+		c.probedAt = now
 		return nil
 	case Opened:
 		if c.phase == opening {
@@ -154,7 +154,7 @@
 		return KeptLargest
 	case d.closedCapacity > MaxClosedShare*d.capacity:
 		return KeptClosedShare
-	case c.heardAt.IsZero() || now.Sub(c.heardAt) >= HeardWindow:
+	case c.probedAt.IsZero() || now.Sub(c.probedAt) >= ProbeWindow:
 		return KeptNotReached
 	}
 	return ""
--- a/pkg/admission/controller_test.go
+++ b/pkg/admission/controller_test.go
@@ -27,12 +27,12 @@
 	return s
 }
 
-// run observes for a time, with routers that are heard, and returns the actions and when the first one came.
+// run observes for a time, with probes from other routers, and returns the actions and when the first one came.
 func (s *script) run(d time.Duration) (actions []Action, after time.Duration) {
 	s.t.Helper()
 	began := s.now
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
-		s.c.Handle(s.now, PeerHeard{})
+		s.c.Handle(s.now, ProbeReceived{})
 		for _, action := range s.c.Handle(s.now, s.o) {
 			if len(actions) == 0 {
 				after = s.now.Sub(began)
@@ -131,14 +131,14 @@
 
 // TestRouterThatNoPeerReachesStaysOpen guards against a router that is cut off and may be the only one that its callers reach.
 func TestRouterThatNoPeerReachesStaysOpen(t *testing.T) {
-	for _, heard := range []bool{false, true} {
+	for _, probed := range []bool{false, true} {
 		s := newScript(t)
-		if heard {
-			s.c.Handle(start.Add(-HeardWindow), PeerHeard{})
+		if probed {
+			s.c.Handle(start.Add(-ProbeWindow), ProbeReceived{})
 		}
 		s.c.Handle(start, s.o)
 		require.Equal(t, []Action{KeepOpen{KeptNotReached}}, s.c.Handle(start.Add(OverloadTime), s.o))
-		s.c.Handle(start.Add(time.Second), PeerHeard{})
+		s.c.Handle(start.Add(time.Second), ProbeReceived{})
 		require.IsType(t, Close{}, s.c.Handle(start.Add(time.Second), s.o)[0])
 	}
 }
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -21,15 +21,15 @@
 	Closed bool    // Its listener is closed, as far as is known.
 }
 
-// PeerHeard reports that another router of the data centre opened a connection to this one or used an open one.
-type PeerHeard struct{}
+// ProbeReceived reports that another router of the data centre has probed this one, which shows that it can be reached.
+type ProbeReceived struct{}
 
 // Opened reports that the listener accepts connections again, as Open requested.
 type Opened struct{}
 
-func (Observed) isEvent()  {}
-func (PeerHeard) isEvent() {}
-func (Opened) isEvent()    {}
+func (Observed) isEvent()      {}
+func (ProbeReceived) isEvent() {}
+func (Opened) isEvent()        {}
 
 // Action is an output of Controller.Handle, for the caller to carry out.
 type Action interface{ isAction() }
--- a/pkg/admission/replay_test.go
+++ b/pkg/admission/replay_test.go
@@ -81,7 +81,7 @@
 		routers := m.view()
 		for _, r := range m.routers {
 			r.byteRate *= math.Exp(-step.Seconds())
-			r.Handle(m.now, PeerHeard{})
+			r.Handle(m.now, ProbeReceived{})
 			m.observe(r, routers)
 		}
 		m.check()
--- a/pkg/endpoint/arrival.go
+++ b/pkg/endpoint/arrival.go
@@ -106,8 +106,8 @@
 	return now
 }
 
-// hear confirms the attempts that an endpoint must have read, since it says something now.
-func (p *Pool) hear(now time.Time, endpoint string) {
+// confirmReceived confirms the attempts that an endpoint must have read, since it says something now.
+func (p *Pool) confirmReceived(now time.Time, endpoint string) {
 	said := p.saidAt(now)
 	for _, x := range p.unconfirmed[endpoint] {
 		if said.Sub(x.at) >= minAnswerDelay {
@@ -142,7 +142,7 @@
 func (p *Pool) recordAnswer(now time.Time, id string) {
 	if j, ok := p.jobs[id]; ok && j.target != nil {
 		p.confirm(now, j.sent)
-		p.hear(now, j.target.Name)
-		p.contactCold(now, j.target, j.sentAt)
+		p.confirmReceived(now, j.target.Name)
+		p.observeColdAnswer(now, j.target, j.sentAt)
 	}
 }
--- a/pkg/endpoint/cold.go
+++ b/pkg/endpoint/cold.go
@@ -13,7 +13,7 @@
 	coldProbeShare  = 0.125 // Share of the bound that the other routers use to contact an endpoint that may have restarted.
 
 	minColdGap      = time.Second      // Shortest time between two requests of a router to a cold endpoint, so that a second has at most one of each sender.
-	maxColdTime     = 30 * time.Second // Longest time for which a report may call an endpoint cold; others come from other writers.
+	maxColdTime     = 30 * time.Second // Bound on the time that a report gives, since it may be malformed; a longer ColdFor of the service counts.
 	loneRouterDelay = 3 * time.Second  // Time after the start of a process in which it may not have read yet that there are other routers.
 )
 
@@ -29,20 +29,20 @@
 type ColdChanged struct {
 	Endpoint string
 	Cold     bool
-	Doubted  bool          // Whether it is taken for cold only because it failed and may have restarted.
+	Presumed bool          // Whether it is presumed cold because it failed and may have restarted.
 	For      time.Duration // Time for which it stays cold, as far as is known.
 	Interval time.Duration // Time between two requests of this router; zero if it may send none.
 }
 
 func (ColdChanged) isAction() {}
 
-// doubt says why an endpoint may have restarted without its entry saying so yet.
-type doubt uint8
+// coldPresumption says after which failure an endpoint is presumed cold: it may have restarted before its entry says so.
+type coldPresumption uint8
 
 const (
-	noDoubt doubt = iota
-	fellSilent
-	broke // It died or refused connections.
+	notPresumed coldPresumption = iota
+	afterSilence
+	afterFailure // It died, refused connections or cut an answer off.
 )
 
 // cold is what is known about an endpoint that tolerates few requests for some time after it has started.
@@ -50,31 +50,31 @@
 // The routers that send to it meanwhile are chosen by rendezvous hashing among all that ever registered, dead or not,
 // because one that does not answer may still send. Each of them has a token bucket that begins empty and holds one request.
 type cold struct {
-	until     time.Time // End of the time for which it is known or presumed to be cold.
-	doubt     doubt     // Whether it is taken for cold until it answers, and then for its ColdFor.
-	doubtedAt time.Time // Time of the last failure that gave rise to the doubt.
-	beganAt   time.Time // When this router began to take it for cold, with its present share.
-	sentAt    time.Time // Last request of this router.
-	share     coldShare
-	reported  bool // Whether the last ColdChanged said that it is cold.
+	until    time.Time       // End of the time for which it is known to be cold.
+	presumed coldPresumption // If set, it is taken for cold until it answers, and then for its ColdFor.
+	failedAt time.Time       // Time of the last failure after which it was presumed cold.
+	beganAt  time.Time       // When this router began to take it for cold, with its present share.
+	sentAt   time.Time       // Last request of this router.
+	share    coldShare
+	reported bool // Whether the last ColdChanged said that it is cold.
 }
 
 // coldShare is what one router may send to a cold endpoint.
 type coldShare struct {
 	interval time.Duration // Time between two requests.
 	phase    time.Duration // Delay of the first one, which spreads the routers over the interval.
-	probe    bool          // Only while it is in doubt whether the endpoint has restarted.
+	probe    bool          // Whether the router may send only while the endpoint is presumed cold, to learn whether it answers.
 }
 
 // isCold reports whether the endpoint is taken for cold.
 func (b *backend) isCold(now time.Time) bool {
-	return b.ColdRate > 0 && (b.cold.doubt != noDoubt || now.Before(b.cold.until))
+	return b.ColdRate > 0 && (b.cold.presumed != notPresumed || now.Before(b.cold.until))
 }
 
 // coldReadyAt returns when this router may send the next request to a cold endpoint, and whether it may send any.
 func (p *Pool) coldReadyAt(b *backend) (at time.Time, ok bool) {
 	c := &b.cold
-	if c.share.probe && c.doubt == noDoubt {
+	if c.share.probe && c.presumed == notPresumed {
 		return time.Time{}, false
 	}
 	at = c.beganAt.Add(minColdGap + c.share.phase)
@@ -87,7 +87,7 @@
 	return at, true
 }
 
-// withinCold reports whether the endpoint may get a request of this router now, as far as it is cold.
+// withinCold reports whether this router's share of a cold endpoint allows a request now; an endpoint that is not cold allows any.
 func (p *Pool) withinCold(now time.Time, b *backend) bool {
 	if !b.isCold(now) {
 		return true
@@ -130,58 +130,59 @@
 // beginCold empties this router's bucket if the endpoint was not taken for cold before.
 func (p *Pool) beginCold(now time.Time, b *backend) {
 	if !b.isCold(now) {
-		p.shareCold(b)
+		p.setColdShare(b)
 		b.cold.beganAt = now
 	}
 }
 
-// doubtCold records that an endpoint has failed, so that it may have restarted and be cold.
-func (p *Pool) doubtCold(now time.Time, b *backend, d doubt) {
+// presumeCold records that an endpoint has failed, so that it may have restarted and be cold.
+func (p *Pool) presumeCold(now time.Time, b *backend, after coldPresumption) {
 	if b.ColdRate <= 0 {
 		return
 	}
 	p.beginCold(now, b)
-	if b.cold.doubt == noDoubt && b.cold.share.probe {
+	if b.cold.presumed == notPresumed && b.cold.share.probe {
 		b.cold.beganAt = now
 	}
-	b.cold.doubt = max(b.cold.doubt, d)
-	b.cold.doubtedAt = now
+	b.cold.presumed = max(b.cold.presumed, after)
+	b.cold.failedAt = now
 }
 
-// contactCold records that an endpoint has answered a request that was sent at a time.
+// observeColdAnswer records that an endpoint has answered a request that was sent at a time.
 //
-// An answer of a process that died may be read after its death, so that only a later request shows that there is a new one.
-func (p *Pool) contactCold(now time.Time, b *backend, sentAt time.Time) {
-	if b.cold.doubt == noDoubt || b.cold.doubt == broke && sentAt.Before(b.cold.doubtedAt) {
+// An answer of a process that died may be read after its death, so that only an answer to a later request shows that there is a
+// new one.
+func (p *Pool) observeColdAnswer(now time.Time, b *backend, sentAt time.Time) {
+	if b.cold.presumed == notPresumed || b.cold.presumed == afterFailure && sentAt.Before(b.cold.failedAt) {
 		return
 	}
 	p.setCold(now, b, b.ColdFor)
-	b.cold.doubt = noDoubt
+	b.cold.presumed = notPresumed
 }
 
 // observeEnd records what the end of an attempt says about whether its endpoint may have restarted or is overloaded.
 func (p *Pool) observeEnd(now time.Time, j *job, outcome Outcome) {
 	switch b := j.target; outcome {
 	case Died, CutOff:
-		p.doubtCold(now, b, broke)
-		b.pace.troubles++
+		p.presumeCold(now, b, afterFailure)
+		b.pace.reductions++
 		b.beginPace(now.Add(p.Policy.BaseEjectionTime)) // Later if the endpoint is ejected for longer.
 	case Silent:
-		p.doubtCold(now, b, fellSilent)
+		p.presumeCold(now, b, afterSilence)
 	case Rejected:
-		if !j.sent.settled { // Nothing was heard of the endpoint, so that no connection could be opened.
-			p.doubtCold(now, b, fellSilent)
+		if !j.sent.settled { // The endpoint has answered nothing since the request was sent, so that no connection could be opened.
+			p.presumeCold(now, b, afterSilence)
 			b.beginPace(now.Add(p.Policy.BaseEjectionTime))
 			return
 		}
 		p.rejectPace(now, b, j.sentAt)
 	case Finished, Incomplete:
-		p.contactCold(now, b, j.sentAt)
+		p.observeColdAnswer(now, b, j.sentAt)
 	}
 }
 
-// sendCold records that a request is sent to an endpoint.
-func (b *backend) sendCold(now time.Time) {
+// recordColdSend records that this router sends a request to the endpoint, or reserves a place there for one.
+func (b *backend) recordColdSend(now time.Time) {
 	if b.ColdRate > 0 {
 		b.cold.sentAt = now
 	}
@@ -193,7 +194,7 @@
 	if b.ColdRate <= 0 {
 		return
 	}
-	p.shareCold(b)
+	p.setColdShare(b)
 	if left := min(b.ColdLeft, max(maxColdTime, b.ColdFor)); left > 0 {
 		p.setCold(now, b, left)
 	}
@@ -207,8 +208,8 @@
 	return p.Policy.ColdExcess*b.ColdRate + p.Policy.ColdSlack
 }
 
-// shareCold sets what this router may send to an endpoint while it is cold.
-func (p *Pool) shareCold(b *backend) {
+// setColdShare sets what this router may send to an endpoint while it is cold.
+func (p *Pool) setColdShare(b *backend) {
 	rank, routers := p.registeredRank(b)
 	senders := min(max(1, int(coldSenderShare*p.coldBound(b))), routers)
 	if rank < senders {
@@ -225,34 +226,34 @@
 	return coldShare{interval: interval, phase: interval * time.Duration(rank) / time.Duration(routers)}
 }
 
-// shareAllCold changes the shares of all endpoints that may be cold, after other routers have registered.
+// updateColdShares changes the shares of all endpoints that may be cold, after other routers have registered.
 //
 // A router that becomes a sender begins with an empty bucket, since another one may just have sent.
-func (p *Pool) shareAllCold(now time.Time) {
+func (p *Pool) updateColdShares(now time.Time) {
 	for _, name := range p.names {
 		b := p.backends[name]
 		if b.ColdRate <= 0 {
 			continue
 		}
 		before := b.cold.share
-		p.shareCold(b)
+		p.setColdShare(b)
 		if before.probe && !b.cold.share.probe {
 			b.cold.beganAt = now
 		}
 	}
 }
 
-// updateColds returns what has changed about cold endpoints since the last call.
-func (p *Pool) updateColds(now time.Time) []Action {
+// reportColdChanges returns a ColdChanged for each endpoint that has become cold, or is no longer cold, since the last call.
+func (p *Pool) reportColdChanges(now time.Time) []Action {
 	var actions []Action
 	for _, name := range p.names {
 		b := p.backends[name]
-		is := b.isCold(now)
-		if is == b.cold.reported {
+		cold := b.isCold(now)
+		if cold == b.cold.reported {
 			continue
 		}
-		b.cold.reported = is
-		changed := ColdChanged{Endpoint: name, Cold: is, Doubted: b.cold.doubt != noDoubt, For: max(0, b.cold.until.Sub(now))}
+		b.cold.reported = cold
+		changed := ColdChanged{Endpoint: name, Cold: cold, Presumed: b.cold.presumed != notPresumed, For: max(0, b.cold.until.Sub(now))}
 		if _, ok := p.coldReadyAt(b); ok {
 			changed.Interval = b.cold.share.interval
 		}
@@ -263,16 +264,16 @@
 
 // registeredRouters is the list of all routers that ever registered, with what ranks at endpoints need of it.
 type registeredRouters struct {
-	self   string
-	names  []string // Sorted.
-	hashes []uint64 // Of names.
-	number int      // Increased with each change; tells whether a rank is out of date.
+	self       string
+	names      []string // Sorted.
+	hashes     []uint64 // Of names.
+	generation int      // Increased with each change; a rank of another generation is out of date.
 }
 
 // registeredRank is the rank of this router at an endpoint among all that ever registered.
 type registeredRank struct {
-	rank   int
-	number int // Of the list for which it was computed.
+	rank       int
+	generation int // Of the list for which it was computed.
 }
 
 // registerRouters replaces the list of all routers that ever registered, and changes the shares of the cold endpoints accordingly.
@@ -280,12 +281,12 @@
 	if p.registered.self == ev.Self && slices.Equal(p.registered.names, ev.Routers) {
 		return
 	}
-	list := registeredRouters{self: ev.Self, names: ev.Routers, number: p.registered.number + 1}
+	list := registeredRouters{self: ev.Self, names: ev.Routers, generation: p.registered.generation + 1}
 	for _, name := range ev.Routers {
 		list.hashes = append(list.hashes, xxhash.Sum64String(name))
 	}
 	p.registered = list
-	p.shareAllCold(now)
+	p.updateColdShares(now)
 }
 
 // registeredRank returns the number of registered routers that come before this one at an endpoint, in the order of rendezvous
@@ -295,8 +296,8 @@
 	if len(list.names) <= 1 {
 		return 0, 1
 	}
-	if b.rank.number != list.number {
-		b.rank = registeredRank{number: list.number}
+	if b.rank.generation != list.generation {
+		b.rank = registeredRank{generation: list.generation}
 		own := hashPair(xxhash.Sum64String(list.self), b.hash)
 		for i, hash := range list.hashes {
 			if other := hashPair(hash, b.hash); other > own || other == own && list.names[i] < list.self {
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -93,7 +93,7 @@
 // occupy takes a place at the endpoint for an attempt of a job, and reports whether it took a request out of the endpoint's limit.
 func (b *backend) occupy(now time.Time, j *job) (limited bool) {
 	limited = b.limit.take(now)
-	b.sendCold(now)
+	b.recordColdSend(now)
 	b.takeBrittle(now)
 	b.running[j.ID] = j
 	b.recordChange(now, 1)
@@ -109,7 +109,7 @@
 	j.target = b
 	j.prefill = b.prefill(j, false, p.Policy)
 	j.sentAt = now
-	b.sendCold(now)
+	b.recordColdSend(now)
 	j.sentVersion = b.Version
 	j.firstTokenAt = time.Time{}
 }
--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -101,7 +101,7 @@
 	Running  int
 	Waiting  int
 	Leaving  bool
-	Slowdown float64 // How long work takes there at the moment, 1 as usual; zero if it does not say so.
+	Slowdown float64 // Factor by which work takes longer than usual at the moment; zero if not reported.
 }
 
 // Event is an input to Pool.Handle.
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -85,7 +85,7 @@
 	}
 	p.saveHealth(now, j.target)
 	j.target.recordSilence(now, p.Policy)
-	p.doubtCold(now, j.target, fellSilent)
+	p.presumeCold(now, j.target, afterSilence)
 	switch {
 	case !j.Repeatable:
 		return MoveDenied{id, NotRepeatable}
@@ -139,7 +139,7 @@
 	}
 	if ev.Unreachable {
 		j.place.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
-		p.doubtCold(now, j.place, fellSilent)
+		p.presumeCold(now, j.place, afterSilence)
 	}
 	p.releasePlace(now, j)
 	return p.dispatch(now)
--- a/pkg/endpoint/pace.go
+++ b/pkg/endpoint/pace.go
@@ -7,19 +7,22 @@
 
 // Parameters of the pace.
 const (
-	paceBeginDivisor = 2 // Inverse of the number of routers that begin, relative to the slots.
+	firstRoutersDivisor = 2 // At first one router for each firstRoutersDivisor slots of the endpoint may send.
 
-	// paceStep is the time in which as many routers join as have begun. Twice as many routers in each step brought all of 71 to 12
-	// slots within 2 s, which rejected 20 requests.
+	// paceStep is the time in which as many routers join as may send at first. Doubling them in each step would let more routers
+	// join in the last one than a typical endpoint has room for.
 	paceStep = 500 * time.Millisecond
 
-	paceDoubling  = 2 * time.Second // Time in which the routers that may send double at least, if they are many for the slots.
-	paceQuiet     = 2 * time.Second // Time without trouble after which pacing ends, once all routers may send.
-	minPaceWindow = 1.0 / 8         // Below 1, a router pauses between two requests.
+	paceDoubling = 2 * time.Second // Time in which the routers that may send double at least, if they are many for the slots.
+	paceQuiet    = 2 * time.Second // Time without a slow answer or a rejection after which pacing ends, once all routers may send.
+
+	// minPaceWindow is the smallest window. Below 1, a router pauses between two requests, since with more routers than slots one
+	// request of each may be too many.
+	minPaceWindow = 1.0 / 8
 
 	slowFactor     = 3.0                    // An answer is slow if it takes longer than this many times as long as at the other endpoints.
 	slowMargin     = 100 * time.Millisecond // Differences up to this are no sign of overload.
-	slowedDown     = 1.5                    // A reported slowdown from here on makes an answer a slow one.
+	slowReport     = 1.5                    // Reported slowdown from which on each answer counts as slow.
 	minPaceAnswers = 3                      // Answers that must have been measured at another endpoint before it is compared with.
 )
 
@@ -29,8 +32,9 @@
 	Paced    bool
 	Window   float64       // Requests without an answer that this router may have there.
 	Rank     int           // Routers that join before this one.
-	Troubles int           // Times that the window was halved or reset since pacing began.
 	For      time.Duration // Time since it began.
+
+	Reductions int // Times that the window was halved or reset since pacing began.
 }
 
 func (PaceChanged) isAction() {}
@@ -46,17 +50,17 @@
 	joined     bool // Whether this router may send whatever its rank, since it did before.
 	window     float64
 	beganAt    time.Time     // May be in the future.
-	troubledAt time.Time     // Last slow answer or rejection; zero if there was none.
-	troubles   int           // Number of them.
+	reducedAt  time.Time     // Last slow answer or rejection; zero if there was none.
+	reductions int           // Times that the window was halved or reset.
 	answerTime time.Duration // Time that the last answer took.
 	idleAt     time.Time     // When the last request got its answer or ended.
 }
 
 // answerTimes is what a router has measured at one endpoint.
 type answerTimes struct {
-	firsts    int     // First tokens that were measured.
-	firstTime float64 // Smoothed seconds until a first token beyond those for the prompt.
-	wholes    int     // Answers that were measured as a whole, into tokenTime.
+	firstTokens    int     // First tokens that were measured.
+	firstTokenTime float64 // Smoothed seconds until a first token beyond those for the prompt.
+	wholeAnswers   int     // Answers that were measured as a whole, into tokenTime.
 }
 
 // paceable reports whether the endpoint is paced after it has started or recovered.
@@ -65,7 +69,7 @@
 // beginPace paces an endpoint from a time on.
 func (b *backend) beginPace(at time.Time) {
 	if b.paceable() {
-		b.pace = pace{active: true, reported: b.pace.reported, window: 1, beganAt: at, troubles: b.pace.troubles}
+		b.pace = pace{active: true, reported: b.pace.reported, window: 1, beganAt: at, reductions: b.pace.reductions}
 	}
 }
 
@@ -82,12 +86,16 @@
 	}
 }
 
+// firstRouters returns the number of routers that may send to the endpoint as soon as it is paced.
+func (b *backend) firstRouters() float64 {
+	return float64(max(1, (b.Slots+firstRoutersDivisor-1)/firstRoutersDivisor))
+}
+
 // pacedRouters returns the number of routers that may send to a paced endpoint.
 func (b *backend) pacedRouters(now time.Time) int {
-	first := float64(max(1, (b.Slots+paceBeginDivisor-1)/paceBeginDivisor))
 	elapsed := max(0, now.Sub(b.pace.beganAt).Seconds())
 	grown := max(1+elapsed/paceStep.Seconds(), math.Exp2(elapsed/paceDoubling.Seconds()))
-	return int(min(first*grown, math.MaxInt32))
+	return int(min(b.firstRouters()*grown, math.MaxInt32))
 }
 
 // joinsAfter returns the time until this router may send to a paced endpoint, or zero if it may.
@@ -96,14 +104,14 @@
 	if !p.isPaced(now, b) || b.pace.joined || rank < b.pacedRouters(now) {
 		return 0
 	}
-	grown := float64(rank+1) / float64(max(1, (b.Slots+paceBeginDivisor-1)/paceBeginDivisor))
+	grown := float64(rank+1) / b.firstRouters() // The inverse of the growth in pacedRouters.
 	elapsed := min((grown-1)*paceStep.Seconds(), math.Log2(grown)*paceDoubling.Seconds())
 	return max(time.Millisecond, b.pace.beganAt.Add(seconds(elapsed)).Sub(now))
 }
 
 // paceLimit returns the limit that corresponds to an endpoint to which this router may send only after a time, to estimate waits.
 func paceLimit(now time.Time, wait time.Duration) limit {
-	const perSecond = 10 // Until answers tell more, one request at a time.
+	const perSecond = 10 // Estimate until answers are measured: one request at a time, answered within 0.1 s.
 	return limit{rate: perSecond, share: perSecond, tokens: 1 - wait.Seconds()*perSecond, refilledAt: now}
 }
 
@@ -114,7 +122,7 @@
 		return false
 	}
 	_, routers := p.registeredRank(b)
-	quiet := now.Sub(laterOf(s.beganAt, s.troubledAt)) >= paceQuiet
+	quiet := now.Sub(laterOf(s.beganAt, s.reducedAt)) >= paceQuiet
 	return s.window < float64(b.Slots) && (!quiet || b.pacedRouters(now) < routers)
 }
 
@@ -144,7 +152,7 @@
 func (b *backend) unanswered() int {
 	n := 0
 	for _, j := range b.running {
-		if j.target != b || j.firstTokenAt.IsZero() {
+		if j.target != b || j.firstTokenAt.IsZero() { // With another target, the job has reserved a place here.
 			n++
 		}
 	}
@@ -157,27 +165,27 @@
 	prompt := float64(j.prefill) * b.promptTime
 	if b.pace.active {
 		expected, ok := p.othersMean(b, func(other *backend) (float64, bool) {
-			return other.firstTime + float64(j.prefill)*other.promptTime, other.firsts >= minPaceAnswers
+			return other.firstTokenTime + float64(j.prefill)*other.promptTime, other.firstTokens >= minPaceAnswers
 		})
 		b.adjustPace(now, j, took, expected, ok)
 	}
-	rest := max(0, took.Seconds()-prompt)
-	if b.firsts == 0 {
-		b.firstTime = rest
+	withoutPrompt := max(0, took.Seconds()-prompt)
+	if b.firstTokens == 0 {
+		b.firstTokenTime = withoutPrompt
 	}
-	b.firsts++
-	b.firstTime += speedSmoothing * (rest - b.firstTime)
+	b.firstTokens++
+	b.firstTokenTime += speedSmoothing * (withoutPrompt - b.firstTokenTime)
 }
 
 // observeWholeAnswer adjusts the window by an answer without a first token. Its time is measured into tokenTime.
 func (p *Pool) observeWholeAnswer(now time.Time, b *backend, j *job, tokens int64) {
 	if b.pace.active {
 		expected, ok := p.othersMean(b, func(other *backend) (float64, bool) {
-			return other.tokenTime * float64(max(1, tokens)), other.wholes >= minPaceAnswers
+			return other.tokenTime * float64(max(1, tokens)), other.wholeAnswers >= minPaceAnswers
 		})
 		b.adjustPace(now, j, now.Sub(j.sentAt), expected, ok)
 	}
-	b.wholes++
+	b.wholeAnswers++
 }
 
 // othersMean returns the mean of a measured value over the other endpoints of the same models or services, and whether there is one.
@@ -199,27 +207,27 @@
 	return sum / float64(n), true
 }
 
-// adjustPace widens the window after a good answer and narrows it after a slow one.
+// adjustPace widens the window after a good answer and halves it after a slow one.
 func (b *backend) adjustPace(now time.Time, j *job, took time.Duration, expected float64, known bool) {
 	b.pace.answerTime = took
 	b.pace.idleAt = now
 	slow := known && took.Seconds() > slowFactor*expected && took > seconds(expected)+slowMargin
-	if slow || b.report.Slowdown >= slowedDown && now.Sub(b.reportAt) < maxSlowdownAge {
-		b.narrowPace(now, j.sentAt)
+	if slow || b.report.Slowdown >= slowReport && now.Sub(b.reportAt) < maxSlowdownAge {
+		b.halveWindow(now, j.sentAt)
 		return
 	}
 	b.pace.window = min(float64(b.Slots), b.pace.window+1/max(1, b.pace.window))
 }
 
-// narrowPace halves the window after trouble with a request, unless it was sent before the last trouble: the requests of one window
-// that are slow together count once.
-func (b *backend) narrowPace(now, sentAt time.Time) {
-	if sentAt.Before(b.pace.troubledAt) {
+// halveWindow halves the window after a slow answer or a rejection, unless the request was sent before the last reduction: the
+// requests of one window that are slow together count once.
+func (b *backend) halveWindow(now, sentAt time.Time) {
+	if sentAt.Before(b.pace.reducedAt) {
 		return
 	}
 	b.pace.window = max(minPaceWindow, b.pace.window/2)
-	b.pace.troubledAt = now
-	b.pace.troubles++
+	b.pace.reducedAt = now
+	b.pace.reductions++
 }
 
 // rejectPace records that an endpoint did not accept a request. One that was not paced is paced from then on, and the router, which
@@ -233,14 +241,14 @@
 		b.pace.joined = true
 		b.pace.window = max(1, float64(len(b.running))/2)
 	} else {
-		b.narrowPace(now, sentAt)
+		b.halveWindow(now, sentAt)
 	}
 	b.pace.idleAt = now
-	b.pace.answerTime = max(b.pace.answerTime, slowMargin)
+	b.pace.answerTime = max(b.pace.answerTime, slowMargin) // So that the router pauses even if no answer was measured before.
 }
 
-// updatePaces returns which endpoints have begun or ended to be paced since the last call.
-func (p *Pool) updatePaces(now time.Time) []Action {
+// reportPaceChanges returns a PaceChanged for each endpoint that is paced, or no longer paced, since the last call.
+func (p *Pool) reportPaceChanges(now time.Time) []Action {
 	var actions []Action
 	for _, name := range p.names {
 		b := p.backends[name]
@@ -250,9 +258,10 @@
 		}
 		b.pace.reported = paced
 		rank, _ := p.registeredRank(b)
-		actions = append(actions, PaceChanged{Endpoint: name, Paced: paced, Window: b.pace.window, Rank: rank, Troubles: b.pace.troubles, For: max(0, now.Sub(b.pace.beganAt))})
+		actions = append(actions, PaceChanged{Endpoint: name, Paced: paced, Window: b.pace.window, Rank: rank, Reductions: b.pace.reductions,
+			For: max(0, now.Sub(b.pace.beganAt))})
 		if !paced {
-			b.pace.troubles = 0
+			b.pace.reductions = 0
 		}
 	}
 	return actions
--- a/pkg/endpoint/pace_test.go
+++ b/pkg/endpoint/pace_test.go
@@ -49,7 +49,7 @@
 	known := Endpoint{Name: "b", Serves: []string{pacedService}, Slots: slots}
 	p.Handle(start, Configured{[]Endpoint{known}})
 	p.Handle(start, LoadReported{"b", Load{Slowdown: 1}})
-	p.backends["b"].answerTimes = answerTimes{firsts: minPaceAnswers, firstTime: 0.1}
+	p.backends["b"].answerTimes = answerTimes{firstTokens: minPaceAnswers, firstTokenTime: 0.1}
 	p.Handle(start, Configured{[]Endpoint{{Name: "a", Serves: []string{pacedService}, Slots: slots}, known}})
 	p.Handle(start, LeavingUpdated{"b", true})
 	a := p.backends["a"]
@@ -190,12 +190,12 @@
 	}
 }
 
-// TestPaceEnds guards against an endpoint that is paced for ever, and against the end of the pace amid trouble.
+// TestPaceEnds guards against an endpoint that is paced for ever, and against pacing that ends soon after a slow answer.
 func TestPaceEnds(t *testing.T) {
 	p, a := pacedPool(t, 4, 3)
 	require.True(t, p.isPaced(start.Add(paceQuiet-1), a))
-	require.False(t, p.isPaced(start.Add(paceQuiet), a), "no trouble")
-	a.pace.troubledAt = start.Add(time.Second)
+	require.False(t, p.isPaced(start.Add(paceQuiet), a), "no slow answer or rejection")
+	a.pace.reducedAt = start.Add(time.Second)
 	require.True(t, p.isPaced(start.Add(paceQuiet), a))
 	a.pace.window = 4
 	require.False(t, p.isPaced(start.Add(time.Second), a), "the window has reached the slots")
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -66,7 +66,7 @@
 		p.parts.expire(now)
 		p.confirmOld(now)
 		p.expireRetries(now)
-		return slices.Concat(p.expireBrittle(now), p.updateColds(now), p.updatePaces(now), p.dispatch(now), p.shed(now))
+		return slices.Concat(p.expireBrittle(now), p.reportColdChanges(now), p.reportPaceChanges(now), p.dispatch(now), p.shed(now))
 	default:
 		return p.handleUpdate(now, ev)
 	}
@@ -327,7 +327,7 @@
 	case Silent:
 		b.recordSilence(now, p.Policy)
 	case Incomplete:
-		b.speak(now)
+		b.recoverFromSilence(now)
 	case Rejected:
 		b.ejectedUntil = now.Add(p.Policy.BaseEjectionTime)
 	case Abandoned:
@@ -337,11 +337,11 @@
 }
 
 func (p *Pool) finishRequest(now time.Time, j *job, b *backend, tokens int64) {
-	p.hear(now, b.Name)
+	p.confirmReceived(now, b.Name)
 	b.deaths = 0
 	b.ejectedUntil = time.Time{}
 	p.forgetHealth(b)
-	b.speak(now)
+	b.recoverFromSilence(now)
 	if j.firstTokenAt.IsZero() {
 		p.observeWholeAnswer(now, b, j, tokens)
 		b.measureOutput(now.Sub(j.sentAt).Seconds(), max(1, tokens)) // The response was not streamed.
--- a/pkg/endpoint/selector.go
+++ b/pkg/endpoint/selector.go
@@ -37,7 +37,7 @@
 	if b, ok := p.backends[name]; ok {
 		p.saveHealth(now, b)
 		b.downAt = now
-		p.doubtCold(now, b, broke)
+		p.presumeCold(now, b, afterFailure)
 	}
 }
 
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -151,7 +151,7 @@
 // addCold counts a cold endpoint as one with a limit, until it is no longer cold.
 func (p *Pool) addCold(now time.Time, t *throughput, b *backend) {
 	t.addLimited(b, p.coldLimit(now, b))
-	if b.cold.doubt == noDoubt {
+	if b.cold.presumed == notPresumed {
 		t.addAvoided(b, b.cold.until)
 	}
 }
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -62,8 +62,8 @@
 	b.silences = 0
 }
 
-// speak ends the silence of an endpoint that has said something.
-func (b *backend) speak(now time.Time) {
+// recoverFromSilence ends the silence of an endpoint that has answered something, and paces it if it was silent.
+func (b *backend) recoverFromSilence(now time.Time) {
 	if b.silent() {
 		b.beginPace(now)
 	}
@@ -75,11 +75,11 @@
 	if !ok || j.target == nil {
 		return nil
 	}
-	p.hear(now, j.target.Name)
-	p.contactCold(now, j.target, j.sentAt)
+	p.confirmReceived(now, j.target.Name)
+	p.observeColdAnswer(now, j.target, j.sentAt)
 	if !j.target.silent() {
 		return nil
 	}
-	j.target.speak(now)
+	j.target.recoverFromSilence(now)
 	return p.dispatch(now)
 }
--- a/pkg/endpoint/slowdown.go
+++ b/pkg/endpoint/slowdown.go
@@ -4,9 +4,9 @@
 
 // Parameters of reported slowdowns.
 const (
-	maxSlowdownAge = 300 * time.Millisecond // A slowdown is that of a moment, and says nothing from this age on.
+	maxSlowdownAge = 300 * time.Millisecond // A slowdown changes many times a second, so that an older one says nothing.
 
-	// Slowdowns between the two are taken as usual, so that the choice among endpoints does not follow their fluctuation.
+	// Slowdowns from lowSlowdown to highSlowdown count as 1, so that the choice among endpoints does not follow their fluctuation.
 	lowSlowdown  = 0.8
 	highSlowdown = 1.25
 )
--- a/pkg/fleet/contact.go
+++ b/pkg/fleet/contact.go
@@ -7,28 +7,28 @@
 	"time"
 )
 
-// Parameters of what is derived from signs of life.
+// Parameters of listed routers, losses and introductions.
 const (
 	introductionPeriod = 20 * time.Second // For which messages to a new incarnation carry introductions; longer than a registration outlives its router.
 	freshContact       = 3 * time.Second  // Age of a message of a router up to which others are told that it is alive.
 	lossWindow         = 30 * time.Second // In which losses count as those of one event; by then all routers have been told of each.
-	minLosses          = 3                // Losses in a data centre below which the others there are not doubted.
-	lossDivisor        = 8                // The same as a part of its routers: an eighth.
-	lossesPerHeard     = 4                // Losses for each router heard since, up to which the others are not doubted.
-	lossUpdates        = 6                // Updates about losses in a message that has others to carry as well.
+	minLosses          = 3                // Losses in a data centre below which it is not suspected as a whole.
+	lossDivisor        = 8                // A data centre is not suspected below 1/lossDivisor of its routers lost.
+	lossesPerContact   = 4                // A data centre is not suspected up to this many losses for each router there that had contact since.
+	lossUpdates        = 6                // Updates about losses in a message, unless there are fewer other updates than room for them.
 )
 
 // Listed returns the routers that callers may be sent to, this one included, sorted by VM.
 //
 // A router is listed after a sign of life: a registration alone outlives its router by the time of its lease. If a large
-// part of a data centre is lost at once, its other routers are listed again when they are heard, since it takes longer to
-// be told of each loss than callers may be sent to a lost router.
+// part of a data centre is lost at once, its other routers are listed again after their next sign of life, since it takes
+// longer to be told of each loss than callers may be sent to a lost router.
 func (r *Roster) Listed() []Member {
 	r.init()
-	doubted := r.doubtedDataCentres()
+	suspected := r.suspectedDataCentres()
 	members := []Member{r.Self}
 	for _, p := range r.peersWhere((*peer).confirmed) {
-		if since, ok := doubted[p.DataCentre]; !ok || p.heardAt.After(since) {
+		if since, ok := suspected[p.DataCentre]; !ok || p.contactAt.After(since) {
 			members = append(members, p.Member)
 		}
 	}
@@ -46,19 +46,30 @@
 
 // losses describes the latest losses in one data centre.
 type losses struct {
-	routers int       // Routers there before the first loss.
-	lost    int       // Routers lost since then.
-	heard   int       // Routers heard after the first loss.
-	since   time.Time // Time of the first loss.
+	routers   int       // Routers there before the first loss.
+	lost      int       // Routers lost since then.
+	contacted int       // Routers with a sign of life after the first loss.
+	since     time.Time // Time of the first loss.
 }
 
-// doubtful reports whether the whole data centre may be lost.
-func (l losses) doubtful() bool {
-	return l.lost >= minLosses && lossDivisor*l.lost >= l.routers && l.lost > lossesPerHeard*l.heard
+// suspected reports whether the whole data centre may be lost.
+func (l losses) suspected() bool {
+	return l.lost >= minLosses && lossDivisor*l.lost >= l.routers && l.lost > lossesPerContact*l.contacted
 }
 
-// doubtedDataCentres returns the data centres that may be lost as a whole, with the time since which their routers are doubted.
-func (r *Roster) doubtedDataCentres() map[string]time.Time {
+// suspectedDataCentres returns the data centres that may be lost as a whole, with the time of the first loss in each.
+func (r *Roster) suspectedDataCentres() map[string]time.Time {
+	suspected := map[string]time.Time{}
+	for dataCentre, l := range r.recentLosses() {
+		if l.suspected() {
+			suspected[dataCentre] = l.since
+		}
+	}
+	return suspected
+}
+
+// recentLosses returns the losses of each data centre in which a router was lost within lossWindow.
+func (r *Roster) recentLosses() map[string]*losses {
 	all := map[string]*losses{}
 	for _, p := range r.peersWhere(r.recentlyLost) {
 		l := all[p.DataCentre]
@@ -80,37 +91,31 @@
 			continue
 		}
 		l.routers++
-		if !p.lost() && p.heardAt.After(l.since) {
-			l.heard++
-		}
-	}
-	doubted := map[string]time.Time{}
-	for dataCentre, l := range all {
-		if l.doubtful() {
-			doubted[dataCentre] = l.since
+		if !p.lost() && p.contactAt.After(l.since) {
+			l.contacted++
 		}
 	}
-	return doubted
+	return all
 }
 
 // recentlyLost reports whether a VM was lost within lossWindow.
 func (r *Roster) recentlyLost(p *peer) bool { return p.lost() && r.now.Sub(p.lostAt) < lossWindow }
 
-// hear records signs of life that are in an update that has been merged: a later incarnation or a refutation, which only the
+// recordContact records a sign of life in an update that has been merged: a later incarnation or a refutation, which only the
 // router itself issues.
-func (p *peer) hear(now time.Time, before Member) {
+func (p *peer) recordContact(now time.Time, before Member) {
 	if p.State <= Draining && p.Heartbeat > 0 && (p.Incarnation != before.Incarnation || p.Refutations > before.Refutations) {
-		p.heardAt = now
+		p.contactAt = now
 	}
 }
 
-// hearSender records that a message has come from a router itself; the first update in a message is that of its sender.
-func (r *Roster) hearSender(now time.Time, updates []Member) {
+// recordSenderContact records that a message has come from a router itself; the first update in a message is that of its sender.
+func (r *Roster) recordSenderContact(now time.Time, updates []Member) {
 	if len(updates) == 0 || updates[0].Heartbeat == 0 {
 		return
 	}
 	if p, ok := r.peers[updates[0].VM]; ok && p.Incarnation == updates[0].Incarnation {
-		p.heardAt = now
+		p.contactAt = now
 	}
 }
 
@@ -162,17 +167,17 @@
 }
 
 // introductions returns at most n updates that a new incarnation may have missed: routers that were lost lately, whose
-// registrations it may have read, and routers that this one has just heard.
+// registrations it may have read, and routers of which this one has just had a sign of life.
 func (r *Roster) introductions(to *peer, except []*peer, n int) []Member {
 	wanted := func(p *peer) bool { return p != to && !slices.Contains(except, p) }
 	lost := r.peersWhere(func(p *peer) bool { return wanted(p) && r.recentlyLost(p) })
-	heard := r.peersWhere(func(p *peer) bool { return wanted(p) && p.confirmed() && r.now.Sub(p.heardAt) < freshContact })
+	contacted := r.peersWhere(func(p *peer) bool { return wanted(p) && p.confirmed() && r.now.Sub(p.contactAt) < freshContact })
 	var updates []Member
-	for _, list := range [][]*peer{lost, heard} {
+	for _, list := range [][]*peer{lost, contacted} {
 		r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		room := n - len(updates)
 		if len(list) > 0 && len(updates) == 0 {
-			room = (n + 1) / 2 // The other half is for the routers heard.
+			room = (n + 1) / 2 // The other half is for the routers that are alive.
 		}
 		for _, p := range list[:min(len(list), max(0, room))] {
 			updates = append(updates, p.Member)
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -263,7 +263,7 @@
 }
 
 // TestLossOfFewRoutersDoubtsNoOthers guards against data centres that vanish from the directory because some routers there
-// are lost while the others are heard.
+// are lost while the others show signs of life.
 func TestLossOfFewRoutersDoubtsNoOthers(t *testing.T) {
 	l := newTimeline(73, 2)
 	l.settle()
@@ -297,7 +297,7 @@
 	require.Equal(t, []string{"a", "b"}, vms(r.UpdatesFor("d")))
 	require.Equal(t, []string{"a"}, vms(r.UpdatesFor("c")), "only the new one")
 	r.Handle(now, UpdatesReceived{[]Member{{VM: "c", Incarnation: 1, Heartbeat: 9}}})
-	require.Equal(t, []string{"a", "b", "c"}, vms(r.UpdatesFor("d")), "and of routers that were just heard")
+	require.Equal(t, []string{"a", "b", "c"}, vms(r.UpdatesFor("d")), "and of routers that just showed a sign of life")
 	r.Handle(start.Add(time.Minute), Tick{})
 	require.Equal(t, []string{"a"}, vms(r.UpdatesFor("d")))
 }
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -35,7 +35,7 @@
 	transmits   int       // Messages that carried an update about the VM since changedAt.
 	probedAt    time.Time
 	startSeenAt time.Time // Time at which the incarnation was learned of.
-	heardAt     time.Time // Time of the last message of the incarnation itself, or of another sign of life.
+	contactAt   time.Time // Time of the last message of the incarnation itself, or of another sign of life.
 	lostAt      time.Time // Time at which the VM became suspected or dead.
 }
 
@@ -173,7 +173,7 @@
 		}
 		changed = r.merge(now, u) || changed
 	}
-	r.hearSender(now, updates)
+	r.recordSenderContact(now, updates)
 	if changed {
 		return []Action{MembersChanged{}}
 	}
@@ -218,7 +218,7 @@
 	if p.lost() && !before.lost() {
 		p.lostAt = now
 	}
-	p.hear(now, before.Member)
+	p.recordContact(now, before.Member)
 	return changed
 }
 
