--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -10,8 +10,8 @@
 // budgetPolicy sizes grants so that a router can keep serving while the store is unreachable, and its crash strands few tokens.
 func budgetPolicy() budget.Policy {
 	return budget.Policy{
-		// Each of the two homes of a budget holds up to a fifth of what is left, so that a loss of all routers strands at most 2/7 of it,
-		// and while it is plenty they bridge overlapping outages of the store.
+		// Each of the two homes of a budget holds up to a fifth of what is free and its own. Together they hold a third of what is left,
+		// which a loss of all routers strands, and while plenty is left they bridge outages of the store that overlap.
 		Horizon:        20 * time.Second,
 		MinHorizon:     2 * time.Second,
 		ReserveDivisor: 5,
