--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -83,30 +83,26 @@
 
 // accepting returns the routers that accept connections, or all if none does, so that lists do not become empty.
 func accepting(routers []fleet.Member) []fleet.Member {
-	var open []fleet.Member
-	for _, m := range routers {
-		if !m.Closed {
-			open = append(open, m)
-		}
-	}
-	if len(open) == 0 {
-		return routers
-	}
-	return open
+	return preferred(routers, func(m fleet.Member) bool { return !m.Closed })
 }
 
 // reachingEndpoints returns the routers that reach the endpoints, or all if none does: then the endpoints may be to blame.
 func reachingEndpoints(routers []fleet.Member) []fleet.Member {
-	var reaching []fleet.Member
+	return preferred(routers, func(m fleet.Member) bool { return !m.NoPath })
+}
+
+// preferred returns the routers for which keep reports true, or all if there are none.
+func preferred(routers []fleet.Member, keep func(fleet.Member) bool) []fleet.Member {
+	var kept []fleet.Member
 	for _, m := range routers {
-		if !m.NoPath {
-			reaching = append(reaching, m)
+		if keep(m) {
+			kept = append(kept, m)
 		}
 	}
-	if len(reaching) == 0 {
+	if len(kept) == 0 {
 		return routers
 	}
-	return reaching
+	return kept
 }
 
 // listedRouters selects the routers that a caller should use.
