--- a/review/rig-2/case_idle.go
+++ b/review/rig-2/case_idle.go
@@ -52,7 +52,8 @@
 			mu.Unlock()
 		}()
 		id := fmt.Sprintf("%016x", 0x1c41d07b00000000+w.sequence.Add(1))
-		fmt.Fprintf(conn, "GET %s2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1500\r\nCredential: %s\r\n\r\n", stock, host, id, w.keys[0])
+		fmt.Fprintf(conn, "GET %s2f HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1500\r\n%s: %s\r\n\r\n",
+			stock, host, names["request-id"], id, names["timeout"], names["api-key"], w.keys[0])
 		_ = conn.SetReadDeadline(time.Now().Add(1800 * time.Millisecond))
 		in := bufio.NewReader(conn)
 		resp, err := http.ReadResponse(in, nil)
@@ -79,7 +80,7 @@
 	go func() {
 		platform := &http.Client{Timeout: time.Second}
 		for range time.Tick(time.Second) {
-			resp, err := platform.Get(fmt.Sprintf("http://127.0.0.1:%d/-/readiness", portsOf[g.name][0]))
+			resp, err := platform.Get(fmt.Sprintf("http://127.0.0.1:%d%s", portsOf[g.name][0], names["ready"]))
 			status := 0
 			if err == nil {
 				_, _ = io.Copy(io.Discard, resp.Body)
--- a/review/rig-2/case_move.go
+++ b/review/rig-2/case_move.go
@@ -28,7 +28,7 @@
 			mu.Lock()
 			spans[run.id] = append(spans[run.id], work)
 			mu.Unlock()
-			rw.Header().Set("Server-Seal", "seal."+s.id)
+			rw.Header().Set(names["seal"], "seal."+s.id)
 			rw.Header().Set("Content-Type", "text/event-stream")
 			first, hasPaused := 1, false
 			if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -160,7 +160,7 @@
 	}
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
-	case path == "/-/kv-key":
+	case path == names["key"]:
 		s.mu.Lock()
 		i, ok := s.items[q.Get("key")]
 		rev := s.rev
@@ -173,7 +173,7 @@
 			item
 			StoreRevision uint64 `json:"storeRevision"`
 		}{i, rev})
-	case path == "/-/kv-range":
+	case path == names["range"]:
 		s.mu.Lock()
 		var list []item
 		for _, i := range s.items {
@@ -192,11 +192,11 @@
 			list = []item{}
 		}
 		answer(w, 200, map[string]any{"entries": list, "hasMore": more, "storeRevision": rev})
-	case path == "/-/kv-watch":
+	case path == names["watch"]:
 		s.watch(w, r)
-	case path == "/-/kv-txn":
+	case path == names["transaction"]:
 		s.txn(w, r)
-	case path == "/-/kv-lease":
+	case path == names["lease"]:
 		var in struct {
 			TTL int64 `json:"ttlMs"`
 		}
@@ -208,8 +208,8 @@
 		s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
 		s.mu.Unlock()
 		answer(w, 200, map[string]any{"lease": id, "ttlMs": ttl.Milliseconds()})
-	case strings.HasPrefix(path, "/-/kv-keep/"):
-		id, _ := strconv.ParseUint(strings.TrimPrefix(path, "/-/kv-keep/"), 10, 64)
+	case strings.HasPrefix(path, names["renew"]):
+		id, _ := strconv.ParseUint(strings.TrimPrefix(path, names["renew"]), 10, 64)
 		s.mu.Lock()
 		l, ok := s.leases[id]
 		if ok {
@@ -227,8 +227,8 @@
 		if renewed != nil {
 			renewed(r)
 		}
-	case strings.HasPrefix(path, "/-/kv-lease-end/"):
-		id, _ := strconv.ParseUint(strings.TrimPrefix(path, "/-/kv-lease-end/"), 10, 64)
+	case strings.HasPrefix(path, names["lease-end"]):
+		id, _ := strconv.ParseUint(strings.TrimPrefix(path, names["lease-end"]), 10, 64)
 		s.mu.Lock()
 		s.endLease(id)
 		s.mu.Unlock()
