--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -443,10 +443,10 @@
 func (w *world) send(g *gateway, c call) result {
 	id := fmt.Sprintf("%016x", 0x1c41d07b00000000+w.sequence.Add(1))
 	method, deadline := "POST", 1500*time.Millisecond
-	switch c.kind {
-	case stock:
+	switch {
+	case strings.HasPrefix(c.kind, stock):
 		method = "GET"
-	case drafts:
+	case c.kind == drafts:
 		deadline = 15 * time.Second
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+300*time.Millisecond)
