internal/gateway, internal/feed: a lost answer to a watch no longer holds a feed up for 16 s

Cause: a watch waited 15 s, and 1 s for its answer. When the answer was lost, nothing else noticed, since all other calls were answered, and each of those answers even vouched for the feed, at the router and at its followers.

Ruled out: that the entry was read and not used. `endpoint leaves` comes with the first answer to the next watch.

Change: watches wait 1.5 s, or 1 s at routers that others follow, so that a lost one ends within 3 s, in which a router has to recover. Answers to other calls vouch for a feed only until its watch is due, and a reader whose watch is overdue passes nothing on. A read that is lost while the store answers other calls is retried at once and is no outage. A follower's poll ends before its own copy is 2 s old: the model found 2.6 s with a reader that was cut and then frozen. New: the line `feed read lost`, a counter and a gauge of the age of the entries.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -210,6 +210,18 @@
 	}
 }
 
+// CloseIdle closes all pooled connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, conn := range list {
+			_ = conn.Close()
+		}
+	}
+	p.idle = nil
+}
+
 func (p *Pool) dial(address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
 	if p.ProbeAfter > 0 {
--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -9,5 +9,6 @@
 //
 //   - The revision of a Log never decreases, and no entry is replaced by one of a lower revision.
 //   - An Update holds every change after the revision that the follower named, or a snapshot.
-//   - A follower does not use an Update if the store last answered its source more than MaxAge ago.
+//   - A follower does not use an Update if the store last answered its source more than MaxAge ago, or if the answer to the watch
+//     of its source is more than MaxOverdue late.
 package feed
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -9,13 +9,27 @@
 // Timing of followers. If its reader fails, a change reaches a follower at most about PollTimeout late.
 const (
 	MaxAge          = 1200 * time.Millisecond // Oldest answer of the store on which an update may rest.
+	MaxOverdue      = 500 * time.Millisecond  // Longest time for which the watch of a reader may be overdue.
 	PollWait        = time.Second             // Longest wait of a reader for changes.
-	PollTimeout     = 1400 * time.Millisecond // For one call to a reader.
+	PollTimeout     = 1400 * time.Millisecond // Longest timeout of a call to a reader.
 	VouchPeriod     = 500 * time.Millisecond  // Period at which a reader calls the store.
 	ReaderPause     = 2 * time.Second         // Time for which a reader is not asked after a failure.
 	ReadersPerGroup = 2                       // Readers in one data centre; the second continues when the first fails.
 )
 
+// maxUnanswered is the age of a follower's copy at which a poll without an answer ends, so that the store is read before the
+// copy is 2 s old. A reader that answers does so before its own copy has MaxAge.
+const maxUnanswered = 1900 * time.Millisecond
+
+// pollMargin is the time for the transport of a poll and its answer.
+const pollMargin = PollTimeout - PollWait
+
+// PollLimits returns, for a poll by a follower whose copy has an age, the longest wait of the reader for changes and the timeout.
+func PollLimits(age time.Duration) (wait, timeout time.Duration) {
+	timeout = min(PollTimeout, max(maxUnanswered-age, maxUnanswered-MaxAge))
+	return timeout - pollMargin, timeout
+}
+
 // Follower decides where one router reads a feed; the zero value asks the readers.
 //
 // A Follower is not safe for concurrent use.
@@ -62,8 +76,3 @@
 	f.failedAt[reader] = now
 	f.readStoreNext = true
 }
-
-// Poll returns how long a reader whose state has an age may wait for changes, and whether the state is recent enough.
-func Poll(age time.Duration) (wait time.Duration, ok bool) {
-	return min(PollWait, MaxAge-age), age <= MaxAge
-}
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -25,6 +25,7 @@
 	changes  []keyvalue.Change // In the order of their arrival.
 
 	vouchedAt   time.Time // Up to this time the store is known to have had no further changes.
+	due         time.Time // By then the store is to answer the pending watch; zero if none is pending.
 	recoveredAt time.Time // End of the last outage of the store.
 }
 
@@ -49,6 +50,7 @@
 	l.trim()
 	l.revision = u.Revision
 	l.vouchedAt = vouchedAt
+	l.due = time.Time{}
 	return true
 }
 
@@ -106,8 +108,17 @@
 // Synced reports whether the log has seen a snapshot.
 func (l *Log) Synced() bool { return l.entries != nil }
 
-// Vouch records that the store answered the reader at vouchedAt while it waited for changes.
+// Expect records that a watch of the store has begun, which the store is to answer by the time due.
+func (l *Log) Expect(due time.Time) { l.due = due }
+
+// Vouch records that the store answered another call of the reader at vouchedAt.
+//
+// While a watch waits, this shows that the store would have told changes. Once the watch is overdue it does not, since its
+// answer may be lost.
 func (l *Log) Vouch(vouchedAt time.Time) {
+	if vouchedAt.After(l.due) {
+		vouchedAt = l.due
+	}
 	if vouchedAt.After(l.vouchedAt) {
 		l.vouchedAt = vouchedAt
 	}
@@ -116,6 +127,15 @@
 // Age returns the time since the store is known to have had no further changes.
 func (l *Log) Age(now time.Time) time.Duration { return now.Sub(l.vouchedAt) }
 
+// Poll returns how long a follower may wait for changes, and whether the log is recent enough to be passed on.
+func (l *Log) Poll(now time.Time) (wait time.Duration, ok bool) {
+	wait = min(PollWait, MaxAge-l.Age(now))
+	if !l.due.IsZero() {
+		wait = min(wait, l.due.Add(MaxOverdue).Sub(now))
+	}
+	return wait, wait >= 0
+}
+
 // Recovered records the end of an outage of the store and reports whether it was not known yet.
 //
 // Routers measure the end of the same outage slightly differently.
--- a/internal/feed/log_test.go
+++ b/internal/feed/log_test.go
@@ -66,3 +66,16 @@
 	require.False(t, l.Recovered(start.Add(300*time.Millisecond)), "a reader noticed the same recovery slightly later")
 	require.True(t, l.Recovered(start.Add(10*time.Second)))
 }
+
+// TestPollEndsBeforeTheCopyIsTooOld guards against a reader that is first cut from the store and then frozen: its follower has to
+// read the store before its own copy is 2 s old.
+func TestPollEndsBeforeTheCopyIsTooOld(t *testing.T) {
+	for age := time.Duration(0); age <= MaxAge; age += 100 * time.Millisecond {
+		wait, timeout := PollLimits(age)
+		require.Less(t, age+timeout, 2*time.Second, age)
+		require.Less(t, wait, timeout, age)
+	}
+	wait, timeout := PollLimits(time.Minute)
+	require.Positive(t, wait)
+	require.Less(t, wait, timeout, "a reader that waits for changes answers in time")
+}
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -34,8 +34,16 @@
 	log               Log
 	cut, dead, frozen bool
 	vouchAt           time.Time // Of its next call to the store.
+	due               time.Time // Of the answer to its watch.
+	hungUntil         time.Time // Until then its watch has lost its answer and gets no changes.
 }
 
+// Times of a watch, as the gateway's.
+const (
+	modelWait    = time.Second
+	modelTimeout = time.Second
+)
+
 const modelStep = 10 * time.Millisecond
 
 func (m *model) revision() uint64 { return uint64(len(m.changes)) }
@@ -59,6 +67,12 @@
 	return Update{Changes: m.changes[after:], Revision: m.revision()}
 }
 
+// expect records that the reader begins a watch.
+func (r *modelReader) expect(now time.Time) {
+	r.due = now.Add(modelWait)
+	r.log.Expect(r.due)
+}
+
 func (m *model) write() {
 	c := change(fmt.Sprint("k", m.random.IntN(5)), m.revision()+1)
 	c.Deleted = m.random.IntN(4) == 0
@@ -72,8 +86,10 @@
 		if r.dead || r.frozen || r.cut {
 			continue
 		}
-		if r.log.Revision() < m.revision() || !r.log.Synced() {
+		hung := m.now.Before(r.hungUntil)
+		if !hung && (r.log.Revision() < m.revision() || !r.log.Synced() || m.now.After(r.due)) {
 			require.True(m.t, r.log.Apply(m.read(&r.log), m.now))
+			r.expect(m.now)
 		}
 		if !m.now.Before(r.vouchAt) {
 			r.log.Vouch(m.now)
@@ -104,10 +120,11 @@
 		}
 	}
 	if r.dead || r.frozen {
-		m.follower.Failed(m.now.Add(PollTimeout), name)
-		return PollTimeout
+		_, timeout := PollLimits(m.log.Age(m.now))
+		m.follower.Failed(m.now.Add(timeout), name)
+		return timeout
 	}
-	wait, fresh := Poll(r.log.Age(m.now))
+	wait, fresh := r.log.Poll(m.now)
 	u, ok := r.log.Since(m.log.Revision())
 	if !fresh || !ok {
 		m.follower.Failed(m.now, name)
@@ -130,7 +147,7 @@
 // fault starts or ends a fault of a reader or of the follower's link to the store.
 func (m *model) fault() {
 	r := m.readers[m.random.IntN(len(m.readers))]
-	switch m.random.IntN(5) {
+	switch m.random.IntN(6) {
 	case 0:
 		r.cut = !r.cut
 	case 1:
@@ -143,7 +160,18 @@
 		m.compactedTo = m.revision()
 	case 4:
 		m.cut = !m.cut
-		m.touchSince = m.now
+		m.disturb(0)
+	case 5:
+		r.hungUntil = m.now.Add(modelWait + modelTimeout)
+		r.expect(m.now)
+		m.disturb(time.Second) // Routers have 3 s to recover from an outage of the store, a second more than bound.
+	}
+}
+
+// disturb records that the follower or the store was disturbed, and when changes have to be seen in time again.
+func (m *model) disturb(recovery time.Duration) {
+	if since := m.now.Add(recovery); since.After(m.touchSince) {
+		m.touchSince = since
 	}
 }
 
@@ -163,8 +191,8 @@
 	require.ElementsMatch(m.t, want.Changes, got.Changes)
 }
 
-// TestFollowerSeesChangesInTime kills, cuts, freezes and restarts two readers and cuts the follower, at random times, and
-// checks the bound that holds for every router that reaches the store, and that nothing goes back to an older revision.
+// TestFollowerSeesChangesInTime kills, cuts, freezes and restarts two readers, loses answers to their watches and cuts the
+// follower, at random times, and checks the bound that holds for every router that reaches the store, and that nothing goes back to an older revision.
 func TestFollowerSeesChangesInTime(t *testing.T) {
 	const bound = 2 * time.Second // The shortest time that deployments allow for a change to take effect.
 	for seed := range uint64(60) {
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -16,6 +16,9 @@
 	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
+// endpointsFeed is the name of the feed of the endpoints' entries.
+const endpointsFeed = "endpoints"
+
 // entries tracks the entries of the endpoints in the store and configures the endpoint pool accordingly.
 type entries struct {
 	g *Gateway
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/decision"
@@ -24,6 +24,7 @@
 	onChange   func(now time.Time, c keyvalue.Change)        // Called for each change after that.
 	onUpdate   func(now time.Time, u feed.Update)            // Called with each update as a whole, in place of the two above; may be nil.
 
+	wait         time.Duration       // Longest wait of one watch; zero means watchWait or followedWatchWait.
 	probes       bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
 	batchDelay   time.Duration       // Pause after each answer of the store, so that the next one covers several changes.
 	relayDelay   time.Duration       // Pause after each answer of a reader.
@@ -34,6 +35,7 @@
 	follower feed.Follower // Accessed only by the goroutine that follows the feed.
 	unsynced bool          // All keys must be read again; accessed only by that goroutine.
 	failed   bool          // The last call to the store failed; accessed only by that goroutine.
+	outage   bool          // The store has answered no call of this router since then; accessed only by that goroutine.
 }
 
 // deliver passes an update to the owner of the feed.
@@ -82,6 +84,7 @@
 				g.log.Info("feed regained", zap.String("Feed", f.name))
 			}
 			f.failed = false
+			f.outage = false
 			f.unsynced = false
 			delay = minRetryDelay
 			decision.Pause(f.relayDelay, g.stop)
@@ -110,6 +113,7 @@
 // readStore reads a feed from the store and reports whether it answered.
 func (g *Gateway) readStore(f *feedState) bool {
 	ctx := g.reachability.watchContext()
+	began := time.Now()
 	err := g.step(ctx, f)
 	switch {
 	case err == nil:
@@ -117,22 +121,46 @@
 			g.log.Info("store regained", zap.String("Feed", f.name))
 		}
 		f.failed = false
+		f.outage = false
 		return true
 	case errors.Is(err, keyvalue.ErrHistoryGone):
 		f.unsynced = true
 		return false
-	case !f.failed:
-		revision, _ := f.relay.revision()
-		g.log.Warn("store lost", zap.String("Feed", f.name), zap.Uint64("Revision", revision), logfile.Error(err))
-		f.failed = true
-		f.relay.lose()
-		if ctx.Err() == nil {
-			g.reachability.markUnreachable()
-		}
 	}
+	g.recordFailedRead(ctx, f, began, err)
 	return false
 }
 
+// recordFailedRead records that the store did not answer a read of a feed that began at a time.
+//
+// If the store has answered another call since then, only this read is lost, for example with its connection: the feed is read
+// again soon, and what it says of deleted keys is not put down to an outage.
+func (g *Gateway) recordFailedRead(ctx context.Context, f *feedState, began time.Time, err error) {
+	if f.outage {
+		return
+	}
+	now := time.Now()
+	revision, _ := f.relay.revision()
+	fields := []zap.Field{
+		zap.String("Feed", f.name), zap.Uint64("Revision", revision), zap.Duration("FeedAge", f.relay.age(now, g.store.answeredAt())),
+		zap.Duration("Silence", g.store.silence(now)), logfile.Error(err),
+	}
+	if ctx.Err() == nil && g.store.answeredAt().After(began) {
+		if !f.failed {
+			g.log.Warn("feed read lost", fields...)
+			g.metrics.feedReadsLost.Add(1, attribute.String("feed", f.name))
+		}
+		f.failed = true
+		return
+	}
+	g.log.Warn("store lost", fields...)
+	f.failed = true
+	f.outage = true
+	if ctx.Err() == nil {
+		g.reachability.markUnreachable()
+	}
+}
+
 // waitForRetry blocks a feed whose last step failed until its next attempt.
 //
 // A feed that does not probe waits for the store's next answer to any call,
@@ -160,12 +188,12 @@
 		return err
 	}
 	now := time.Now()
-	if !f.relay.apply(u, now, true) {
+	if !f.relay.apply(u, now) {
 		revision, _ := f.relay.revision()
 		return errors.Newf("store answered at revision %d, which is older than the known revision %d", u.Revision, revision)
 	}
 	f.unsynced = false
-	if f.failed {
+	if f.outage {
 		f.notifyRecovery(now)
 	}
 	f.deliver(now, u)
@@ -183,7 +211,10 @@
 		}
 		return u, err
 	}
-	changes, err := g.store.Changes(ctx, f.prefix, revision, g.watchWait(time.Now(), f))
+	now := time.Now()
+	wait := g.watchWait(now, f)
+	f.relay.expectAnswer(now.Add(wait))
+	changes, err := g.store.Changes(ctx, f.prefix, revision, wait)
 	return feed.Update{Changes: changes.Changes, Revision: changes.Revision}, err
 }
 
@@ -194,13 +225,24 @@
 		return probeWait // A quick answer shows early that the store is reachable again.
 	case now.Sub(g.started) < settlePeriod:
 		return settlePeriod // Afterwards the readers are known.
-	}
-	if readers, _ := g.readers(); !slices.Contains(readers, g.members.Self().Name()) {
-		return followerWait
+	case f.wait > 0:
+		return f.wait
+	case g.isFollowed():
+		return followedWatchWait
 	}
 	return watchWait
 }
 
+// endpointsAge returns the time since the store is known to have had no further changes of the endpoints' entries, in
+// milliseconds, or zero before the first read.
+func (g *Gateway) endpointsAge() int64 {
+	f := g.feeds[endpointsFeed]
+	if _, synced := f.relay.revision(); !synced {
+		return 0
+	}
+	return f.relay.age(time.Now(), g.store.answeredAt()).Milliseconds()
+}
+
 func (g *Gateway) applyConfigurationSnapshot(now time.Time, entries []keyvalue.Entry) {
 	for _, e := range entries {
 		if e.Key == g.dialect.ConfigurationKey() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,9 +98,14 @@
 	tickPeriod   = 25 * time.Millisecond  // Between two ticks of the budgets and the endpoint pool while requests wait.
 	idlePeriod   = 200 * time.Millisecond // The same while none waits.
 	storeTimeout = time.Second
-	watchWait    = 15 * time.Second      // Longest wait of one watch; long, because every watch counts as a call to the store.
-	followerWait = 3 * time.Second       // Longest wait of a watch while the readers cannot be used.
-	probeWait    = 20 * time.Millisecond // Wait of a watch after a failed step.
+
+	// The waits of watches. A watch whose answer was lost holds its feed up for the wait and storeTimeout, and a follower for the
+	// wait, feed.MaxOverdue and, if the reader fails then, feed.PollTimeout.
+	watchWait         = 1500 * time.Millisecond // So that both are below 3 s, in which a router has to recover from an outage.
+	followedWatchWait = time.Second             // Of a router that others follow.
+	versionsWatchWait = 3500 * time.Millisecond // A copy that is up to 5 s old is used, see origin.History.MustTell.
+	membersWatchWait  = 10 * time.Second        // Probes show which routers are alive.
+	probeWait         = 20 * time.Millisecond   // After a failed step.
 
 	summaryPeriod = 10 * time.Second // Between two log lines that summarize the store calls.
 
@@ -316,7 +321,7 @@
 			probes:     true,
 		},
 		{
-			name:       "endpoints",
+			name:       endpointsFeed,
 			prefix:     g.dialect.EntryPrefix(),
 			onSnapshot: g.entries.applySnapshot,
 			onChange:   g.entries.applyChange,
@@ -328,6 +333,7 @@
 			prefix:     memberPrefix,
 			onSnapshot: g.members.applySnapshot,
 			onChange:   g.members.applyChange,
+			wait:       membersWatchWait,
 			batchDelay: membersBatchDelay, startupDelay: membersStartupDelay, relayDelay: membersRelayDelay,
 		},
 		{
@@ -335,6 +341,7 @@
 			prefix:     versionsPrefix,
 			onSnapshot: g.versions.applySnapshot,
 			onChange:   g.versions.applyChange,
+			wait:       versionsWatchWait,
 		},
 	} {
 		feeds[f.name] = f
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,15 +19,16 @@
 type metrics struct {
 	*telemetry.Registry
 
-	requests     telemetry.Counter
-	attempts     telemetry.Counter
-	reservations telemetry.Counter
-	connections  telemetry.Counter
-	storeCalls   telemetry.Counter
-	tokens       telemetry.Counter
-	forwarded    telemetry.Counter
-	duration     telemetry.Histogram
-	firstEvent   telemetry.Histogram
+	requests      telemetry.Counter
+	attempts      telemetry.Counter
+	reservations  telemetry.Counter
+	connections   telemetry.Counter
+	storeCalls    telemetry.Counter
+	tokens        telemetry.Counter
+	forwarded     telemetry.Counter
+	feedReadsLost telemetry.Counter
+	duration      telemetry.Histogram
+	firstEvent    telemetry.Histogram
 }
 
 // latencyBounds holds the upper bounds of the buckets of the latency histograms, in seconds.
@@ -36,16 +37,17 @@
 func newMetrics(g *Gateway) (*metrics, error) {
 	r := telemetry.New()
 	m := &metrics{
-		Registry:     r,
-		requests:     r.Counter("requests", "Requests by kind and outcome."),
-		attempts:     r.Counter("attempts", "Attempts at endpoints by outcome."),
-		reservations: r.Counter("reservations", "Token reservations by place and outcome."),
-		connections:  r.Counter("endpoint_connections", "Connections taken for attempts, new or kept."),
-		storeCalls:   r.Counter("store_calls", "Calls to the store by call and outcome."),
-		tokens:       r.Counter("billed_tokens", "Tokens billed."),
-		forwarded:    r.Counter("forwarded_requests", "Requests sent to a peer because this router reaches no endpoint, by outcome."),
-		duration:     r.Histogram("request_duration", "Time from a request's arrival to its answer, or to the first event of its stream.", latencyBounds...),
-		firstEvent:   r.Histogram("first_event", "Time from an attempt's start to the first event of its stream.", latencyBounds...),
+		Registry:      r,
+		requests:      r.Counter("requests", "Requests by kind and outcome."),
+		attempts:      r.Counter("attempts", "Attempts at endpoints by outcome."),
+		reservations:  r.Counter("reservations", "Token reservations by place and outcome."),
+		connections:   r.Counter("endpoint_connections", "Connections taken for attempts, new or kept."),
+		storeCalls:    r.Counter("store_calls", "Calls to the store by call and outcome."),
+		tokens:        r.Counter("billed_tokens", "Tokens billed."),
+		forwarded:     r.Counter("forwarded_requests", "Requests sent to a peer because this router reaches no endpoint, by outcome."),
+		feedReadsLost: r.Counter("feed_reads_lost", "Reads of a feed that the store did not answer although it answered other calls, by feed."),
+		duration:      r.Histogram("request_duration", "Time from a request's arrival to its answer, or to the first event of its stream.", latencyBounds...),
+		firstEvent:    r.Histogram("first_event", "Time from an attempt's start to the first event of its stream.", latencyBounds...),
 	}
 	r.Gauge("in_flight", "Requests whose answers are not yet written.", g.inFlight.Load)
 	r.Gauge("body_bytes", "Bytes that are reserved for or held by the bodies of requests.", g.bodies.used.Load)
@@ -59,6 +61,7 @@
 	r.Gauge("path_lost", "1 while the router reaches no endpoint.", g.path.lostGauge)
 	r.Gauge("path_probes", "Connections opened to find out whether the router reaches the endpoints.", g.path.probes.Load)
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
+	r.Gauge("endpoints_age_milliseconds", "Time since the store is known to have had no further changes of the endpoints' entries.", g.endpointsAge)
 	r.Gauge("processor_wait_milliseconds", "95th percentile of the time that goroutines waited for the processor.", func() int64 { return g.overload.lastWait().P95.Milliseconds() })
 	r.Gauge("origins_written", "Streams in the row of origins that this router last wrote to the store.", g.originRow.streams.Load)
 	r.Gauge("goroutines", "Goroutines of the process.", func() int64 { return int64(runtime.NumGoroutine()) })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,18 +16,16 @@
 type relay struct {
 	mu      sync.Mutex
 	log     feed.Log      // Guarded by mu.
-	direct  bool          // The store itself is read, and answered last time; guarded by mu.
 	changed chan struct{} // Closed when the log changes; guarded by mu.
 }
 
 // apply adds an update that was read from the store or from a reader.
-func (r *relay) apply(u feed.Update, vouchedAt time.Time, direct bool) bool {
+func (r *relay) apply(u feed.Update, vouchedAt time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.log.Apply(u, vouchedAt) {
 		return false
 	}
-	r.direct = direct
 	if r.changed != nil && (u.Snapshot || len(u.Changes) > 0) {
 		close(r.changed)
 		r.changed = nil
@@ -42,11 +40,11 @@
 	return r.log.Recovered(at)
 }
 
-// lose records that the store did not answer.
-func (r *relay) lose() {
+// expectAnswer records that a watch of the store has begun, which it is to answer by the given time.
+func (r *relay) expectAnswer(due time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.direct = false
+	r.log.Expect(due)
 }
 
 // revision returns the revision to continue from and whether the feed has been read at all.
@@ -61,12 +59,18 @@
 func (r *relay) age(now, storeAnsweredAt time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.direct {
-		r.log.Vouch(storeAnsweredAt)
-	}
+	r.log.Vouch(storeAnsweredAt)
 	return r.log.Age(now)
 }
 
+// poll returns how long a follower may wait for changes, and whether this router's copy is recent enough to be passed on.
+func (r *relay) poll(now, storeAnsweredAt time.Time) (wait time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Vouch(storeAnsweredAt)
+	return r.log.Poll(now)
+}
+
 // since returns what a follower is missing, and a channel that is closed at the next change of the log.
 func (r *relay) since(after uint64) (u feed.Update, ok bool, changed <-chan struct{}) {
 	r.mu.Lock()
@@ -90,10 +94,10 @@
 	if !ok {
 		return peer.FeedReply{}
 	}
-	deadline := time.Now().Add(feed.PollWait)
+	deadline := time.Now().Add(q.MaxWait())
 	for {
 		now := time.Now()
-		wait, fresh := feed.Poll(f.relay.age(now, g.store.answeredAt()))
+		wait, fresh := f.relay.poll(now, g.store.answeredAt())
 		u, known, changed := f.relay.since(q.After)
 		if !known || !fresh {
 			return peer.FeedReply{}
@@ -153,7 +157,8 @@
 		return false
 	}
 	after, _ := f.relay.revision()
-	reply, err := g.peers.ReadFeed(reader, peer.FeedQuery{Feed: f.name, After: after})
+	wait, timeout := feed.PollLimits(f.relay.age(now, g.store.answeredAt()))
+	reply, err := g.peers.ReadFeed(reader, peer.FeedQuery{Feed: f.name, After: after, MaxWaitMilliseconds: wait.Milliseconds()}, timeout)
 	now = time.Now()
 	switch {
 	case err != nil:
@@ -171,11 +176,11 @@
 // adopt applies what a reader answered, unless it is older than what this router knows.
 func (g *Gateway) adopt(now time.Time, f *feedState, reply peer.FeedReply) bool {
 	vouchedAt := now.Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond)
-	if !f.relay.apply(reply.Update, vouchedAt, false) {
+	if !f.relay.apply(reply.Update, vouchedAt) {
 		return false
 	}
 	switch {
-	case f.failed:
+	case f.outage:
 		f.notifyRecovery(now)
 	case reply.RecoveredMilliseconds > 0:
 		f.notifyRecovery(now.Add(-time.Duration(reply.RecoveredMilliseconds) * time.Millisecond))
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -157,8 +157,8 @@
 	return c.Post(address, ProbePath, message, answer)
 }
 
-// ReadFeed asks a router for the changes of a feed; the call may wait for them.
-func (c *Client) ReadFeed(reader string, q FeedQuery) (FeedReply, error) {
+// ReadFeed asks a router for the changes of a feed; the call may wait for them, within the timeout.
+func (c *Client) ReadFeed(reader string, q FeedQuery, timeout time.Duration) (FeedReply, error) {
 	var answer FeedReply
 	address, ok := c.Members.Address(reader)
 	if !ok {
@@ -168,7 +168,7 @@
 	if err != nil {
 		return answer, errors.Wrap(err, "encoding a feed query")
 	}
-	data, err := c.do(c.feeds, fasthttp.MethodPost, address, FeedPath, body, feed.PollTimeout)
+	data, err := c.do(c.feeds, fasthttp.MethodPost, address, FeedPath, body, timeout)
 	if err != nil {
 		return answer, err
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/foxtaillanding/foxtaillanding/internal/feed"
 	"github.com/foxtaillanding/foxtaillanding/internal/origin"
 	"github.com/foxtaillanding/foxtaillanding/pkg/budget"
@@ -102,6 +104,16 @@
 type FeedQuery struct {
 	Feed  string
 	After uint64
+
+	MaxWaitMilliseconds int64 `json:",omitempty"` // Longest wait for changes; zero leaves it to the reader.
+}
+
+// MaxWait returns the longest wait for changes.
+func (q FeedQuery) MaxWait() time.Duration {
+	if q.MaxWaitMilliseconds <= 0 {
+		return feed.PollWait
+	}
+	return min(feed.PollWait, time.Duration(q.MaxWaitMilliseconds)*time.Millisecond)
 }
 
 // FeedReply answers a FeedQuery.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -118,3 +119,12 @@
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
+
+// SilenceConnection keeps the connection of a request open without a response until the client closes it.
+func SilenceConnection(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})
+}
