internal/gateway, deploy: figures of the settings may be fractions, and a process starts without those that it cannot use

Each router logged that the settings were not reloaded; each one that was restarted after that exited at every start, until no request was served.

Cause: the template appended three zeros to the bound, and 7.5000 is no whole number of milliseconds. Each figure of the settings took one form only, and one unusable figure made the whole file, and so each start, fail.

Ruled out: the signal and the reload. With 7 in place of 7.5 all routers came back.

A start ignores unknown fields and resets figures that it cannot use; it logs each problem as an error, and a gauge counts them. Why it works: no value of a bound can make the file unreadable any more.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/gateway"
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
@@ -33,19 +32,19 @@
 	}
 }
 
-func readGatewaySettings(file string) (gateway.Settings, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return gateway.Settings{}, errors.Wrap(err, "reading the settings")
-	}
-	return gateway.ReadSettings(file, text)
-}
-
 func runGateway(ctx context.Context, c *cli.Command, hangup <-chan os.Signal) error {
 	file := c.String("settings")
 	lastModified := modTime(file)
-	settings, err := readGatewaySettings(file)
-	if err != nil || c.Bool("check") {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "reading the settings")
+	}
+	if c.Bool("check") {
+		_, err := gateway.ReadSettings(file, text)
+		return err
+	}
+	settings, problems, err := gateway.ReadStartSettings(file, text)
+	if err != nil {
 		return err
 	}
 	limitMemory(settings.Memory)
@@ -62,10 +61,13 @@
 	if err != nil {
 		return err
 	}
+	if len(problems) > 0 {
+		g.ReportSettings("settings not used, defaults in force", problems)
+	}
 	if err := g.Start(); err != nil {
 		return err
 	}
-	go watchSettings(hangup, file, lastModified, g, log)
+	go watchSettings(hangup, file, lastModified, g)
 	<-ctx.Done()
 	g.Shutdown(time.Now())
 	return nil
@@ -76,8 +78,8 @@
 const settingsPollInterval = time.Second
 
 // watchSettings reloads the settings on SIGHUP and when the modification time of the file changes from lastModified, until
-// the process exits. If the new settings cannot be read or are invalid, it logs the error and the old ones stay in force.
-func watchSettings(hangup <-chan os.Signal, file string, lastModified time.Time, g *gateway.Gateway, log *zap.Logger) {
+// the process exits. If the new settings cannot be read or are invalid, it reports the error and the old ones stay in force.
+func watchSettings(hangup <-chan os.Signal, file string, lastModified time.Time, g *gateway.Gateway) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -91,7 +93,7 @@
 		lastModified = modTime(file)
 		settings, err := readChangedSettings(file)
 		if err != nil {
-			log.Error("settings not reloaded", zap.String("File", file), logfile.Error(err))
+			g.ReportSettings("settings not reloaded", []string{err.Error()})
 			continue
 		}
 		limitMemory(settings.Memory)
--- a/internal/command/gateway_test.go
+++ b/internal/command/gateway_test.go
@@ -71,3 +71,15 @@
 		}, waitTimeout, 50*time.Millisecond, step.event)
 	}
 }
+
+// TestGatewayStartsWithAnUnusableFigure guards against the class of review/8 (fault) with a process: a figure that cannot be used
+// stays in the settings file, so that a gateway that does not start with it never starts again.
+func TestGatewayStartsWithAnUnusableFigure(t *testing.T) {
+	f := newGatewayFixture(t, "1")
+	text, err := os.ReadFile(f.settings)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(f.settings, append(text, "[Drain]\nGraceSeconds = 7.5\n[Retry]\nRatio = \"much\"\n"...), 0o600))
+	cmd := f.command()
+	ended := f.start(t, cmd)
+	f.awaitReady(t, ended)
+}
--- a/internal/gateway/archive.go
+++ b/internal/gateway/archive.go
@@ -119,7 +119,7 @@
 
 // interval returns the least time between two reads.
 func (a *originArchive) interval(now time.Time) time.Duration {
-	return origin.ReadInterval(a.g.knownRouters(now), a.g.cfg.Settings.Store.ReadsPerSecond)
+	return origin.ReadInterval(a.g.knownRouters(now), float64(a.g.cfg.Settings.Store.ReadsPerSecond))
 }
 
 // readRequested performs reads, at the permitted rate, until none is requested.
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -50,7 +50,7 @@
 
 // limitBodies sets the number of bytes that bodies may use.
 func (g *Gateway) limitBodies(m MemorySettings) {
-	total := float64(int64(m.LimitMegabytes) << 20)
+	total := m.limitBytes()
 	g.bodies.limit.Store(int64(bodyMemoryShare * total))
 	g.answers.limit.Store(int64(answerMemoryShare * total))
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -83,7 +83,7 @@
 	if m.LimitMegabytes <= 0 {
 		return maxConcurrent
 	}
-	return max(minInFlightLimit, int64(requestMemoryShare*float64(m.LimitMegabytes<<20)/bytesPerRequest))
+	return max(minInFlightLimit, int64(requestMemoryShare*m.limitBytes()/bytesPerRequest))
 }
 
 // callerRequest is a caller's request while the gateway serves it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	grace              atomic.Int64          // Nanoseconds from the stop request until the process is killed.
 	drain              atomic.Pointer[drain] // Nil until a stop is requested.
 	closing            atomic.Bool           // New requests are refused.
+	unusableSettings   atomic.Int64          // Problems of the settings file as it was read last.
 	durations          durations
 	overload           overload
 	admission          listenerControl
@@ -212,7 +213,7 @@
 func (g *Gateway) wireBudgets(self string) {
 	store := g.cfg.Settings.Store
 	g.budgets.OnWaiting = g.ticker.Wake
-	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(store.WritesPerSecond), perRouter(store.ReadsPerSecond))
+	g.budgetStore = keyvalue.NewGuardedStore(g.store, perRouter(float64(store.WritesPerSecond)), perRouter(float64(store.ReadsPerSecond)))
 	g.budgets.Store = g.budgetStore
 	g.budgets.Peers = g.peers
 	g.budgets.Log = g.log
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,6 +64,7 @@
 	r.Gauge("endpoints_age_milliseconds", "Time since the store is known to have had no further changes of the endpoints' entries.", g.endpointsAge)
 	r.Gauge("processor_wait_milliseconds", "95th percentile of the time that goroutines waited for the processor.", func() int64 { return g.overload.lastWait().P95.Milliseconds() })
 	r.Gauge("origins_written", "Streams in the row of origins that this router last wrote to the store.", g.originRow.streams.Load)
+	r.Gauge("unusable_settings", "Problems of the settings file, because of which older settings or defaults are in force.", g.unusableSettings.Load)
 	r.Gauge("goroutines", "Goroutines of the process.", func() int64 { return int64(runtime.NumGoroutine()) })
 	if g.cfg.Features.RefuseConnections {
 		r.Gauge("listener_closed", "1 while the listener for callers is closed.", g.admission.closedGauge)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -115,7 +115,7 @@
 
 // step writes the row if that is due, and returns when it is to be called again.
 func (r *originRow) step(now time.Time) time.Time {
-	interval := origin.WriteInterval(r.g.knownRouters(now), r.g.cfg.Settings.Store.WritesPerSecond)
+	interval := origin.WriteInterval(r.g.knownRouters(now), float64(r.g.cfg.Settings.Store.WritesPerSecond))
 	registry := r.g.origins.Registry
 	changes := registry.Changes()
 	if next := r.schedule.Next(changes, interval, r.urgent()); next.After(now) {
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -39,15 +39,15 @@
 		BaseEjectionTime:  500 * time.Millisecond,
 		MaxEjectionTime:   4 * time.Second,
 		MaxQueue:          1024,
-		ColdExcess:        g.cfg.Settings.Cold.Excess,
-		ColdSlack:         g.cfg.Settings.Cold.Slack,
+		ColdExcess:        float64(g.cfg.Settings.Cold.Excess),
+		ColdSlack:         float64(g.cfg.Settings.Cold.Slack),
 	}
 }
 
 // retryLimits returns the retry limits of the settings reduced by a margin, since routers count slightly later than endpoints.
 func retryLimits(r RetrySettings) endpoint.RetryBudgetChanged {
 	const margin = 0.8
-	return endpoint.RetryBudgetChanged{RetryRatio: margin * r.Ratio, FleetRetryReserve: margin * r.Slack}
+	return endpoint.RetryBudgetChanged{RetryRatio: margin * float64(r.Ratio), FleetRetryReserve: margin * float64(r.Slack)}
 }
 
 // perRouter divides a rate that the store grants to all routers together by the size of the smallest fleet.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -41,31 +41,38 @@
 // StoreSettings holds the address of the store and its rate limits.
 type StoreSettings struct {
 	Address         string
-	WritesPerSecond float64 // Limit for all routers together.
-	ReadsPerSecond  float64 // Limit for all routers together.
+	WritesPerSecond Figure // Limit for all routers together.
+	ReadsPerSecond  Figure // Limit for all routers together.
 }
 
 // MemorySettings holds the memory limit of the process.
 type MemorySettings struct {
-	LimitMegabytes int // Zero means no limit.
+	LimitMegabytes Figure // Zero means no limit.
+}
+
+// limitBytes returns the memory limit in bytes, or zero if there is none.
+func (m MemorySettings) limitBytes() float64 {
+	const megabyte = 1 << 20
+	return float64(m.LimitMegabytes) * megabyte
 }
 
 // DrainSettings controls the shutdown of the process.
 type DrainSettings struct {
-	GraceMilliseconds int64 // Time from the stop request until the process is killed; zero means defaultGrace.
+	GraceSeconds      Figure // Time from the stop request until the process is killed; if both are zero, defaultGrace.
+	GraceMilliseconds Figure // The same in another unit; used if GraceSeconds is zero.
 }
 
 // RetrySettings limits the retries that all routers together may send to a service.
 type RetrySettings struct {
-	Ratio float64 // Retries per request.
-	Slack float64 // Retries allowed beyond the ratio.
+	Ratio Figure // Retries per request.
+	Slack Figure // Retries allowed beyond the ratio.
 }
 
 // CapacitySettings describes the VM, so that the routers can share the load in proportion.
 type CapacitySettings struct {
-	CoreShare    float64 // Usable share of a processor core; zero if not known.
-	CoreSpeed    float64 // Speed of the core relative to others; zero means 1.
-	LinkMegabits float64 // Bandwidth of the VM's link in megabits per second; zero if not known.
+	CoreShare    Figure // Usable share of a processor core; zero if not known.
+	CoreSpeed    Figure // Speed of the core relative to others; zero means 1.
+	LinkMegabits Figure // Bandwidth of the VM's link in megabits per second; zero if not known.
 }
 
 // PlatformSettings describes the deployment in the platform's own words.
@@ -76,8 +83,8 @@
 // ColdSettings limits what all routers together may send to a cold endpoint within a second: Excess times the requests per second
 // that it bears, plus Slack.
 type ColdSettings struct {
-	Excess float64
-	Slack  float64
+	Excess Figure
+	Slack  Figure
 }
 
 // PaceSettings selects endpoints that are paced after they have started or recovered; those that may be cold always are.
@@ -99,10 +106,10 @@
 func (c CapacitySettings) requestRate() float64 {
 	rate := math.Inf(1)
 	if c.CoreShare > 0 {
-		rate = requestsPerCore * c.CoreShare * cmp.Or(c.CoreSpeed, 1)
+		rate = float64(requestsPerCore * c.CoreShare * cmp.Or(c.CoreSpeed, 1))
 	}
 	if c.LinkMegabits > 0 {
-		rate = min(rate, requestsPerMegabit*c.LinkMegabits)
+		rate = min(rate, float64(requestsPerMegabit*c.LinkMegabits))
 	}
 	return rate
 }
@@ -110,7 +117,7 @@
 // linkBytesPerSecond returns the bandwidth of the VM's link, or zero if it is not known.
 func (c CapacitySettings) linkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
-	return bytesPerMegabit * c.LinkMegabits
+	return float64(bytesPerMegabit * c.LinkMegabits)
 }
 
 // size returns the relative capacity of the VM.
@@ -123,27 +130,57 @@
 
 // ReadSettings parses and validates settings; file is the source named in errors.
 func ReadSettings(file string, text []byte) (Settings, error) {
-	var s Settings
-	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return s, errors.Newf("%s: %s", file, strict.String())
-		}
-		var syntax *toml.DecodeError
-		if errors.As(err, &syntax) {
-			row, col := syntax.Position()
-			return s, errors.Newf("%s:%d:%d: %s", file, row, col, syntax.Error())
-		}
-		return s, errors.Wrap(err, file)
+	s, err := decodeSettings(file, text, true)
+	if err != nil {
+		return s, err
 	}
-	if problems := s.check(); len(problems) > 0 {
+	if problems := append(s.check(), s.unusableFigures()...); len(problems) > 0 {
 		return s, errors.Newf("%s: %s", file, strings.Join(problems, "; "))
 	}
 	return s, nil
 }
 
-// check returns the problems of the settings.
+// ReadStartSettings parses settings for the start of a process, which is better than none: unknown fields are ignored, and
+// figures that cannot be used take their defaults. It returns what was wrong with these; file is the source named in errors.
+func ReadStartSettings(file string, text []byte) (s Settings, problems []string, err error) {
+	if s, err = decodeSettings(file, text, true); err != nil {
+		problems = append(problems, err.Error())
+		if s, err = decodeSettings(file, text, false); err != nil {
+			return s, nil, err
+		}
+	}
+	problems = append(problems, s.unusableFigures()...)
+	s.resetUnusableFigures()
+	if invalid := s.check(); len(invalid) > 0 {
+		return s, nil, errors.Newf("%s: %s", file, strings.Join(invalid, "; "))
+	}
+	return s, problems, nil
+}
+
+// decodeSettings parses settings. If strict is set, an unknown field is an error.
+func decodeSettings(file string, text []byte, strict bool) (Settings, error) {
+	var s Settings
+	d := toml.NewDecoder(strings.NewReader(string(text)))
+	if strict {
+		d.DisallowUnknownFields()
+	}
+	err := d.Decode(&s)
+	if err == nil {
+		return s, nil
+	}
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		return s, errors.Newf("%s: %s", file, unknown.String())
+	}
+	var syntax *toml.DecodeError
+	if errors.As(err, &syntax) {
+		row, col := syntax.Position()
+		return s, errors.Newf("%s:%d:%d: %s", file, row, col, syntax.Error())
+	}
+	return s, errors.Wrap(err, file)
+}
+
+// check returns the problems of the settings other than those of its figures.
 func (s *Settings) check() []string {
 	var problems []string
 	if s.VM == "" {
@@ -167,17 +204,7 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not HOST:PORT", field.name, field.address))
 		}
 	}
-	problems = append(problems, s.checkPublished()...)
-	if s.Capacity.CoreShare < 0 || s.Capacity.CoreSpeed < 0 || s.Capacity.LinkMegabits < 0 {
-		problems = append(problems, "Capacity: CoreShare, CoreSpeed and LinkMegabits must not be negative")
-	}
-	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
-		problems = append(problems, "Retry: Ratio and Slack must not be negative")
-	}
-	if s.Cold.Excess < 0 || s.Cold.Slack < 0 {
-		problems = append(problems, "Cold: Excess and Slack must not be negative")
-	}
-	return problems
+	return append(problems, s.checkPublished()...)
 }
 
 // checkPublished returns the problems of the addresses that callers and the other routers are given.
@@ -196,10 +223,13 @@
 
 // grace returns the time from the stop request until the process is killed.
 func (s *Settings) grace() time.Duration {
-	if s.Drain.GraceMilliseconds <= 0 {
-		return defaultGrace
+	switch {
+	case s.Drain.GraceSeconds > 0:
+		return time.Duration(float64(s.Drain.GraceSeconds) * float64(time.Second))
+	case s.Drain.GraceMilliseconds > 0:
+		return time.Duration(float64(s.Drain.GraceMilliseconds) * float64(time.Millisecond))
 	}
-	return time.Duration(s.Drain.GraceMilliseconds) * time.Millisecond
+	return defaultGrace
 }
 
 const defaultGrace = 8 * time.Second
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -136,6 +136,7 @@
 // Reload applies the settings that can change at run time and logs whether any of the others differ, which need a restart.
 func (g *Gateway) Reload(now time.Time, s Settings) {
 	old := g.cfg.Settings
+	g.unusableSettings.Store(0)
 	g.maxInFlight.Store(inFlightLimit(s.Memory))
 	g.limitBodies(s.Memory)
 	g.grace.Store(int64(s.grace()))
@@ -144,3 +145,9 @@
 	g.log.Info("settings reloaded",
 		zap.Bool("NeedsRestart", old.Listen != s.Listen || old.Store != s.Store || old.VM != s.VM || old.DataCentre != s.DataCentre))
 }
+
+// ReportSettings reports settings in the file that cannot be used, until the next Reload.
+func (g *Gateway) ReportSettings(message string, problems []string) {
+	g.unusableSettings.Store(int64(len(problems)))
+	g.log.Error(message, zap.Strings("Problems", problems))
+}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -109,7 +109,7 @@
 	g.drain.Store(newDrain(start, 8*time.Second))
 	s := g.cfg.Settings
 	for _, step := range []struct{ milliseconds, until int64 }{{20000, 7100}, {3000, 2500}, {8000, 2500}} {
-		s.Drain.GraceMilliseconds = step.milliseconds
+		s.Drain.GraceMilliseconds = Figure(step.milliseconds)
 		g.Reload(start, s)
 		require.Equal(t, start.Add(time.Duration(step.until)*time.Millisecond), g.drainEnd())
 	}
