internal/head: answers with malformed heads are refused wherever answers are read

An answer with status 000 was skipped, and what followed it was taken for the answer.

Cause: net/http and fasthttp accept heads that RFC 9112 does not allow, each others; fasthttp reads status 000 as 200.

Change: a checker of the bytes of each head, before the library sees its end, for endpoints, forwarded requests, watches, other calls of the store, peers, load reports and pkg/caller. A malformed head is no answer: the connection is closed and the request may have run.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -12,6 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/head"
 )
 
 // refusedTimeout limits a check whether an address refuses connections.
@@ -94,26 +97,43 @@
 // Reader may read ahead, so n has to allow for its buffer.
 func (c *Conn) LimitReads(n int64) { c.limit.left, c.limit.on = n, n >= 0 }
 
-// readLimit is a reader that may be limited; the zero value of its other fields is unlimited.
+// readLimit is a reader that checks the heads of answers and may be limited; the zero value of its other fields does neither.
 type readLimit struct {
 	in   io.Reader
 	left int64
 	on   bool
+	head head.Checker
 }
 
 // Read implements io.Reader.
 func (l *readLimit) Read(p []byte) (int, error) {
-	if !l.on {
-		return l.in.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, ErrTooLong
+	if l.on {
+		if l.left <= 0 {
+			return 0, ErrTooLong
+		}
+		p = p[:min(int64(len(p)), l.left)]
 	}
-	n, err := l.in.Read(p[:min(int64(len(p)), l.left)])
+	n, err := l.in.Read(p)
 	l.left -= int64(n)
+	if malformed := l.head.Feed(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
+// ReadHead reads the head of an answer to a request with a method, which may be an interim one. A malformed one is an error.
+func (c *Conn) ReadHead(method string) (*http.Response, error) {
+	c.limit.head.Begin()
+	buffered, err := c.Reader.Peek(c.Reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.limit.head.Feed(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.Reader, &http.Request{Method: method})
+}
+
 // Address returns the address that the connection was opened to.
 func (c *Conn) Address() string { return c.address }
 
--- a/internal/keyvalue/transport.go
+++ b/internal/keyvalue/transport.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/foxtaillanding/foxtaillanding/internal/head"
 )
 
-// NewHTTPClient returns a client that sends each request at most once and bounds every wait.
+// NewHTTPClient returns a client that sends each request at most once, bounds every wait and accepts no malformed answer.
 //
 // By default fasthttp sends an idempotent request up to five times if the server
 // closes the connection. A repeat would turn a conditional write that took
@@ -25,7 +27,11 @@
 		DisableHeaderNamesNormalizing: false,
 		NoDefaultUserAgentHeader:      true,
 		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, time.Second)
+			conn, err := fasthttp.DialTimeout(addr, time.Second)
+			if err != nil {
+				return nil, err
+			}
+			return &head.Conn{Conn: conn}, nil
 		},
 	}
 }
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/connection"
+	"github.com/foxtaillanding/foxtaillanding/internal/head"
 )
 
 // Limits of answers.
@@ -20,8 +21,7 @@
 	maxBodyBytes    = 8 << 20  // Upper bound of a body that is read into memory.
 	smallBodyBytes  = 16 << 10 // Bodies up to this length are not counted.
 	maxStaleAnswers = 2        // Answers to earlier requests that are skipped on a reused connection.
-	maxHeadBytes    = 64 << 10
-	maxStaleBytes   = 1 << 20 // Upper bound of the body of a skipped answer.
+	maxStaleBytes   = 1 << 20  // Upper bound of the body of a skipped answer.
 )
 
 var (
@@ -118,21 +118,17 @@
 func (a *attempt) readHead(r *Request) error {
 	defer a.conn.LimitReads(-1)
 	for range 1 + maxStaleAnswers {
-		a.conn.LimitReads(maxHeadBytes)
-		resp, err := http.ReadResponse(a.conn.Reader, &http.Request{Method: r.Method}) //nolint:bodyclose // The attempt closes the connection or returns it to the pool.
+		a.conn.LimitReads(head.MaxBytes)
+		resp, err := a.conn.ReadHead(r.Method) //nolint:bodyclose // The attempt closes the connection or returns it to the pool.
 		if err != nil {
 			return errors.Wrap(err, "reading the head of the answer")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // A 1xx interim response.
 		}
-		head := r.Codec.ParseHead(r.ID, resp.StatusCode, resp.Header)
-		if head.ID == r.ID {
-			a.setAnswer(resp, head)
-			return nil
-		}
-		if !a.conn.Reused && head.ID == "" && head.NotRun {
-			a.setAnswer(resp, head)
+		parsed := r.Codec.ParseHead(r.ID, resp.StatusCode, resp.Header)
+		if parsed.ID == r.ID || !a.conn.Reused && parsed.ID == "" && parsed.NotRun {
+			a.setAnswer(resp, parsed)
 			return nil
 		}
 		if !a.conn.Reused || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtaillanding/foxtaillanding/internal/head"
 	"github.com/foxtaillanding/foxtaillanding/pkg/fleet"
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
@@ -62,6 +64,13 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			ReadTimeout:               DefaultTimeout,
 			WriteTimeout:              DefaultTimeout,
+			Dial: func(address string) (net.Conn, error) {
+				conn, err := fasthttp.Dial(address)
+				if err != nil {
+					return nil, err
+				}
+				return &head.Conn{Conn: conn}, nil
+			},
 		}
 	}
 	return c.http
