internal/request, internal/keyvalue: bytes without end do not fill a router's memory

What callers saw (report of operators): a faulty server sent bytes that were no answer, without end; the machine that had called it kept them, ran out of memory and ended, and with it the requests of other callers.

Cause: an event of a stream may have 1 MB, with no limit for all streams together, and the HTTP library of the clients of the store, of routers and of load reports has no limit of a body unless it is set.

Ruled out: heads of endpoints, answers that are read whole, chunk sizes, blank lines and interim answers, which were limited.

Change: a stream reserves memory for an event beyond 16 KB from the budget that long answers use, and its attempt ends if there is none. A lack of memory is not reported as the death of the endpoint.

--- a/internal/command/memory_test.go
+++ b/internal/command/memory_test.go
@@ -153,3 +153,43 @@
 	}
 	return len(body)
 }
+
+// TestEndlessEventsDoNotExceedTheMemoryOfTheVM guards against a report of an operator (LOST): endpoints in trouble send bytes that are
+// no event, until the caller closes, to many streams at once. The process kept up to a megabyte for each stream.
+func TestEndlessEventsDoNotExceedTheMemoryOfTheVM(t *testing.T) {
+	const (
+		endpoints  = 5
+		callers    = 300
+		eventBytes = 1000 << 10 // Just below what an event may have.
+	)
+	release := make(chan struct{})
+	faulty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		w.Header().Set(wire.HeaderSeal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: "+strings.Repeat("x", eventBytes))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	defer faulty.Close()
+	defer close(release)
+	f := newGatewayFixture(t, "1")
+	f.limitMemory(t)
+	for i := range endpoints {
+		f.register(t, fmt.Sprint("i-", i), "app", faulty.Listener.Addr().String())
+	}
+	cmd := f.command()
+	ended := f.start(t, cmd)
+	f.awaitReady(t, ended)
+	before := residentMegabytes(t, cmd.Process.Pid)
+	var calls sync.WaitGroup
+	for i := range callers {
+		calls.Go(func() { f.get("/stream/" + strconv.Itoa(i)) })
+	}
+	time.Sleep(3 * time.Second)
+	used := residentMegabytes(t, cmd.Process.Pid)
+	t.Logf("%d MB before, %d MB at most", before, used)
+	require.Less(t, used, raceMemoryFactor*vmMegabytes)
+	require.NoError(t, cmd.Process.Kill())
+	calls.Wait()
+}
--- a/internal/keyvalue/transport.go
+++ b/internal/keyvalue/transport.go
@@ -9,6 +9,9 @@
 	"github.com/foxtaillanding/foxtaillanding/internal/head"
 )
 
+// MaxAnswerBytes limits the body of an answer; the pages of the store and the configuration are smaller.
+const MaxAnswerBytes = 16 << 20
+
 // NewHTTPClient returns a client that sends each request at most once, bounds every wait and accepts no malformed answer.
 //
 // By default fasthttp sends an idempotent request up to five times if the server
@@ -19,6 +22,7 @@
 		Name:                          "foxtaillanding",
 		MaxConnsPerHost:               maxConns,
 		MaxIdemponentCallAttempts:     1,
+		MaxResponseBodySize:           MaxAnswerBytes,
 		RetryIfErr:                    neverRetry,
 		ReadTimeout:                   timeout,
 		WriteTimeout:                  timeout,
--- a/internal/keyvalue/transport_test.go
+++ b/internal/keyvalue/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,26 @@
 
 // get sends a request to a server that answers with the given bytes, and returns the error of the client.
 func get(t *testing.T, answer string) error {
+	return getFrom(t, func(conn net.Conn) { _, _ = conn.Write([]byte(answer)) })
+}
+
+// TestClientLimitsAnswers guards against a report of an operator (LOST): bytes without end in the body of an answer were all kept,
+// until the process ran out of memory.
+func TestClientLimitsAnswers(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 1000000000\r\n", "Transfer-Encoding: chunked\r\n"} {
+		err := getFrom(t, func(conn net.Conn) {
+			_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n" + framing + "\r\n"))
+			chunk := []byte("100000\r\n" + strings.Repeat("x", 1<<20) + "\r\n")
+			for sent := 0; err == nil && sent < 2*MaxAnswerBytes; sent += len(chunk) { // Without a limit, the client would keep all.
+				_, err = conn.Write(chunk)
+			}
+		})
+		require.ErrorIs(t, err, fasthttp.ErrBodyTooLarge, framing)
+	}
+}
+
+// getFrom is like get, with a server that answers by a function.
+func getFrom(t *testing.T, answer func(net.Conn)) error {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
@@ -37,10 +58,10 @@
 		}
 		defer func() { _ = conn.Close() }()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = conn.Write([]byte(answer))
+			answer(conn)
 		}
 	}()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("http://" + ln.Addr().String() + "/")
-	return NewHTTPClient(time.Second, 1).DoTimeout(req, resp, time.Second)
+	return NewHTTPClient(5*time.Second, 1).DoTimeout(req, resp, 5*time.Second)
 }
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -29,7 +29,7 @@
 	errBodyEncoded   = errors.New("the answer body is content-encoded and not the one that the endpoint sealed")
 	errCallerLeft    = errors.New("the caller has disconnected")
 	errStreamAborted = errors.New("stream aborted")
-	errNoMemory      = errors.New("no memory for the answer body until the deadline")
+	errNoMemory      = errors.New("no memory for a long answer or event")
 )
 
 // attempt is one request sent to one endpoint, with the answer to it.
@@ -43,20 +43,6 @@
 	done bool // Guarded by mu; the connection was closed or returned to the pool.
 }
 
-// answerBody is the body of an answer; it records whether it was read to the end.
-type answerBody struct {
-	io.Reader
-
-	eof bool
-}
-
-// Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.eof = b.eof || errors.Is(err, io.EOF)
-	return n, err
-}
-
 // send writes the request to the endpoint at an address and reads the head of the answer. A nil conn is obtained first.
 //
 // An error that wraps connection.ErrNotSent or is errCallerLeft proves that the request did not run.
@@ -144,7 +130,7 @@
 
 func (a *attempt) setAnswer(resp *http.Response, head AnswerHead) {
 	a.resp = resp
-	a.body = &answerBody{Reader: resp.Body}
+	a.body = &answerBody{in: resp.Body}
 	a.head = head
 }
 
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -41,6 +41,7 @@
 
 // startStream waits for the first complete event of an answer and returns its stream.
 func (r *run) startStream(a *attempt) (endpoint.Outcome, *Reply) {
+	a.body.boundEvents(r.req.Memory)
 	s := &Stream{run: r, attempt: a, events: r.req.Codec.Events(a.body), release: a.abortOn(r.req.CallerGone)}
 	first, err := s.events.Next()
 	switch {
@@ -54,6 +55,7 @@
 		r.logInvalidAnswer(a, err)
 		s.release()
 		a.abort()
+		a.body.endEvent()
 		if r.callerGone() {
 			return endpoint.Abandoned, refusedReply(refusal.CallerGone, "")
 		}
@@ -83,11 +85,11 @@
 		zap.Int("Status", a.resp.StatusCode), zap.String("LastEvent", r.lastEventID), logfile.Error(err))
 }
 
-// failureOutcome maps an error of an attempt to the outcome reported for the endpoint.
+// failureOutcome maps an error of an attempt to the outcome reported for the endpoint. A lack of memory is not its death.
 func failureOutcome(err error) endpoint.Outcome {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, ErrInvalidStream):
+	case errors.Is(err, ErrInvalidStream), errors.Is(err, errNoMemory):
 		return endpoint.Incomplete
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return endpoint.Silent
@@ -149,6 +151,7 @@
 	if s.next != nil {
 		return s.leave(errMoved) // The last event arrived while its attempt was aborted.
 	}
+	s.attempt.body.endEvent()
 	now := time.Now()
 	s.limitEventWait(now)
 	if s.movable() {
@@ -177,6 +180,7 @@
 func (s *Stream) leave(err error) error {
 	s.release()
 	s.attempt.abort()
+	s.attempt.body.endEvent()
 	r := s.run
 	if r.callerGone() {
 		r.reportOutcome(endpoint.Abandoned, 0)
