internal/gateway, internal/connection: a stopping router answers requests whose endpoint it does not reach

What callers saw (report of operators): in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer.

TestDialEndsWithTheRequest failed before: 801 ms for 200.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -44,7 +44,8 @@
 // Limits of connections to endpoints.
 const (
 	dialTimeout        = 800 * time.Millisecond
-	defaultIdleTimeout = 3 * time.Second // For an endpoint that sends no Keep-Alive timeout.
+	minDialTimeout     = 100 * time.Millisecond // Long enough for an endpoint that accepts connections.
+	defaultIdleTimeout = 3 * time.Second        // For an endpoint that sends no Keep-Alive timeout.
 	maxIdlePerAddress  = 24
 	maxProbes          = 2 // Unanswered keep-alive probes that end a connection.
 
@@ -143,13 +144,15 @@
 // hasCarried reports whether a request with an ID may have been sent.
 func (c *Conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
 
-// Terms are what a pooled connection must meet to carry a request. The zero value permits every connection.
+// Terms are what a connection must meet to carry a request. The zero value permits every connection.
 type Terms struct {
 	UsedSince time.Time // The connection was last used at or after this time.
 
 	// NewTo is the ID of a request that the connection has not carried, so that
 	// an answer with this ID answers no earlier one. Empty permits every connection.
 	NewTo string
+
+	OpenBy time.Time // A new connection is open by then; zero leaves dialTimeout.
 }
 
 // Get returns a pooled connection to address that meets the terms, or opens a new one.
@@ -157,7 +160,7 @@
 	for {
 		conn := p.pop(address, terms.NewTo)
 		if conn == nil {
-			return p.dial(address)
+			return p.dial(now, address, terms.OpenBy)
 		}
 		if now.After(conn.expires) || conn.lastUsed.Before(terms.UsedSince) || !conn.reusable() {
 			_ = conn.Close()
@@ -242,8 +245,12 @@
 	p.idle = nil
 }
 
-func (p *Pool) dial(address string) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
+func (p *Pool) dial(now time.Time, address string, openBy time.Time) (*Conn, error) {
+	timeout := dialTimeout
+	if !openBy.IsZero() {
+		timeout = min(timeout, max(openBy.Sub(now), minDialTimeout))
+	}
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: p.setUserTimeout}
 	if p.ProbeAfter > 0 {
 		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.ProbeAfter, Interval: p.ProbeAfter, Count: maxProbes}
 	}
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -55,7 +55,7 @@
 	}
 	if conn == nil {
 		var err error
-		if conn, err = r.f.Connections.Get(now, address, connection.Terms{UsedSince: r.usedSince(now), NewTo: r.req.ID}); err != nil {
+		if conn, err = r.f.Connections.Get(now, address, connection.Terms{UsedSince: r.usedSince(now), NewTo: r.req.ID, OpenBy: r.req.Deadline}); err != nil {
 			return nil, err
 		}
 		r.observeConnection(conn)
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -69,7 +69,7 @@
 	var last ledger.LoanReply
 	first := int(r.req.Fingerprint % uint64(max(1, len(homes))))
 	for i := range homes {
-		if r.callerGone() {
+		if r.callerGone() || !time.Now().Before(r.req.Deadline) {
 			break // The next wait detects this as well and ends the request.
 		}
 		home := homes[(first+i)%len(homes)]
