internal/gateway: the changes of an update are applied together

Cause, by CPU profiles of 40 to 120 routers in one process with 288 endpoints, of which 8 entries change a second: half of the time went into updating the endpoint pool and the roster, once for each change of an update, each time in proportion to the endpoints or routers. The cost grew with routers x changes x size.

Ruled out: probes (8%), feeds between routers (7%), and the number of routers by itself (0.9 ms a second for each of 10 idle ones, 1.4 for each of 40).

Change: feeds pass on all changes of an update; endpoints, members and versions update their state once after them.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -33,6 +33,6 @@
 	e := newEntries("a")
 	e.tracked["a"].coldUntil = start.Add(time.Hour)
 	e.tracked["a"].StartedAt = 1
-	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.Zero(t, e.tracked["a"].coldUntil)
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -72,15 +72,17 @@
 	e.updatePool(now)
 }
 
-// applyChange updates one endpoint from a changed or deleted entry.
-func (e *entries) applyChange(now time.Time, c keyvalue.Change) {
+// applyChanges updates endpoints from changed or deleted entries.
+//
+// The pool is updated once for all changes, since that takes time in proportion to the number of endpoints.
+func (e *entries) applyChanges(now time.Time, changes []keyvalue.Change) {
 	e.mu.Lock()
-	if c.Deleted {
-		if ep, ok := e.tracked[e.g.dialect.EntryName(c.Key)]; ok {
+	for _, c := range changes {
+		if !c.Deleted {
+			e.update(now, c.Key, c.Value)
+		} else if ep, ok := e.tracked[e.g.dialect.EntryName(c.Key)]; ok {
 			e.markMissing(now, ep)
 		}
-	} else {
-		e.update(now, c.Key, c.Value)
 	}
 	e.mu.Unlock()
 	e.updatePool(now)
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -41,13 +41,13 @@
 		restarted: map[string]bool{},
 	}
 	for _, name := range names {
-		e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/" + name, Value: []byte("ready")}})
+		e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/" + name, Value: []byte("ready")}}})
 	}
 	return e
 }
 
 func (e *entries) remove(now time.Time, name string) {
-	e.applyChange(now, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/" + name}, Deleted: true})
+	e.applyChanges(now, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/" + name}, Deleted: true}})
 }
 
 func (e *entries) usableAt(now time.Time, name string) bool { return e.usable(now, e.tracked[name]) }
@@ -59,7 +59,7 @@
 	e.remove(recovered, "back")
 	e.remove(recovered.Add(100*time.Millisecond), "gone")
 	require.True(t, e.usableAt(recovered.Add(time.Second), "back"))
-	e.applyChange(recovered.Add(1500*time.Millisecond), keyvalue.Change{Entry: keyvalue.Entry{Key: "e/back", Value: []byte("ready")}})
+	e.applyChanges(recovered.Add(1500*time.Millisecond), []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/back", Value: []byte("ready")}}})
 	require.True(t, e.usableAt(recovered.Add(time.Minute), "back"))
 	require.False(t, e.usableAt(recovered.Add(2*time.Second), "gone"), "an endpoint whose entry is still missing is unusable")
 }
@@ -72,7 +72,7 @@
 	recovered := start.Add(10 * time.Second)
 	e.storeRecovered(recovered)
 	e.remove(recovered, "a")
-	e.applyChange(recovered.Add(500*time.Millisecond), keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	e.applyChanges(recovered.Add(500*time.Millisecond), []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	e.remove(recovered.Add(700*time.Millisecond), "a")
 	require.False(t, e.usableAt(recovered.Add(700*time.Millisecond), "a"))
 	e.remove(recovered.Add(time.Minute), "b")
@@ -105,10 +105,10 @@
 func TestNewStartTimeMeansRestart(t *testing.T) {
 	e := newEntries("a")
 	require.NotContains(t, e.restarted, "a")
-	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.NotContains(t, e.restarted, "a", "an entry rewritten with the same start time is no restart")
 	e.tracked["a"].StartedAt = 1
-	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}})
+	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.Contains(t, e.restarted, "a")
 }
 
@@ -116,7 +116,7 @@
 // which it was still ready.
 func TestEndpointThatLeavesStaysLeaving(t *testing.T) {
 	e := newEntries("a")
-	e.applyChange(start, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("leaving")}})
+	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("leaving")}}})
 	e.applySnapshot(start.Add(time.Second), []keyvalue.Entry{{Key: "e/a", Value: []byte("ready")}})
 	require.False(t, e.usableAt(start.Add(time.Second), "a"))
 }
@@ -131,7 +131,7 @@
 			e.applySnapshot(start, []keyvalue.Entry{malformed("back"), malformed("gone"), malformed("deleted")})
 		} else {
 			for _, name := range []string{"back", "gone", "deleted"} {
-				e.applyChange(start, keyvalue.Change{Entry: malformed(name)})
+				e.applyChanges(start, []keyvalue.Change{{Entry: malformed(name)}})
 			}
 		}
 		later := start.Add(time.Second)
@@ -139,8 +139,8 @@
 		require.True(t, e.usableAt(later, "gone"))
 		e.remove(later, "deleted")
 		require.False(t, e.usableAt(later, "deleted"), "an endpoint without an entry has left")
-		e.applyChange(later, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/back", Value: []byte("ready")}})
-		e.applyChange(later, keyvalue.Change{Entry: malformed("gone")})
+		e.applyChanges(later, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/back", Value: []byte("ready")}}})
+		e.applyChanges(later, []keyvalue.Change{{Entry: malformed("gone")}})
 		require.True(t, e.usableAt(start.Add(time.Minute), "back"))
 		require.False(t, e.usableAt(start.Add(missingGrace), "gone"), "further unreadable entries do not prolong the use")
 	}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -24,7 +24,7 @@
 	require.NoError(t, err)
 	g.table.Store(route.NewTable(route.Configuration{Version: 1}))
 	for _, name := range []string{"a", "b", "c"} {
-		g.entries.applyChange(g.started, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/" + name, Value: []byte("ready")}})
+		g.entries.applyChanges(g.started, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/" + name, Value: []byte("ready")}}})
 		g.entries.tracked[name].DataCentre = "dc-1"
 	}
 	g.entries.tracked["c"].DataCentre = "dc-2"
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -20,9 +20,9 @@
 type feedState struct {
 	name       string
 	prefix     string
-	onSnapshot func(now time.Time, entries []keyvalue.Entry) // Called with all keys that exist.
-	onChange   func(now time.Time, c keyvalue.Change)        // Called for each change after that.
-	onUpdate   func(now time.Time, u feed.Update)            // Called with each update as a whole, in place of the two above; may be nil.
+	onSnapshot func(now time.Time, entries []keyvalue.Entry)  // Called with all keys that exist.
+	onChanges  func(now time.Time, changes []keyvalue.Change) // Called with the changes after that, one or more at once.
+	onUpdate   func(now time.Time, u feed.Update)             // Called with each update as a whole, in place of the two above; may be nil.
 
 	wait         time.Duration       // Longest wait of one watch; zero means watchWait or followedWatchWait.
 	probes       bool                // Retries soon after a failure; other feeds wait for an answer to any call or for idleRetryDelay.
@@ -45,8 +45,8 @@
 		return
 	}
 	if !u.Snapshot {
-		for _, c := range u.Changes {
-			f.onChange(now, c)
+		if len(u.Changes) > 0 {
+			f.onChanges(now, u.Changes)
 		}
 		return
 	}
@@ -251,9 +251,11 @@
 	}
 }
 
-func (g *Gateway) applyConfigurationChange(now time.Time, c keyvalue.Change) {
-	if c.Key == g.dialect.ConfigurationKey() && !c.Deleted {
-		g.applyConfiguration(now, c.Value, "store")
+func (g *Gateway) applyConfigurationChanges(now time.Time, changes []keyvalue.Change) {
+	for _, c := range changes {
+		if c.Key == g.dialect.ConfigurationKey() && !c.Deleted {
+			g.applyConfiguration(now, c.Value, "store")
+		}
 	}
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -181,15 +181,20 @@
 	m.updateRoster(now)
 }
 
-// applyChange updates the roster from one changed registration.
+// applyChanges updates the roster from changed registrations, once for all of them.
 //
 // Deleted registrations are ignored, because probes determine whether a router is alive.
-func (m *members) applyChange(now time.Time, c keyvalue.Change) {
-	if c.Deleted {
-		return
+func (m *members) applyChanges(now time.Time, changes []keyvalue.Change) {
+	changed := false
+	for _, c := range changes {
+		if !c.Deleted {
+			m.addRegistration(c.Key, c.Value)
+			changed = true
+		}
+	}
+	if changed {
+		m.updateRoster(now)
 	}
-	m.addRegistration(c.Key, c.Value)
-	m.updateRoster(now)
 }
 
 // addRegistration parses and stores one registration.
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -62,12 +62,14 @@
 	v.g.entries.updatePool(now)
 }
 
-func (v *versions) applyChange(now time.Time, c keyvalue.Change) {
-	if c.Deleted {
-		c.Value = nil
-		c.Version = 0
+func (v *versions) applyChanges(now time.Time, changes []keyvalue.Change) {
+	for _, c := range changes {
+		if c.Deleted {
+			c.Value = nil
+			c.Version = 0
+		}
+		v.adopt(now, c.Entry)
 	}
-	v.adopt(now, c.Entry)
 	v.g.entries.updatePool(now)
 }
 
