internal/gateway: one refusal over the store's rate limit is no outage; polls name a wait only when it is short

And routers of an earlier build reject polls with the new field, which each poll carried.

Change: a feed's read that is refused over the rate limit counts as an outage if the next one fails too. The field is sent only when a follower's copy is old, and not for registrations.

TestOneReadOverTheRateLimitIsNoOutage is new.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -131,10 +131,10 @@
 	return false
 }
 
-// recordFailedRead records that the store did not answer a read of a feed that began at a time.
+// recordFailedRead records that the store did not answer a read of a feed that began at a time, or refused it.
 //
 // If the store has answered another call since then, only this read is lost, for example with its connection: the feed is read
-// again soon, and what it says of deleted keys is not put down to an outage.
+// again soon, and what it says of deleted keys is not put down to an outage. The same holds for one refusal over a rate limit.
 func (g *Gateway) recordFailedRead(ctx context.Context, f *feedState, began time.Time, err error) {
 	if f.outage {
 		return
@@ -145,7 +145,8 @@
 		zap.String("Feed", f.name), zap.Uint64("Revision", revision), zap.Duration("FeedAge", f.relay.age(now, g.store.answeredAt())),
 		zap.Duration("Silence", g.store.silence(now)), logfile.Error(err),
 	}
-	if ctx.Err() == nil && g.store.answeredAt().After(began) {
+	answers := g.store.answeredAt().After(began) || !f.failed && errors.Is(err, keyvalue.ErrLimited)
+	if ctx.Err() == nil && answers {
 		if !f.failed {
 			g.log.Warn("feed read lost", fields...)
 			g.metrics.feedReadsLost.Add(1, attribute.String("feed", f.name))
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,3 +30,16 @@
 	all := testing.AllocsPerRun(10, func() { f.deliver(start, update(endpoints)) })
 	require.Less(t, all, 20*one, "200 changes cost much less than 200 times what one does")
 }
+
+// TestOneReadOverTheRateLimitIsNoOutage refuses reads of a feed over the rate limit of the store. That is no outage unless it goes on;
+// in an outage, routers refuse requests whose tokens they would have to draw.
+func TestOneReadOverTheRateLimitIsNoOutage(t *testing.T) {
+	g := newTestGateway(t)
+	f := g.feeds[endpointsFeed]
+	for i, outage := range []bool{false, true} {
+		g.recordFailedRead(context.Background(), f, time.Now(), keyvalue.ErrLimited)
+		require.True(t, f.failed)
+		require.Equal(t, outage, f.outage, "refusal %d", i+1)
+		require.Equal(t, outage, g.reachability.unreachable(time.Now()), "refusal %d", i+1)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -157,8 +157,7 @@
 		return false
 	}
 	after, _ := f.relay.revision()
-	wait, timeout := feed.PollLimits(f.relay.age(now, g.store.answeredAt()))
-	reply, err := g.peers.ReadFeed(reader, peer.FeedQuery{Feed: f.name, After: after, MaxWaitMilliseconds: wait.Milliseconds()}, timeout)
+	reply, err := g.pollReader(now, f, reader, after)
 	now = time.Now()
 	switch {
 	case err != nil:
@@ -173,6 +172,19 @@
 	return true
 }
 
+// pollReader asks a reader for the changes of a feed after a revision.
+func (g *Gateway) pollReader(now time.Time, f *feedState, reader string, after uint64) (peer.FeedReply, error) {
+	q := peer.FeedQuery{Feed: f.name, After: after}
+	if f.relayDelay > 0 {
+		return g.peers.ReadFeed(reader, q, feed.PollTimeout) // The copy is allowed to be older than a poll takes.
+	}
+	wait, timeout := feed.PollLimits(f.relay.age(now, g.store.answeredAt()))
+	if wait < feed.PollWait {
+		q.MaxWaitMilliseconds = wait.Milliseconds()
+	}
+	return g.peers.ReadFeed(reader, q, timeout)
+}
+
 // adopt applies what a reader answered, unless it is older than what this router knows.
 func (g *Gateway) adopt(now time.Time, f *feedState, reply peer.FeedReply) bool {
 	vouchedAt := now.Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -105,7 +105,7 @@
 	Feed  string
 	After uint64
 
-	MaxWaitMilliseconds int64 `json:",omitempty"` // Longest wait for changes; zero leaves it to the reader.
+	MaxWaitMilliseconds int64 `json:",omitempty"` // Longest wait for changes, if it is below feed.PollWait; routers of earlier builds reject it.
 }
 
 // MaxWait returns the longest wait for changes.
