internal/gateway: settings are written as they are read, and their problems are logged as two events

Figures of the settings are read from text, but were written as numbers to the processes of the tests of losses of power, which ended at their start (six tests of ./platform); and an event of the log was not a string literal (TestEventsAreDocumented).

Change: a figure is written as text, too; two functions report problems of the settings, each with its event.

Measured: both fail before and pass now; the tests of losses of power pass with the race detector.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -61,9 +61,7 @@
 	if err != nil {
 		return err
 	}
-	if len(problems) > 0 {
-		g.ReportSettings("settings not used, defaults in force", problems)
-	}
+	g.ReportUnusedSettings(problems)
 	if err := g.Start(); err != nil {
 		return err
 	}
@@ -93,7 +91,7 @@
 		lastModified = modTime(file)
 		settings, err := readChangedSettings(file)
 		if err != nil {
-			g.ReportSettings("settings not reloaded", []string{err.Error()})
+			g.ReportUnloadedSettings(err)
 			continue
 		}
 		limitMemory(settings.Memory)
--- a/internal/gateway/figure.go
+++ b/internal/gateway/figure.go
@@ -26,6 +26,11 @@
 	return nil
 }
 
+// MarshalText writes a figure as UnmarshalText reads it.
+func (f Figure) MarshalText() ([]byte, error) {
+	return strconv.AppendFloat(nil, float64(f), 'g', -1, 64), nil
+}
+
 // usable reports whether a figure is in the range of all figures.
 func (f Figure) usable() bool { return f >= 0 && f <= maxFigure }
 
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,11 @@
 			}
 		}
 	}
+	written, err := json.Marshal(RetrySettings{Ratio: 0.25, Slack: 52})
+	require.NoError(t, err)
+	var read RetrySettings
+	require.NoError(t, json.Unmarshal(written, &read), "settings are passed to processes of tests as JSON")
+	require.Equal(t, RetrySettings{Ratio: 0.25, Slack: 52}, read)
 	s := Settings{Drain: DrainSettings{GraceSeconds: 7.5}}
 	require.Equal(t, 7500*time.Millisecond, s.grace())
 	s = Settings{Drain: DrainSettings{GraceMilliseconds: 300.5}}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -155,8 +155,16 @@
 		zap.Bool("NeedsRestart", old.Listen != s.Listen || old.Store != s.Store || old.VM != s.VM || old.DataCentre != s.DataCentre))
 }
 
-// ReportSettings reports settings in the file that cannot be used, until the next Reload.
-func (g *Gateway) ReportSettings(message string, problems []string) {
+// ReportUnusedSettings reports what the process has started without, until the next Reload.
+func (g *Gateway) ReportUnusedSettings(problems []string) {
 	g.unusableSettings.Store(int64(len(problems)))
-	g.log.Error(message, zap.Strings("Problems", problems))
+	if len(problems) > 0 {
+		g.log.Error("settings not used, defaults in force", zap.Strings("Problems", problems))
+	}
+}
+
+// ReportUnloadedSettings reports that changed settings cannot be loaded, until the next Reload.
+func (g *Gateway) ReportUnloadedSettings(err error) {
+	g.unusableSettings.Store(1)
+	g.log.Error("settings not reloaded", logfile.Error(err))
 }
