--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -62,6 +62,7 @@
 	r.Gauge("path_probes", "Connections opened to find out whether the router reaches the endpoints.", g.path.probes.Load)
 	r.Gauge("store_silence_milliseconds", "Time since the store last answered.", func() int64 { return g.store.silence(time.Now()).Milliseconds() })
 	r.Gauge("endpoints_age_milliseconds", "Time since the store is known to have had no further changes of the endpoints' entries.", g.endpointsAge)
+	r.Gauge("lost_tokens", "Tokens that the records show as held by routers which are not reachable.", g.lostTokens)
 	r.Gauge("processor_wait_milliseconds", "95th percentile of the time that goroutines waited for the processor.", func() int64 { return g.overload.lastWait().P95.Milliseconds() })
 	r.Gauge("origins_written", "Streams in the row of origins that this router last wrote to the store.", g.originRow.streams.Load)
 	r.Gauge("unusable_settings", "Problems of the settings file, because of which older settings or defaults are in force.", g.unusableSettings.Load)
@@ -73,6 +74,15 @@
 	return m, r.Err()
 }
 
+// lostTokens returns the tokens of all budgets in use that stand with routers which are not reachable.
+func (g *Gateway) lostTokens() int64 {
+	var sum int64
+	for _, v := range g.budgets.Views() {
+		sum += v.Lost
+	}
+	return sum
+}
+
 func (m *metrics) requestFinished(kind, outcome string, took time.Duration) {
 	m.requests.Add(1, attribute.String("kind", kind), attribute.String("outcome", outcome))
 	m.duration.Record(took.Seconds(), attribute.String("kind", kind))
@@ -136,5 +146,6 @@
 		zap.String("Request", c.req.ID), zap.String("Run", c.req.RunID), zap.String("Route", c.route.Name), zap.Uint64("Version", c.version),
 		zap.String("Outcome", outcome), zap.Int("Status", status), zap.Int("Attempts", reply.Attempts), zap.Bool("Ran", reply.Ran),
 		zap.String("Endpoint", reply.Endpoint), zap.String("EndpointVersion", reply.Version), zap.String("Resumes", c.req.ResumesID),
-		zap.String("Lender", reply.Lender), zap.String("Peer", c.peer), zap.String("ForwardedBy", forwardedBy), zap.Duration("Took", took))
+		zap.String("Lender", reply.Lender), zap.String("Peer", c.peer), zap.String("ForwardedBy", forwardedBy), zap.Duration("Took", took),
+		zap.Int64("EntriesAgeMilliseconds", c.g.endpointsAge()))
 }
--- a/internal/request/reserve.go
+++ b/internal/request/reserve.go
@@ -151,7 +151,7 @@
 	r.f.Log.Info("tokens not reserved",
 		zap.String("Request", r.req.ID), zap.String("Run", r.req.RunID), zap.String("Budget", r.req.Budget), zap.Stringer("Kind", kind),
 		zap.Int64("Needed", r.req.WorstCase()), zap.Int64("Headroom", v.Headroom), zap.Int64("Reserved", v.Reserved),
-		zap.Int64("Prepaid", v.Prepaid), zap.Int64("Spent", v.Spent), zap.Int64("Free", v.Free),
+		zap.Int64("Prepaid", v.Prepaid), zap.Int64("Spent", v.Spent), zap.Int64("Free", v.Free), zap.Int64("Lost", v.Lost),
 		zap.Int("Holders", v.Holders), zap.Duration("RecordAge", time.Since(v.LoadedAt)), zap.Int("Waiting", v.Waiting))
 	out := refusedReply(kind, r.req.Budget)
 	switch kind {
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -46,6 +46,7 @@
 	Spent    int64 // Tokens spent by all holders according to the last record.
 	Free     int64
 	Holders  int       // Number of accounts in the record.
+	Lost     int64     // Tokens held by other routers that are not reachable, as after their death; nobody can spend them.
 	LoadedAt time.Time // Time at which the record was read or written.
 	Fenced   bool
 }
@@ -139,7 +140,7 @@
 func (h *Holder) Views() []View {
 	views := make([]View, 0, len(h.accounts))
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
-		views = append(views, h.accounts[name].view())
+		views = append(views, h.view(h.accounts[name]))
 	}
 	return views
 }
@@ -150,10 +151,10 @@
 	if !ok {
 		return View{}, false
 	}
-	return a.view(), true
+	return h.view(a), true
 }
 
-func (a *account) view() View {
+func (h *Holder) view(a *account) View {
 	return View{
 		Budget:   a.budget,
 		Account:  a.own,
@@ -164,11 +165,23 @@
 		Spent:    a.record.Spent(),
 		Free:     a.record.Free(),
 		Holders:  len(a.record.Holders),
+		Lost:     h.heldByLost(a),
 		LoadedAt: a.loadedAt,
 		Fenced:   a.fenced,
 	}
 }
 
+// heldByLost returns the tokens that the record shows as held by other routers which are not reachable.
+func (h *Holder) heldByLost(a *account) int64 {
+	var sum int64
+	for name, other := range a.record.Holders {
+		if name != h.Name && !slices.Contains(h.peers, name) {
+			sum += other.Held()
+		}
+	}
+	return sum
+}
+
 func (h *Holder) account(budget string) *account {
 	a, ok := h.accounts[budget]
 	if ok {
--- a/pkg/budget/holder_test.go
+++ b/pkg/budget/holder_test.go
@@ -110,3 +110,19 @@
 		require.NotEqual(t, Refuse{"y", refusal.BudgetExhausted}, action)
 	}
 }
+
+// TestViewNamesTokensOfRoutersThatAreGone guards against a refusal whose log does not tell tokens that were spent from those
+// that stand with routers which have died.
+func TestViewNamesTokensOfRoutersThatAreGone(t *testing.T) {
+	h := Holder{Name: "self"}
+	now := time.Unix(0, 0)
+	h.Handle(now, PeersChanged{Peers: []string{"alive"}})
+	h.Handle(now, Reserve{Request: "r", Budget: testBudget, Tokens: 1})
+	h.Handle(now, Loaded{Budget: testBudget, Version: 1, Record: Record{
+		Budget: testBudget, TopUps: map[string]int64{"t": 1000},
+		Holders: map[string]Account{"alive": {Granted: 100, Ceiling: 100}, "dead": {Granted: 300, Ceiling: 200, Spent: 50, Returned: 20}},
+	}})
+	v, ok := h.View(testBudget)
+	require.True(t, ok)
+	require.EqualValues(t, 230, v.Lost)
+}
