internal/request, pkg/endpoint: nothing is sent to an endpoint that has announced its leave since the request was placed there

Callers saw nothing; an endpoint that had said that it leaves could still get a request. A request is placed, then a connection is opened, which may take 0.8 s, and a place for a request that moves is reserved before its connection is open. Whether the endpoint leaves was looked at only when the place was chosen, so that up to 0.8 s came on top of the 2 s within which a follower learns of a leave.

Now both places look at it once more right before the request is written; the request is placed anew.

--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -95,6 +95,13 @@
 	return address, ok
 }
 
+// MaySend reports whether an endpoint is still configured and not leaving, so that a request may be sent to it.
+func (e *Endpoints) MaySend(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.MaySend(name)
+}
+
 // Handle applies an event to the pool and executes the resulting actions.
 func (e *Endpoints) Handle(now time.Time, ev endpoint.Event) {
 	for _, action := range decision.Apply(&e.mu, e.pool.Handle, now, ev) {
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -67,6 +67,10 @@
 		a.abort()
 		return nil, errCallerLeft
 	}
+	if info.Endpoint != "" && !r.f.Endpoints.MaySend(info.Endpoint) { // It may have announced its leave meanwhile.
+		a.abort()
+		return nil, errors.Mark(errors.Newf("endpoint %s leaves", info.Endpoint), connection.ErrNotSent)
+	}
 	release := a.abortOn(r.req.CallerGone)
 	defer release()
 	if err := conn.SetDeadline(r.attemptDeadline(now)); err != nil {
--- a/pkg/endpoint/move.go
+++ b/pkg/endpoint/move.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	next := j.place
-	if p.backends[next.Name] != next || !next.fits(j.selector()) {
+	if p.backends[next.Name] != next || next.leaving() || !next.fits(j.selector()) {
 		return append(p.endAttempt(now, Ended{ID: ev.ID, Outcome: ev.Outcome}), MoveDenied{ev.ID, PlaceChanged})
 	}
 	j.place = nil
--- a/pkg/endpoint/move_test.go
+++ b/pkg/endpoint/move_test.go
@@ -158,3 +158,15 @@
 	require.Len(t, p.Handle(start, Retried{"1"}), 1, "the request goes on")
 	require.Equal(t, []int{1, 0}, running(p), "at the version that began the stream")
 }
+
+// TestMoveIsDeniedToAnEndpointThatLeavesMeanwhile guards against a request that goes on at an endpoint which has announced its
+// leave since the place there was reserved.
+func TestMoveIsDeniedToAnEndpointThatLeavesMeanwhile(t *testing.T) {
+	for _, leave := range []Event{LeavingAnnounced{"b"}, LeavingUpdated{"b", true}} {
+		p := moving(t, Policy{RetryReserve: 2}, streamRequest(start, "1"))
+		require.Equal(t, []Action{Reserved{Send{"1", "b", "v1", 2}}}, p.Handle(start, MoveRequested{"1"}))
+		p.Handle(start, leave)
+		require.Contains(t, p.Handle(start, Moved{"1", Silent}), Action(MoveDenied{"1", PlaceChanged}))
+		require.Equal(t, []int{0, 0}, running(p))
+	}
+}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// MaySend reports whether an endpoint is configured and not leaving.
+func (p *Pool) MaySend(name string) bool {
+	b, ok := p.backends[name]
+	return ok && !b.leaving()
+}
+
 // suspectsOf returns the suspects among the parts of prompts or among the requests.
 func (p *Pool) suspectsOf(part bool) *suspects {
 	if part {
