internal/gateway: a late entry of an earlier incarnation does not take an endpoint's leave back

Callers saw nothing; an endpoint that leaves got requests again. An endpoint may start again under its name, with another start time in its entry. Any other start time counted as a restart, also an earlier one, as it comes with a write that is carried out late or from an older copy of the store: what was known of the endpoint was dropped, its leave and what it had said of that in its answers included.

TestLateEntryOfAnEarlierIncarnationDoesNotTakeALeaveBack failed before: the endpoint was usable. An entry with an earlier start is now ignored while the later one has not gone, and logged (endpoint entry outdated). Two tests wrote a restart as an earlier start time; they write it as a later one now, with the same assertions.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -32,7 +32,7 @@
 func TestRestartedEndpointForgetsColdTimeOfItsPredecessor(t *testing.T) {
 	e := newEntries("a")
 	e.tracked["a"].coldUntil = start.Add(time.Hour)
-	e.tracked["a"].StartedAt = 1
+	e.tracked["a"].StartedAt = -1 // The entry that follows has 0, a later start.
 	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.Zero(t, e.tracked["a"].coldUntil)
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -89,6 +89,9 @@
 }
 
 // update parses an entry and updates its endpoint; mu must be held.
+//
+// An entry of an earlier incarnation than the known one is ignored: it was written late, or comes from an older copy of the
+// store. Taken for a restart, it would take back what the endpoint has said of its leave.
 func (e *entries) update(now time.Time, key string, value []byte) {
 	entry, err := e.g.dialect.Entry(key, value)
 	if err != nil {
@@ -97,6 +100,11 @@
 		return
 	}
 	ep, ok := e.tracked[entry.Name]
+	if ok && ep.missingSince.IsZero() && entry.StartedAt < ep.StartedAt {
+		e.g.log.Warn("endpoint entry outdated", zap.String("Endpoint", entry.Name), zap.Int64("Born", entry.StartedAt),
+			zap.Int64("KnownBorn", ep.StartedAt), zap.Bool("Leaving", ep.Leaving))
+		return
+	}
 	if !ok || ep.StartedAt != entry.StartedAt {
 		if ok {
 			e.restarted[entry.Name] = true
@@ -109,7 +117,7 @@
 	// An endpoint does not take its leave back; an older entry may come from a store that lost the newer one.
 	entry.Leaving = entry.Leaving || ep.Leaving
 	if entry.Leaving && !ep.Leaving {
-		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name))
+		e.g.log.Info("endpoint leaves", zap.String("Endpoint", entry.Name), zap.Int64("EntriesAgeMilliseconds", e.g.endpointsAge()))
 	}
 	ep.Entry = entry
 	ep.observeCold(now)
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,19 @@
 	return Entry{Name: d.EntryName(key), Service: "s", Address: "a:1", Leaving: string(value) == "leaving"}, nil
 }
 
+// startedDialect parses entries whose value is "ready" or "leaving" and the start time of the endpoint.
+type startedDialect struct{ entryDialect }
+
+func (d startedDialect) Entry(key string, value []byte) (Entry, error) {
+	state, started, _ := strings.Cut(string(value), " ")
+	entry, err := d.entryDialect.Entry(key, []byte(state))
+	if err != nil {
+		return Entry{}, err
+	}
+	entry.StartedAt, err = strconv.ParseInt(started, 10, 64)
+	return entry, err
+}
+
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
 func newEntries(names ...string) *entries {
@@ -107,7 +121,7 @@
 	require.NotContains(t, e.restarted, "a")
 	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.NotContains(t, e.restarted, "a", "an entry rewritten with the same start time is no restart")
-	e.tracked["a"].StartedAt = 1
+	e.tracked["a"].StartedAt = -1 // The entry that follows has 0, a later start.
 	e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	require.Contains(t, e.restarted, "a")
 }
@@ -145,3 +159,22 @@
 		require.False(t, e.usableAt(start.Add(missingGrace), "gone"), "further unreadable entries do not prolong the use")
 	}
 }
+
+// TestLateEntryOfAnEarlierIncarnationDoesNotTakeALeaveBack guards against using an endpoint that leaves again, because an entry
+// that its earlier incarnation wrote comes late or from an older copy of the store.
+func TestLateEntryOfAnEarlierIncarnationDoesNotTakeALeaveBack(t *testing.T) {
+	e := newEntries()
+	e.g.dialect = startedDialect{}
+	write := func(value string) {
+		e.applyChanges(start, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte(value)}}})
+	}
+	write("ready 1000")
+	write("ready 2000")
+	write("leaving 2000")
+	clear(e.restarted)
+	write("ready 1000")
+	require.False(t, e.usableAt(start, "a"))
+	require.NotContains(t, e.restarted, "a")
+	write("ready 3000")
+	require.True(t, e.usableAt(start, "a"), "a later incarnation does not leave")
+}
