pkg/endpoint: a large fleet has several home endpoints for a prompt

Cause: routers do not see each other's requests. After a start none knows where prompts are cached, so all send a prompt to the one endpoint that rendezvous hashing names; what it gets at once grows with the fleet. Ruled out: the entries are read 390 ms after the start; overload was logged twice in 28 s; the speeds assumed before measurements.

Now one home is shared by 25 routers, and a router chooses among the homes by its seed. Fleets below 26 routers do as before.

--- a/pkg/endpoint/prompt.go
+++ b/pkg/endpoint/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -81,24 +82,50 @@
 	}
 }
 
-// home returns the usable endpoint that all routers prefer for a prompt's shared
-// parts, chosen by rendezvous hashing, or nil if the prompt has no shared parts.
+// routersPerHome is the number of routers that have a home endpoint for a prompt in common.
+//
+// Routers do not see each other's requests. One home for a large fleet gets more prompts at once than it can read, above all
+// after a start, when no router knows yet where else a prompt is cached.
+const routersPerHome = 25
+
+// home returns the usable endpoint that this router prefers for a prompt's shared parts, or nil if the prompt has no shared
+// parts. All routers choose among the same few endpoints, which rendezvous hashing ranks highest.
 func (p *Pool) home(j *job, usable func(*backend) bool) *backend {
 	key := j.sharedHash()
 	if key == 0 {
 		return nil
 	}
-	var best *backend
-	var highest uint64
+	homes := p.highestRanked(key, 1+p.peers/routersPerHome, usable)
+	if len(homes) == 0 {
+		return nil
+	}
+	return homes[hashPair(key, p.Policy.Seed)%uint64(len(homes))]
+}
+
+// highestRanked returns the n usable endpoints with the highest rendezvous scores for a key, the highest first, or all if there
+// are fewer.
+func (p *Pool) highestRanked(key uint64, n int, usable func(*backend) bool) []*backend {
+	ranked := make([]*backend, 0, n+1)
+	scores := make([]uint64, 0, n+1)
 	for _, name := range p.names {
 		b := p.backends[name]
 		if !usable(b) {
 			continue
 		}
-		if score := hashPair(b.hash, key); best == nil || score > highest {
-			best = b
-			highest = score
+		score := hashPair(b.hash, key)
+		i := len(ranked)
+		for i > 0 && scores[i-1] < score {
+			i--
+		}
+		if i == n {
+			continue
+		}
+		ranked = slices.Insert(ranked, i, b)
+		scores = slices.Insert(scores, i, score)
+		if len(ranked) > n {
+			ranked = ranked[:n]
+			scores = scores[:n]
 		}
 	}
-	return best
+	return ranked
 }
