internal/gateway: idle connections of callers end at the configured limit, and sooner when descriptors are lacking

Cause: an idle connection was kept for 90 s even where the configuration allows less. Callers that open 71 connections a second and leave them used up 4,100 descriptors after 59 s, and a failed accept was only retried. Class: a resource without a bound of its own, held by the other side.

Now a caller's connection is closed when it has been idle for as long as the configuration says, as callers expect, and an accept that fails for want of descriptors closes the 64 connections that were idle longest. A request that has arrived on one of them is still served.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"container/list"
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/logfile"
 	"github.com/foxtaillanding/foxtaillanding/internal/request"
@@ -21,8 +24,13 @@
 	log      *zap.Logger
 	timeouts func() timeouts // The ones in force.
 	bodies   *byteBudget
+	idle     *idleConnections // Of callers; closed when descriptors are lacking.
+	callers  bool             // The connections are those of callers, and belong to idle while they wait for a request.
 }
 
+// idleCloseBatch is the number of idle connections that are closed when a descriptor is lacking.
+const idleCloseBatch = 64
+
 // acceptRetryDelay is the time between two attempts to accept a connection while that fails.
 const acceptRetryDelay = 50 * time.Millisecond
 
@@ -31,7 +39,11 @@
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	for err != nil && !errors.Is(err, net.ErrClosed) {
-		l.log.Warn("connection not accepted", logfile.Error(err))
+		closed := 0
+		if errors.IsAny(err, unix.EMFILE, unix.ENFILE) {
+			closed = l.idle.closeLongest(idleCloseBatch)
+		}
+		l.log.Warn("connection not accepted", zap.Int("IdleClosed", closed), logfile.Error(err))
 		time.Sleep(acceptRetryDelay)
 		accepted, err = l.Listener.Accept()
 	}
@@ -42,7 +54,12 @@
 	if !ok {
 		return accepted, nil
 	}
-	return &conn{TCPConn: tcp, log: l.log, timeouts: l.timeouts, bodies: l.bodies, idle: true, since: time.Now()}, nil
+	c := &conn{TCPConn: tcp, log: l.log, timeouts: l.timeouts, bodies: l.bodies, idle: true, since: time.Now()}
+	if l.callers {
+		c.idleSet = l.idle
+		l.idle.add(c)
+	}
+	return c, nil
 }
 
 // conn is an accepted connection. It limits how long the gateway waits for a request and for each write, and logs which
@@ -70,6 +87,18 @@
 	failed   bool      // A write failed.
 
 	onWritten func() // Called when the answer is written or can no longer be; nil if there is none.
+
+	idleSet     *idleConnections // Nil for a connection that is not a caller's.
+	idleElement *list.Element    // Guarded by idleSet; nil while the connection is not in it.
+	ending      atomic.Bool      // The connection is not to wait for another request.
+}
+
+// endIdle makes the connection end as soon as it would wait for a request. It is called from other goroutines.
+func (c *conn) endIdle() {
+	c.ending.Store(true)
+	if err := c.SetReadDeadline(time.Now()); err != nil {
+		c.log.Info("idle connection not ended", zap.Stringer("Caller", c.RemoteAddr()), logfile.Error(err))
+	}
 }
 
 // beginAnswer records which request the next writes answer. It calls onWritten when the answer is written or can no longer
@@ -97,6 +126,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.leaveIdleSet()
 	c.endAnswer()
 	c.bodies.release(c.reserved)
 	c.reserved = 0
@@ -136,8 +166,19 @@
 	case !ok:
 	case state == fasthttp.StateActive:
 		c.active = true
+		c.leaveIdleSet()
 	case state == fasthttp.StateIdle:
 		c.active = false
+		if c.idleSet != nil {
+			c.idleSet.add(c)
+		}
+	}
+}
+
+// leaveIdleSet removes the connection from those that wait for a request.
+func (c *conn) leaveIdleSet() {
+	if c.idleSet != nil {
+		c.idleSet.remove(c)
 	}
 }
 
@@ -165,6 +206,9 @@
 
 // readDeadline returns the time at which the gateway gives up waiting for the rest of a request, or for one to begin.
 func (c *conn) readDeadline() time.Time {
+	if c.idle && c.ending.Load() {
+		return c.since // It is over.
+	}
 	if c.idle {
 		return c.since.Add(c.timeouts().idle)
 	}
--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -140,6 +140,66 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestIdleConnectionsOfCallersAreClosedAfterTheConfiguredLimit guards against idle connections that are kept for longer than
+// the configuration allows and use up the descriptors (review/7).
+func TestIdleConnectionsOfCallersAreClosedAfterTheConfiguredLimit(t *testing.T) {
+	g := newTestGateway(t)
+	g.table.Store(route.NewTable(route.Configuration{Version: 1, Limits: route.Limits{IdleTimeout: 100 * time.Millisecond}}))
+	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	caller := dialTest(t, address)
+	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(eventually)))
+	_, err := caller.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, defaultTimeouts.idle, g.peerTimeouts().idle, "the limit is for callers")
+}
+
+// idleCount returns the number of callers' connections that wait for a request.
+func idleCount(g *Gateway) int {
+	g.idleCallers.mu.Lock()
+	defer g.idleCallers.mu.Unlock()
+	return g.idleCallers.oldest.Len()
+}
+
+// TestLackOfDescriptorsClosesTheLongestIdleConnections guards against a router that takes no new connection while callers keep
+// idle ones open (review/7).
+func TestLackOfDescriptorsClosesTheLongestIdleConnections(t *testing.T) {
+	g := newTestGateway(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	go g.serve("Front", ln, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	callers := make([]*testCaller, idleCloseBatch+1)
+	for i := range callers {
+		callers[i] = dialTest(t, ln.Addr().String())
+		callers[i].exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	require.Eventually(t, func() bool { return idleCount(g) == len(callers) }, eventually, pollInterval)
+	require.Equal(t, idleCloseBatch, g.idleCallers.closeLongest(idleCloseBatch))
+	for _, c := range callers[:idleCloseBatch] {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(eventually)))
+		_, err := c.in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+	callers[idleCloseBatch].exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+// TestAcceptClosesIdleConnectionsWhenDescriptorsAreLacking accepts with one idle connection, after a failure for want of descriptors.
+func TestAcceptClosesIdleConnectionsWhenDescriptorsAreLacking(t *testing.T) {
+	g := newTestGateway(t)
+	first := dialTest(t, serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") }))
+	first.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool { return idleCount(g) == 1 }, eventually, pollInterval)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	go g.serve("Front", &exhaustedListener{Listener: ln, failures: 1}, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
+	dialTest(t, ln.Addr().String()).exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, first.SetReadDeadline(time.Now().Add(eventually)))
+	_, err = first.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // TestRequestMayArriveAsSlowlyAsTheLimit sends a head over most of the time that the configuration allows, which is more
 // than the router's own.
 func TestRequestMayArriveAsSlowlyAsTheLimit(t *testing.T) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -37,19 +37,27 @@
 	write: 20 * time.Second,
 }
 
-// currentTimeouts returns the timeouts in force: those of the gateway, or longer ones where the configuration allows callers
-// more time.
-//
-// Callers reuse a connection until shortly before the idle timeout of the configuration.
-func (g *Gateway) currentTimeouts() timeouts {
+// peerTimeouts returns the timeouts in force for connections of other routers: those of the gateway, with more time for a
+// request where the configuration allows callers more.
+func (g *Gateway) peerTimeouts() timeouts {
 	out := g.timeouts
 	if t := g.table.Load(); t != nil {
-		out.idle = max(out.idle, t.Limits.IdleTimeout)
 		out.read += t.Limits.HeaderTimeout // The rest is for the body.
 	}
 	return out
 }
 
+// callerTimeouts returns the timeouts in force for connections of callers, of which the configuration sets how long they may be
+// idle. Callers reuse a connection until shortly before that; kept for longer, connections that nobody uses take up all
+// descriptors.
+func (g *Gateway) callerTimeouts() timeouts {
+	out := g.peerTimeouts()
+	if t := g.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
+		out.idle = t.Limits.IdleTimeout
+	}
+	return out
+}
+
 // newServer returns an HTTP server for connections that a listener accepts; they limit their reads and writes themselves.
 func (g *Gateway) newServer(handler fasthttp.RequestHandler, fromPeer bool) *fasthttp.Server {
 	return &fasthttp.Server{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	inFlight           atomic.Int64
 	maxInFlight        atomic.Int64 // Limit of inFlight.
 	bodies             bodies
+	idleCallers        idleConnections
 	answers            byteBudget            // Memory of answers that are read whole.
 	grace              atomic.Int64          // Nanoseconds from the stop request until the process is killed.
 	drain              atomic.Pointer[drain] // Nil until a stop is requested.
@@ -304,7 +305,12 @@
 
 // serve answers the requests on the connections that a listener accepts.
 func (g *Gateway) serve(name string, ln net.Listener, handler fasthttp.RequestHandler) {
-	err := g.newServer(handler, name == peerListener).Serve(&listener{Listener: ln, log: g.log, timeouts: g.currentTimeouts, bodies: &g.bodies.byteBudget})
+	fromPeer := name == peerListener
+	l := &listener{Listener: ln, log: g.log, timeouts: g.callerTimeouts, bodies: &g.bodies.byteBudget, idle: &g.idleCallers, callers: !fromPeer}
+	if fromPeer {
+		l.timeouts = g.peerTimeouts
+	}
+	err := g.newServer(handler, fromPeer).Serve(l)
 	if err != nil {
 		g.log.Error("server stopped", zap.String("Listener", name), logfile.Error(err))
 	}
