internal/gateway: requests that arrive before a starting router has read its endpoints wait for that

What callers saw: after all of 99 routers had been killed, 981 requests were refused with 503 NoEndpoint and told to come back after 5 s, within 0.4 s in which the routers read 1,002 entries. With six routers the entries are there 22 ms after the start.

Cause: a router that knows no endpoint yet was not told from one whose endpoints are all gone.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -29,6 +29,9 @@
 	tracked          map[string]*trackedEndpoint // By endpoint name; guarded by mu.
 	storeRecoveredAt time.Time                   // When the store last became reachable again; guarded by mu.
 	restarted        map[string]bool             // Names of endpoints that restarted since the last updatePool; guarded by mu.
+	read             bool                        // All entries were read at least once; guarded by mu.
+
+	known entriesKnown
 }
 
 // trackedEndpoint is an endpoint that has an entry, or had one recently.
@@ -58,6 +61,7 @@
 // applySnapshot updates all endpoints from the entries in the store and marks those without an entry as missing.
 func (e *entries) applySnapshot(now time.Time, entries []keyvalue.Entry) {
 	e.mu.Lock()
+	e.read = true
 	present := map[string]bool{}
 	for _, entry := range entries {
 		present[e.g.dialect.EntryName(entry.Key)] = true
@@ -215,9 +219,13 @@
 	}
 	restarted := e.restarted
 	e.restarted = map[string]bool{}
+	read := e.read
 	e.mu.Unlock()
 	e.g.endpoints.Configure(now, list, restarted)
 	e.g.path.configure(now, list)
+	if read {
+		e.known.set()
+	}
 	e.g.versions.tick(now)
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -237,7 +237,10 @@
 // endpointsAge returns the time since the store is known to have had no further changes of the endpoints' entries, in
 // milliseconds, or zero before the first read.
 func (g *Gateway) endpointsAge() int64 {
-	f := g.feeds[endpointsFeed]
+	f, ok := g.feeds[endpointsFeed]
+	if !ok {
+		return 0
+	}
 	if _, synced := f.relay.revision(); !synced {
 		return 0
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,9 @@
 		Versions:  &g.versions,
 		IsHome:    g.peers.IsHome,
 	}
-	g.entries = entries{g: g, tracked: map[string]*trackedEndpoint{}, restarted: map[string]bool{}}
+	g.entries.g = g
+	g.entries.tracked = map[string]*trackedEndpoint{}
+	g.entries.restarted = map[string]bool{}
 	if g.cfg.Features.Evacuations {
 		g.evacuations.setup(g)
 		g.peers.Evacuations = &g.evacuations
