internal/gateway: a starting router that does not know its endpoints in time refuses as not configured

A request whose quarter of the time ran out before the entries were read, such as an order with 0.6 s, was still told to come back after 5 s. It is told 0.5 s now, as by a router without a configuration.

--- a/internal/gateway/entries_known.go
+++ b/internal/gateway/entries_known.go
@@ -27,24 +27,26 @@
 	entriesWaitDivisor = 4               // A request waits for this part of the time until its deadline at most.
 )
 
-// await blocks a request that arrives while the process starts until the endpoints are known, its caller has left or the wait
-// has taken too long. Refused at once for want of an endpoint, it would be told to come back much later than need be.
-func (k *entriesKnown) await(now, started, deadline time.Time, callerGone <-chan struct{}) {
-	wait := min(started.Add(entriesWait).Sub(now), deadline.Sub(now)/entriesWaitDivisor)
-	if wait <= 0 {
-		return
+// await blocks a request that arrives while the process starts until the endpoints are known, and reports false if its caller
+// has left or the wait has taken too long before that. A request that arrives later never waits.
+func (k *entriesKnown) await(now, started, deadline time.Time, callerGone <-chan struct{}) bool {
+	starting := started.Add(entriesWait).Sub(now)
+	if starting <= 0 {
+		return true
 	}
 	known := k.channel()
 	select {
 	case <-known:
-		return
+		return true
 	default:
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(min(starting, deadline.Sub(now)/entriesWaitDivisor))
 	defer timer.Stop()
 	select {
 	case <-known:
+		return true
 	case <-callerGone:
 	case <-timer.C:
 	}
+	return false
 }
--- a/internal/gateway/entries_known_test.go
+++ b/internal/gateway/entries_known_test.go
@@ -7,20 +7,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
-	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
 // TestRequestWaitsForTheFirstReadOfTheEntries guards against the refusal of requests, for want of an endpoint, that arrive after the
 // start of a router and before it has read the entries.
 func TestRequestWaitsForTheFirstReadOfTheEntries(t *testing.T) {
 	g := newTestGateway(t)
-	g.table.Store(route.NewTable(route.Configuration{Version: 1}))
 	now := time.Now()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		g.entries.known.await(now, now, now.Add(time.Minute), nil)
-	}()
+	done := make(chan bool, 1)
+	go func() { done <- g.entries.known.await(now, now, now.Add(time.Minute), nil) }()
 	g.entries.applyChanges(now, []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/a", Value: []byte("ready")}}})
 	select {
 	case <-done:
@@ -29,7 +24,8 @@
 	}
 	g.entries.applySnapshot(now, []keyvalue.Entry{{Key: "e/a", Value: []byte("ready")}})
 	select {
-	case <-done:
+	case known := <-done:
+		require.True(t, known)
 	case <-time.After(entriesWait / 2):
 		require.Fail(t, "the request still waits")
 	}
@@ -39,14 +35,20 @@
 func TestRequestDoesNotWaitLongForTheEntries(t *testing.T) {
 	gone := make(chan struct{})
 	close(gone)
-	for name, wait := range map[string]func(k *entriesKnown, now time.Time){
-		"started long ago": func(k *entriesKnown, now time.Time) { k.await(now, now.Add(-entriesWait), now.Add(time.Hour), nil) },
-		"short deadline":   func(k *entriesKnown, now time.Time) { k.await(now, now, now.Add(100*time.Millisecond), nil) },
-		"caller left":      func(k *entriesKnown, now time.Time) { k.await(now, now, now.Add(time.Hour), gone) },
+	for _, tc := range []struct {
+		name     string
+		started  time.Duration // Before now.
+		timeLeft time.Duration
+		gone     chan struct{}
+		admitted bool
+	}{
+		{"started long ago", entriesWait, time.Hour, nil, true},
+		{"short deadline", 0, 100 * time.Millisecond, nil, false},
+		{"caller left", 0, time.Hour, gone, false},
 	} {
 		var k entriesKnown
 		now := time.Now()
-		wait(&k, now)
-		require.Less(t, time.Since(now), time.Second, name)
+		require.Equal(t, tc.admitted, k.await(now, now.Add(-tc.started), now.Add(tc.timeLeft), tc.gone), tc.name)
+		require.Less(t, time.Since(now), time.Second, tc.name)
 	}
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -159,7 +159,9 @@
 	if c.req.CallerLeft() {
 		return &request.Reply{Refusal: refusal.New(refusal.CallerGone, "before the request was read")}
 	}
-	g.entries.known.await(now, g.started, c.req.Deadline, c.req.CallerGone)
+	if !g.entries.known.await(now, g.started, c.req.Deadline, c.req.CallerGone) {
+		return &request.Reply{Refusal: refusal.New(refusal.NotConfigured, "the endpoints are not known yet")}
+	}
 	return g.serveAdmitted(now, c, h)
 }
 
