pkg/budget: a draining holder answers requests that come back from a peer after it has closed its account

Callers of a stopping router waited until their deadline. A request that is with a peer does not wait here, so a draining holder closes its account; when the peer refuses, the request waited again in a closed account, on which nothing is handled any more.

--- a/pkg/budget/draw.go
+++ b/pkg/budget/draw.go
@@ -1,14 +1,18 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
+)
 
 // advance dispatches the waiting requests that can be served and then starts the next raise or store call for a budget, if any.
 func (h *Holder) advance(now time.Time, a *account) []Action {
 	if a.closed {
-		return nil
+		return h.refuseAll(a, refusal.Draining)
 	}
 	if a.fenced {
-		return h.refuseAll(a)
+		return h.refuseAll(a, refusal.BudgetUnavailable)
 	}
 	actions := h.dispatchWaiting(a)
 	actions = append(actions, h.raise(now, a)...)
--- a/pkg/budget/leave.go
+++ b/pkg/budget/leave.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
 )
 
 // entrustPeerCount is the number of peers asked to close an account; more than one, since a peer may stop as well.
@@ -22,7 +24,7 @@
 		if a.closed || a.fenced {
 			continue
 		}
-		actions = append(actions, h.refuseAll(a)...)
+		actions = append(actions, h.refuseAll(a, refusal.BudgetUnavailable)...)
 		a.fenced = true
 		if final := a.final(); final.Granted > 0 {
 			actions = append(actions, Entrust{h.entrustPeers(a), OrphanedAccount{name, h.Name, final}})
--- a/pkg/budget/outcome.go
+++ b/pkg/budget/outcome.go
@@ -105,11 +105,11 @@
 	return append(h.answerRecalls(a), h.advance(now, a)...)
 }
 
-// refuseAll refuses all waiting requests of a fenced account.
-func (h *Holder) refuseAll(a *account) []Action {
+// refuseAll refuses all waiting requests of an account that is closed or fenced.
+func (h *Holder) refuseAll(a *account, kind refusal.Kind) []Action {
 	actions := h.answerRecalls(a)
 	for len(a.waiting) > 0 {
-		actions = append(actions, h.refuse(a, h.requests[a.waiting[0]], refusal.BudgetUnavailable))
+		actions = append(actions, h.refuse(a, h.requests[a.waiting[0]], kind))
 	}
 	return actions
 }
--- a/pkg/budget/spend_test.go
+++ b/pkg/budget/spend_test.go
@@ -148,6 +148,7 @@
 			"lose data centre":   func(*rapid.T) { d.act(step{Op: "LoseDataCentre", Holder: d.holder()}) },
 			"kill":               func(*rapid.T) { d.act(step{Op: "Kill", Holder: d.holder()}) },
 			"leave":              func(*rapid.T) { d.act(step{Op: "Leave", Holder: d.holder()}) },
+			"drain":              func(*rapid.T) { d.act(step{Op: "Drain", Holder: d.holder()}) },
 			"homed":              func(*rapid.T) { d.act(step{Op: "Homed", Holder: d.holder(), Index: int(d.draw("home", 0, 1))}) },
 		})
 		m.finish(t)
@@ -179,6 +180,7 @@
 			},
 			"kill":  func(*rapid.T) { act(step{Op: "Kill", Holder: holder()}) },
 			"leave": func(*rapid.T) { act(step{Op: "Leave", Holder: holder()}) },
+			"drain": func(*rapid.T) { act(step{Op: "Drain", Holder: holder()}) },
 		})
 	})
 }
--- a/pkg/budget/step_test.go
+++ b/pkg/budget/step_test.go
@@ -79,6 +79,8 @@
 		}
 	case "Kill":
 		m.kill(slices.Index(m.names, s.Holder))
+	case "Drain":
+		m.handle(s.Holder, Drain{})
 	case "Leave":
 		m.handle(s.Holder, Leave{})
 		m.kill(slices.Index(m.names, s.Holder))
