pkg/budget: the witness of a dead router returns its tokens also when it stops, and at once when a later incarnation runs

Class: a belief whose only evidence ends with its holder.

TestDrainingWitnessSealsTheAccountsOfLostHolders and TestReplacedHolderIsSealedAtOnce failed before.

Now a draining witness seals the accounts of all absent routers at once, also those that it misses later, and nobody waits for a router whose VM runs a later incarnation. A seal is logged (account sealed).

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -115,6 +115,9 @@
 		l.raises.Send(action.ID, action.Acknowledged)
 	case budget.AnswerRecall:
 		l.recalls.Send(action.ID, struct{}{})
+	case budget.Sealed:
+		l.Log.Info("account sealed", zap.String("Budget", action.Budget), zap.String("Holder", action.Holder),
+			zap.Int64("Returned", action.Returned), zap.Int64("Kept", action.Kept))
 	case budget.Bill:
 		if l.OnBill != nil {
 			l.OnBill(action)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,10 @@
 	// OnProbed is called for each probe of another router with its VM; may be nil.
 	OnProbed func(now time.Time, vm string)
 
-	mu     sync.Mutex
-	roster fleet.Roster // Guarded by mu.
+	mu       sync.Mutex
+	roster   fleet.Roster            // Guarded by mu.
+	latest   map[string]fleet.Member // Latest incarnation of each VM that was a peer; guarded by mu.
+	replaced []string                // Names of earlier incarnations of the VMs in latest; guarded by mu.
 }
 
 // Init sets the member that this router is. It is called before the first event.
@@ -98,6 +101,7 @@
 	for _, p := range peers {
 		changed.Peers = append(changed.Peers, p.Name())
 	}
+	changed.Replaced = m.observeReplaced(peers)
 	m.Budgets.Handle(now, changed)
 	m.Endpoints.Handle(now, endpoint.RoutersCounted{Routers: len(changed.Peers) + 1})
 	m.Endpoints.Handle(now, endpoint.RoutersExpected{Routers: m.mayRun()})
@@ -105,6 +109,26 @@
 	m.Endpoints.Handle(now, endpoint.RoutersRegistered{Self: m.Self().VM, Routers: m.registered()})
 }
 
+// observeReplaced returns the names of the incarnations that were peers and have ended, since their VM runs a later one.
+func (m *Members) observeReplaced(peers []fleet.Member) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.latest == nil {
+		m.latest = map[string]fleet.Member{}
+	}
+	for _, p := range peers {
+		known, ok := m.latest[p.VM]
+		if ok && known.Incarnation >= p.Incarnation {
+			continue
+		}
+		if ok {
+			m.replaced = append(m.replaced, known.Name())
+		}
+		m.latest[p.VM] = p
+	}
+	return slices.Clone(m.replaced)
+}
+
 // mayRun returns the number of routers that may be running, this one included.
 func (m *Members) mayRun() int {
 	m.mu.Lock()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -58,6 +58,11 @@
 	changed := budgets.last.(budget.PeersChanged)
 	require.Equal(t, []string{"beside.1", "far.1", "stopping.1"}, changed.Peers)
 	require.Equal(t, []string{"far.1"}, changed.Witnesses)
+	require.Empty(t, changed.Replaced)
+	m.Handle(now, fleet.UpdatesReceived{Updates: []fleet.Member{{VM: "far", Incarnation: 2}}})
+	require.Equal(t, []string{"far.1"}, budgets.last.(budget.PeersChanged).Replaced)
+	m.Handle(now, fleet.UpdatesReceived{Updates: []fleet.Member{{VM: "far", Incarnation: 1}}})
+	require.Equal(t, []string{"far.1"}, budgets.last.(budget.PeersChanged).Replaced, "an update that comes late")
 	require.Equal(t, []string{"beside", "far", "self", "silent", "stopping"}, endpoints.listed.Routers, "all that may still send")
 }
 
--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -61,8 +61,9 @@
 	record   Record  // Record to be written.
 	before   Account // Value of account.own before this write was debited.
 	inFlight bool
-	resent   bool // An earlier copy may still take effect, so that a rejection of this one proves nothing.
-	closing  bool // The write removes the holder's own account.
+	resent   bool    // An earlier copy may still take effect, so that a rejection of this one proves nothing.
+	closing  bool    // The write removes the holder's own account.
+	seal     *Sealed // What is logged if the write takes effect; nil if it seals no account.
 }
 
 // headroom returns the unreserved and unspent tokens of the whole grant, including those above the ceiling.
--- a/pkg/budget/event.go
+++ b/pkg/budget/event.go
@@ -70,6 +70,7 @@
 type PeersChanged struct {
 	Peers     []string
 	Witnesses []string // Peers preferred as witnesses; if empty, every peer is eligible.
+	Replaced  []string // Incarnations that have ended for good, since a later one runs in their place.
 }
 
 // RaiseDone reports a witness's reply to a Raise; Acknowledged is false if there was no reply.
@@ -225,6 +226,14 @@
 	OrphanedAccount
 }
 
+// Sealed reports that this router, as the witness, has returned the tokens of a lost holder's account that this cannot have spent.
+type Sealed struct {
+	Budget   string
+	Holder   string
+	Returned int64
+	Kept     int64 // Tokens that stay with the holder, which may have spent them.
+}
+
 // Bill reports the tokens billed for a finished request; a holder bills each request once.
 type Bill struct {
 	Request string
@@ -242,4 +251,5 @@
 func (Raise) isAction()        {}
 func (AnswerRaise) isAction()  {}
 func (Entrust) isAction()      {}
+func (Sealed) isAction()       {}
 func (Bill) isAction()         {}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -20,6 +20,7 @@
 	witnessed map[witnessedKey]*witnessedAccount
 	peers     []string
 	witnesses []string
+	replaced  []string // Incarnations that have ended for good.
 	draining  bool
 	sweptAt   time.Time
 	lastSeals uint64 // Seal count with which the next account begins; above those of all that were closed.
--- a/pkg/budget/outcome.go
+++ b/pkg/budget/outcome.go
@@ -102,7 +102,11 @@
 	if w == nil {
 		return h.advance(now, a)
 	}
-	return append(h.answerRecalls(a), h.advance(now, a)...)
+	actions := h.answerRecalls(a)
+	if w.seal != nil && record.Holders[w.seal.Holder].Seals >= w.record.Holders[w.seal.Holder].Seals {
+		actions = append(actions, *w.seal)
+	}
+	return append(actions, h.advance(now, a)...)
 }
 
 // refuseAll refuses all waiting requests of an account that is closed or fenced.
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -31,6 +31,7 @@
 func (h *Holder) peersChanged(now time.Time, ev PeersChanged) {
 	h.peers = slices.Clone(ev.Peers)
 	h.witnesses = slices.Clone(ev.Witnesses)
+	h.replaced = slices.Clone(ev.Replaced)
 	if len(h.witnesses) == 0 {
 		h.witnesses = h.peers
 	}
@@ -64,23 +65,31 @@
 }
 
 // sealAbsent marks the accounts of holders that have been absent for SealAfter as sealed and queues the writes that return the tokens above their ceilings.
+//
+// It does not wait for a holder that a later incarnation has replaced, which is dead. While this router drains, it seals the
+// accounts of all absent holders at once, since what it acknowledged is forgotten with it; a holder that is alive draws again.
 func (h *Holder) sealAbsent(now time.Time) {
-	if h.draining {
-		return
-	}
-	after := h.Policy.withDefaults().SealAfter
 	for _, key := range slices.SortedFunc(maps.Keys(h.witnessed), witnessedKey.compare) {
 		w := h.witnessed[key]
-		if w.sealed || w.absentSince.IsZero() || now.Sub(w.absentSince) < after {
+		if w.sealed || w.absentSince.IsZero() || now.Sub(w.absentSince) < h.sealAfter(key.holder) {
 			continue
 		}
 		w.sealed = true
 		a := h.account(key.budget)
+		a.closed = false // Closed again once the seal is written.
 		a.sealing = append(a.sealing, key)
 		a.sealsUnread = true
 	}
 }
 
+// sealAfter returns the absence after which the accounts of a holder are sealed.
+func (h *Holder) sealAfter(holder string) time.Duration {
+	if h.draining || slices.Contains(h.replaced, holder) {
+		return 0
+	}
+	return h.Policy.withDefaults().SealAfter
+}
+
 // seal writes the next queued seal; seals that the record no longer permits are dropped.
 //
 // The record is read first: a witness need not use the budget itself, so that its copy may be older than the account.
@@ -93,7 +102,9 @@
 		w := h.witnessed[key]
 		record, err := a.record.seal(key.holder, h.Name, *w)
 		if err == nil {
-			return h.startWrite(now, a, &write{record: record, before: a.own})
+			before, after := a.record.Holders[key.holder], record.Holders[key.holder]
+			sealed := Sealed{Budget: a.budget, Holder: key.holder, Returned: after.Returned - before.Returned, Kept: after.Held()}
+			return h.startWrite(now, a, &write{record: record, before: a.own, seal: &sealed})
 		}
 		a.sealing = a.sealing[1:]
 	}
--- a/pkg/budget/witness_test.go
+++ b/pkg/budget/witness_test.go
@@ -128,3 +128,50 @@
 	m.heal(t)
 	require.EqualValues(t, 1, m.store.record.Holders[holder].Seals)
 }
+
+// TestDrainingWitnessSealsTheAccountsOfLostHolders guards against tokens that stay with a router which has died, because its witness
+// was stopped before it had missed the router for long enough, and forgot what it had acknowledged: a few routers that die during
+// a rolling restart then keep their grants for good.
+func TestDrainingWitnessSealsTheAccountsOfLostHolders(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		lose  func(m *fleetMachine, holder, witness string)
+		drain time.Duration // For which the witness drains.
+	}{
+		{"holder dies first", func(m *fleetMachine, holder, witness string) {
+			m.apply(t, step{Op: "Kill", Holder: holder})
+			m.pass(t, testSealAfter/4)
+			m.handle(witness, Drain{})
+		}, testSealAfter / 2},
+		{"holder dies while the witness drains", func(m *fleetMachine, holder, witness string) {
+			m.handle(witness, Drain{})
+			m.apply(t, step{Op: "Kill", Holder: holder})
+		}, testSealAfter / 2},
+		{"holder dies after the witness has closed its account", func(m *fleetMachine, holder, witness string) {
+			m.handle(witness, Drain{})
+			m.apply(t, step{Op: "Run", Index: 100})
+			m.apply(t, step{Op: "Kill", Holder: holder})
+		}, testSealAfter / 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, holder, witness := witnessedFleet(t)
+			tc.lose(m, holder, witness)
+			m.pass(t, tc.drain)
+			require.True(t, m.holders[witness].Drained())
+			a := m.store.record.Holders[holder]
+			require.Equal(t, a.Granted, a.Ceiling, "sealed")
+			require.Positive(t, a.Returned)
+			require.NoError(t, m.store.record.Check())
+		})
+	}
+}
+
+// TestReplacedHolderIsSealedAtOnce guards against tokens that stay with a router which has died although a later incarnation of it
+// runs, in which time its witness may die as well.
+func TestReplacedHolderIsSealedAtOnce(t *testing.T) {
+	m, holder, witness := witnessedFleet(t)
+	m.apply(t, step{Op: "Kill", Holder: holder})
+	m.handle(witness, PeersChanged{Peers: m.names[1:], Replaced: []string{holder}})
+	m.pass(t, testSealAfter/4)
+	require.EqualValues(t, 1, m.store.record.Holders[holder].Seals)
+}
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -16,12 +16,13 @@
 	Policy Policy
 
 	backends      map[string]*backend
-	started       bool      // Whether there have been endpoints; those that are added later have just started.
-	startedAt     time.Time // Time of the first event.
-	handledAt     time.Time // Time of the last event.
-	suspendedAt   time.Time // When this process was last suspended, as far as a time without events tells.
-	caughtUpAt    time.Time // When it has read what came meanwhile.
-	names         []string  // Keys of backends, sorted, so that decisions do not depend on map order.
+	serving       map[string]int // Number of endpoints by the models and services that they serve.
+	started       bool           // Whether there have been endpoints; those that are added later have just started.
+	startedAt     time.Time      // Time of the first event.
+	handledAt     time.Time      // Time of the last event.
+	suspendedAt   time.Time      // When this process was last suspended, as far as a time without events tells.
+	caughtUpAt    time.Time      // When it has read what came meanwhile.
+	names         []string       // Keys of backends, sorted, so that decisions do not depend on map order.
 	jobs          map[string]*job
 	queue         queue
 	suspects      suspects                  // Requests.
@@ -202,6 +203,12 @@
 	}
 	maps.DeleteFunc(p.backends, func(name string, _ *backend) bool { return !configured[name] })
 	p.names = slices.Sorted(maps.Keys(p.backends))
+	p.serving = map[string]int{}
+	for _, b := range p.backends {
+		for _, name := range b.Serves {
+			p.serving[name]++
+		}
+	}
 	p.started = p.started || len(p.names) > 0
 }
 
--- a/pkg/endpoint/prompt.go
+++ b/pkg/endpoint/prompt.go
@@ -82,11 +82,12 @@
 	}
 }
 
-// routersPerHome is the number of routers that have a home endpoint for a prompt in common.
+// endpointsPerHome is the number of endpoints for which a prompt has one home.
 //
-// Routers do not see each other's requests. One home for a large fleet gets more prompts at once than it can read, above all
-// after a start, when no router knows yet where else a prompt is cached.
-const routersPerHome = 25
+// The traffic of a service grows with its endpoints, and so do the requests with a prompt that many callers use. One home gets
+// more of them than it can read, above all after a start of all routers: these do not see each other's requests, and none knows
+// yet where else the prompt is cached. Each further home reads the prompt once more.
+const endpointsPerHome = 250
 
 // home returns the usable endpoint that this router prefers for a prompt's shared parts, or nil if the prompt has no shared
 // parts. All routers choose among the same few endpoints, which rendezvous hashing ranks highest.
@@ -95,7 +96,7 @@
 	if key == 0 {
 		return nil
 	}
-	homes := p.highestRanked(key, 1+p.peers/routersPerHome, usable)
+	homes := p.highestRanked(key, 1+p.serving[j.Service]/endpointsPerHome, usable)
 	if len(homes) == 0 {
 		return nil
 	}
