--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -207,7 +207,7 @@
 // readDeadline returns the time at which the gateway gives up waiting for the rest of a request, or for one to begin.
 func (c *conn) readDeadline() time.Time {
 	if c.idle && c.ending.Load() {
-		return c.since // It is over.
+		return c.since // No further request is awaited.
 	}
 	if c.idle {
 		return c.since.Add(c.timeouts().idle)
--- a/internal/request/leave_test.go
+++ b/internal/request/leave_test.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return
 		}
-		n, _ := conn.Read(make([]byte, 1)) //nolint:errcheck // The end of the connection is an error, and what is expected.
+		n, _ := conn.Read(make([]byte, 1))
 		read <- n
 	}()
 	f := &Forwarder{Endpoints: &placement.Endpoints{}, Log: zap.NewNop()}
