internal/gateway: an idle connection ends although its goroutine sets a read deadline

Cause: endIdle set a read deadline that had passed; the goroutine of the connection, between computing its own deadline and setting it, overwrote it and waited on.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -89,7 +89,7 @@
 	onWritten func() // Called when the answer is written or can no longer be; nil if there is none.
 
 	idleSet     *idleConnections // Nil for a connection that is not a caller's.
-	idleElement *list.Element    // Guarded by idleSet; nil while the connection is not in it.
+	idleElement *list.Element    // Guarded by idleSet.mu; nil while the connection is not in it.
 	ending      atomic.Bool      // The connection is not to wait for another request.
 }
 
@@ -186,7 +186,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	c.endAnswer()
 	for {
-		if err := c.SetReadDeadline(c.readDeadline()); err != nil {
+		if err := c.setReadDeadline(); err != nil {
 			return 0, err
 		}
 		n, err := c.TCPConn.Read(p)
@@ -204,6 +204,16 @@
 	}
 }
 
+// setReadDeadline sets the deadline of the next read. endIdle may run meanwhile, and its deadline must not be overwritten.
+func (c *conn) setReadDeadline() error {
+	ending := c.ending.Load()
+	err := c.SetReadDeadline(c.readDeadline())
+	if err == nil && c.ending.Load() != ending {
+		err = c.SetReadDeadline(c.readDeadline())
+	}
+	return err
+}
+
 // readDeadline returns the time at which the gateway gives up waiting for the rest of a request, or for one to begin.
 func (c *conn) readDeadline() time.Time {
 	if c.idle && c.ending.Load() {
--- a/internal/gateway/connection_test.go
+++ b/internal/gateway/connection_test.go
@@ -135,9 +135,7 @@
 	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
 	caller := dialTest(t, address)
 	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	require.NoError(t, caller.SetReadDeadline(time.Now().Add(eventually)))
-	_, err := caller.in.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
+	caller.requireEnd()
 }
 
 // TestIdleConnectionsOfCallersAreClosedAfterTheConfiguredLimit guards against idle connections that are kept for longer than
@@ -148,9 +146,7 @@
 	address := serveTest(t, g, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
 	caller := dialTest(t, address)
 	caller.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	require.NoError(t, caller.SetReadDeadline(time.Now().Add(eventually)))
-	_, err := caller.in.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
+	caller.requireEnd()
 	require.Equal(t, defaultTimeouts.idle, g.peerTimeouts().idle, "the limit is for callers")
 }
 
@@ -173,17 +169,44 @@
 	for i := range callers {
 		callers[i] = dialTest(t, ln.Addr().String())
 		callers[i].exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		// A connection may become idle after its caller has read the answer, and so after the next one.
+		require.Eventually(t, func() bool { return idleCount(g) == i+1 }, eventually, pollInterval)
 	}
-	require.Eventually(t, func() bool { return idleCount(g) == len(callers) }, eventually, pollInterval)
 	require.Equal(t, idleCloseBatch, g.idleCallers.closeLongest(idleCloseBatch))
 	for _, c := range callers[:idleCloseBatch] {
-		require.NoError(t, c.SetReadDeadline(time.Now().Add(eventually)))
-		_, err := c.in.ReadByte()
-		require.ErrorIs(t, err, io.EOF)
+		c.requireEnd()
 	}
 	callers[idleCloseBatch].exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 }
 
+// TestIdleConnectionEndsWhileItsDeadlineIsSet guards against an idle connection that is to end while its goroutine sets a later
+// read deadline, and is kept then.
+func TestIdleConnectionEndsWhileItsDeadlineIsSet(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	dialTest(t, ln.Addr().String())
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	c := &conn{TCPConn: accepted.(*net.TCPConn), idle: true, since: time.Now()}
+	c.timeouts = func() timeouts {
+		c.endIdle()
+		return defaultTimeouts
+	}
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	select {
+	case err := <-read:
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(eventually):
+		require.Fail(t, "the connection still waits for a request")
+	}
+}
+
 // TestAcceptClosesIdleConnectionsWhenDescriptorsAreLacking accepts with one idle connection, after a failure for want of descriptors.
 func TestAcceptClosesIdleConnectionsWhenDescriptorsAreLacking(t *testing.T) {
 	g := newTestGateway(t)
@@ -195,9 +218,7 @@
 	defer func() { _ = ln.Close() }()
 	go g.serve("Front", &exhaustedListener{Listener: ln, failures: 1}, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("well") })
 	dialTest(t, ln.Addr().String()).exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	require.NoError(t, first.SetReadDeadline(time.Now().Add(eventually)))
-	_, err = first.in.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
+	first.requireEnd()
 }
 
 // TestRequestMayArriveAsSlowlyAsTheLimit sends a head over most of the time that the configuration allows, which is more
@@ -309,6 +330,14 @@
 	return &testCaller{Conn: c, t: t, in: bufio.NewReader(c)}
 }
 
+// requireEnd requires that the router ends the connection.
+func (c *testCaller) requireEnd() {
+	c.t.Helper()
+	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(eventually)))
+	_, err := c.in.ReadByte()
+	require.ErrorIs(c.t, err, io.EOF)
+}
+
 // exchange sends the text of a request, or the rest of one, and reads its answer.
 func (c *testCaller) exchange(text string) {
 	c.t.Helper()
