internal/gateway: a version that waits to be recorded does not update the whole pool at each tick

What callers saw: the same late answers and used-up processors as after a leave, while the record of software versions could not be written, as in an outage of the store during an upgrade.

Only the end of the patience, when streams may begin unrecorded, changes what the pool is told; the pool is updated then.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -232,10 +232,10 @@
 	e.g.versions.tick(now)
 }
 
-// nextUpdate returns when the next missing entry comes to the end of a grace period or is dropped, or zero if none is missing;
-// mu must be held.
+// nextUpdate returns when the next missing entry comes to the end of a grace period or is dropped, or streams may begin at a
+// version that is not recorded, or zero if neither is ahead; mu must be held.
 func (e *entries) nextUpdate(now time.Time) time.Time {
-	var next time.Time
+	next := e.g.versions.history.NextChange(now)
 	for _, ep := range e.tracked {
 		if ep.missingSince.IsZero() {
 			continue
@@ -271,17 +271,17 @@
 	initialTokenRate  = 150
 )
 
-// tick advances the clock of the pool. When a grace period of a missing entry ends, and while versions wait to be recorded or the
-// pool has not been configured for want of the evacuations, it also updates the pool. It reports whether that is due soon.
+// tick advances the clock of the pool. It also updates the pool when a grace period ends, and while the pool has not been
+// configured for want of the evacuations. It reports whether an update is due soon or versions wait to be recorded.
 //
-// An update takes time in proportion to the number of endpoints, so it is not done each time while an entry is missing.
+// An update takes time in proportion to the number of endpoints, so it is not done each time while something is pending.
 func (e *entries) tick(now time.Time) (pending bool) {
-	pending = e.g.versions.history.Pending() || e.g.evacuations.awaited(now, evacuationsWait+evacuationsCheck)
-	if pending || e.updateDue(now) {
+	awaited := e.g.evacuations.awaited(now, evacuationsWait+evacuationsCheck)
+	if awaited || e.updateDue(now) {
 		e.updatePool(now)
 	}
 	e.g.endpoints.Handle(now, endpoint.Tick{})
-	return pending || e.updateDue(now.Add(idlePeriod))
+	return awaited || e.updateDue(now.Add(idlePeriod)) || e.g.versions.history.Pending()
 }
 
 // updateDue reports whether the pool is to be updated by the time now although no entry changes.
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtaillanding/foxtaillanding/internal/keyvalue"
+	"github.com/foxtaillanding/foxtaillanding/pkg/route"
 )
 
 // entryDialect parses entries whose value is "ready" or "leaving"; any other value is an error.
@@ -184,16 +185,21 @@
 	return []keyvalue.Change{{Entry: keyvalue.Entry{Key: "e/" + name}, Deleted: true}}
 }
 
+// readyEntries are changes that write the entries of n endpoints.
+func readyEntries(n int) []keyvalue.Change {
+	changes := make([]keyvalue.Change, n)
+	for i := range changes {
+		changes[i].Entry = keyvalue.Entry{Key: "e/" + strconv.Itoa(i), Value: []byte("ready")}
+	}
+	return changes
+}
+
 // TestTickIsCheapWhileAnEntryIsMissing guards against endpoints that leave a large fleet and use up the processors of the routers:
 // for 30 s after each leave, the pool was updated 40 times a second.
 func TestTickIsCheapWhileAnEntryIsMissing(t *testing.T) {
 	const endpoints = 200
 	g := newTestGateway(t)
-	var all []keyvalue.Change
-	for i := range endpoints {
-		all = append(all, keyvalue.Change{Entry: keyvalue.Entry{Key: "e/" + strconv.Itoa(i), Value: []byte("ready")}})
-	}
-	g.entries.applyChanges(start, all)
+	g.entries.applyChanges(start, readyEntries(endpoints))
 	g.entries.applyChanges(start, deleted("0"))
 	now := start.Add(missingGrace)
 	g.entries.tick(now)
@@ -204,6 +210,22 @@
 	require.Less(t, allocations, float64(endpoints))
 }
 
+// TestTickIsCheapWhileAVersionIsNotRecorded guards against the same while the record of versions cannot be written.
+func TestTickIsCheapWhileAVersionIsNotRecorded(t *testing.T) {
+	const endpoints = 200
+	g := newTestGateway(t)
+	g.table.Store(route.NewTable(route.Configuration{Version: 2, Services: []route.Service{{Name: "s"}}}))
+	g.entries.applyChanges(start, readyEntries(endpoints))
+	require.True(t, g.versions.history.Pending())
+	now := start.Add(time.Second)
+	g.entries.tick(now)
+	allocations := testing.AllocsPerRun(100, func() {
+		now = now.Add(tickPeriod)
+		g.entries.tick(now)
+	})
+	require.Less(t, allocations, float64(endpoints))
+}
+
 // TestTickEndsTheUseOfAMissingEntry uses an endpoint whose entry may have expired in an outage, and no longer than the grace
 // period although no entry changes any more.
 func TestTickEndsTheUseOfAMissingEntry(t *testing.T) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -191,6 +191,29 @@
 	return false
 }
 
+// NextChange returns the earliest time after now at which Unrecorded may answer otherwise although nothing is adopted or
+// observed until then, or zero if there is none.
+func (h *History) NextChange(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var next time.Time
+	consider := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	for _, s := range h.services {
+		if s.pendingSince.IsZero() {
+			continue
+		}
+		consider(s.pendingSince.Add(recordPatience))
+		for _, at := range s.lost {
+			consider(at.Add(retention + 1))
+		}
+	}
+	return next
+}
+
 // MustTell reports whether the homes of a service's streams have to be told where these begin: several versions serve it or
 // did lately, or this router does not know whether they do, since its copy of the record has an age.
 func (h *History) MustTell(age time.Duration, service string) bool {
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -78,6 +78,17 @@
 	require.True(t, h.MustTell(0, "s"), "the homes know of it")
 }
 
+// TestNextChangeIsWhenStreamsMayBeginUnrecorded guards against a version that waits to be recorded and is forgotten, and against
+// one that is looked at all the time.
+func TestNextChangeIsWhenStreamsMayBeginUnrecorded(t *testing.T) {
+	s := recordStore{revision: 1, record: Record{}.with([]string{"v1"})}
+	h := s.newHistory(start, "v1")
+	require.Zero(t, h.NextChange(start))
+	h = s.newHistory(start, "v2")
+	require.Equal(t, start.Add(recordPatience), h.NextChange(start))
+	require.Zero(t, h.NextChange(start.Add(recordPatience)))
+}
+
 // TestOneRouterRecordsAVersion lets the home and another router see it at the same time, and then the home be dead.
 func TestOneRouterRecordsAVersion(t *testing.T) {
 	var s recordStore
