internal/gateway: a router that starts serves with the endpoints that it has read so far

Now the pool gets each page of the first read, and a request waits only until each service that it may be sent to has an endpoint there. No entry counts as missing before all are read.

--- a/internal/gateway/archive.go
+++ b/internal/gateway/archive.go
@@ -159,7 +159,7 @@
 func (a *originArchive) perform(read *originRead) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	entries, _, err := a.g.store.Range(ctx, originPrefix)
+	entries, _, err := a.g.store.Range(ctx, originPrefix, nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer close(read.done)
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -78,6 +78,16 @@
 	e.updatePool(now)
 }
 
+// applyPage updates endpoints from a part of the entries, so that requests for these need not wait until all are read.
+func (e *entries) applyPage(now time.Time, entries []keyvalue.Entry) {
+	e.mu.Lock()
+	for _, entry := range entries {
+		e.update(now, entry.Key, entry.Value)
+	}
+	e.mu.Unlock()
+	e.updatePool(now)
+}
+
 // applyChanges updates endpoints from changed or deleted entries.
 //
 // The pool is updated once for all changes, since that takes time in proportion to the number of endpoints.
@@ -226,9 +236,7 @@
 	e.mu.Unlock()
 	e.g.endpoints.Configure(now, list, restarted)
 	e.g.path.configure(now, list)
-	if read {
-		e.known.set()
-	}
+	e.known.update(read)
 	e.g.versions.tick(now)
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -20,6 +20,7 @@
 type feedState struct {
 	name       string
 	prefix     string
+	onPage     func(now time.Time, entries []keyvalue.Entry)  // Called with each part of the first read, before onSnapshot; may be nil.
 	onSnapshot func(now time.Time, entries []keyvalue.Entry)  // Called with all keys that exist.
 	onChanges  func(now time.Time, changes []keyvalue.Change) // Called with the changes after that, one or more at once.
 	onUpdate   func(now time.Time, u feed.Update)             // Called with each update as a whole, in place of the two above; may be nil.
@@ -205,7 +206,11 @@
 func (g *Gateway) readUpdate(ctx context.Context, f *feedState) (feed.Update, error) {
 	revision, synced := f.relay.revision()
 	if f.unsynced || !synced {
-		entries, at, err := g.store.Range(ctx, f.prefix)
+		var onPage func([]keyvalue.Entry)
+		if f.onPage != nil && !synced {
+			onPage = func(entries []keyvalue.Entry) { f.onPage(time.Now(), entries) }
+		}
+		entries, at, err := g.store.Range(ctx, f.prefix, onPage)
 		u := feed.Update{Snapshot: true, Revision: at}
 		for _, e := range entries {
 			u.Changes = append(u.Changes, keyvalue.Change{Entry: e})
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -159,7 +159,8 @@
 	if c.req.CallerLeft() {
 		return &request.Reply{Refusal: refusal.New(refusal.CallerGone, "before the request was read")}
 	}
-	if !g.entries.known.await(now, g.started, c.req.Deadline, c.req.CallerGone) {
+	serves := func() bool { return g.endpoints.Serves(c.route.Services()) }
+	if !g.entries.known.await(now, g.started, c.req.Deadline, c.req.CallerGone, serves) {
 		return &request.Reply{Refusal: refusal.New(refusal.NotConfigured, "the endpoints are not known yet")}
 	}
 	return g.serveAdmitted(now, c, h)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -332,6 +332,7 @@
 		{
 			name:       endpointsFeed,
 			prefix:     g.dialect.EntryPrefix(),
+			onPage:     g.entries.applyPage,
 			onSnapshot: g.entries.applySnapshot,
 			onChanges:  g.entries.applyChanges,
 			onRecovery: g.entries.storeRecovered,
--- a/internal/gateway/instrumented_store.go
+++ b/internal/gateway/instrumented_store.go
@@ -99,8 +99,8 @@
 }
 
 // Range reads all keys with a prefix.
-func (s *instrumentedStore) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, uint64, error) {
-	entries, revision, err := s.Store.Range(ctx, prefix)
+func (s *instrumentedStore) Range(ctx context.Context, prefix string, onPage func([]keyvalue.Entry)) ([]keyvalue.Entry, uint64, error) {
+	entries, revision, err := s.Store.Range(ctx, prefix, onPage)
 	s.record("Range", err)
 	return entries, revision, err
 }
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -83,7 +83,7 @@
 	return s.err
 }
 
-func (s *faultyStore) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, uint64, error) {
+func (s *faultyStore) Range(ctx context.Context, prefix string, onPage func([]keyvalue.Entry)) ([]keyvalue.Entry, uint64, error) {
 	s.mu.Lock()
 	s.reads++
 	err, hang := s.err, s.hang
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -72,8 +72,9 @@
 
 // Feed reports the changes of the keys with a common prefix.
 type Feed interface {
-	// Range reads all keys that begin with prefix and the revision to continue from.
-	Range(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// Range reads all keys that begin with prefix and the revision to continue from. If onPage is not nil, it is called with
+	// each part of the keys as soon as that is read.
+	Range(ctx context.Context, prefix string, onPage func([]Entry)) ([]Entry, uint64, error)
 	// Changes waits up to wait for changes after a revision. ErrHistoryGone means that the caller must call Range again.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 }
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -102,6 +103,13 @@
 	return e.pool.MaySend(name)
 }
 
+// Serves reports whether each of these services has an endpoint that is not leaving.
+func (e *Endpoints) Serves(services []string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !slices.ContainsFunc(services, func(s string) bool { return !e.pool.Serves(s) })
+}
+
 // Handle applies an event to the pool and executes the resulting actions.
 func (e *Endpoints) Handle(now time.Time, ev endpoint.Event) {
 	for _, action := range decision.Apply(&e.mu, e.pool.Handle, now, ev) {
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -161,6 +161,19 @@
 	return ok && !b.leaving()
 }
 
+// Serves reports whether a model or service has an endpoint that is not leaving.
+func (p *Pool) Serves(service string) bool {
+	if p.serving[service] == 0 {
+		return false
+	}
+	for _, b := range p.backends {
+		if b.serves(service) && !b.leaving() {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectsOf returns the suspects among the parts of prompts or among the requests.
 func (p *Pool) suspectsOf(part bool) *suspects {
 	if part {
