pkg/endpoint: the pool walks its endpoints without looking each up by name

The pool keeps its endpoints in order, and ranks the homes of a prompt before it looks at whether they can be used. It still grows with the endpoints.

--- a/pkg/endpoint/brittle.go
+++ b/pkg/endpoint/brittle.go
@@ -286,8 +286,7 @@
 // a later answer of theirs is known. Their answers to all routers would else have to spread first.
 func (p *Pool) presumeOthers(now time.Time, brittle *backend) []Action {
 	var actions []Action
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if b.brittle.active() || !b.servesAnyOf(brittle) || b.brittle.observedAt.After(brittle.brittle.observedAt) {
 			continue
 		}
@@ -301,9 +300,8 @@
 // One that crashed and starts again would else get a request of each router at once.
 func (p *Pool) presumeNew(now time.Time, b *backend) {
 	s := &b.brittle
-	for _, name := range p.names {
-		other, ok := p.backends[name]
-		if ok && other.brittle.active() && b.servesAnyOf(other) && (!s.active() || other.brittle.tolerated < s.tolerated) {
+	for _, other := range p.ordered {
+		if other.brittle.active() && b.servesAnyOf(other) && (!s.active() || other.brittle.tolerated < s.tolerated) {
 			s.tolerated = other.brittle.tolerated
 		}
 	}
@@ -321,8 +319,7 @@
 // expireBrittle ends the brittleness that no answer has confirmed for long.
 func (p *Pool) expireBrittle(now time.Time) []Action {
 	var actions []Action
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if b.brittle.active() && now.Sub(b.brittle.confirmedAt()) > brittleTTL {
 			actions = append(actions, p.changeBrittle(now, b, 0)...)
 		}
@@ -396,14 +393,14 @@
 // BrittleReports returns the brittle endpoints to tell other routers, also those that have recovered lately.
 func (p *Pool) BrittleReports(now time.Time) []BrittleReported {
 	var reports []BrittleReported
-	for _, name := range p.names {
-		s := &p.backends[name].brittle
+	for _, b := range p.ordered {
+		s := &b.brittle
 		if s.presumed {
 			continue
 		}
 		if s.active() || s.endedAt.After(now.Add(-brittleRetention)) {
 			reports = append(reports, BrittleReported{
-				Endpoint: name, Tolerated: s.tolerated, At: s.observedAt, RejectedAt: s.rejectedAt, Load: s.load, LoadAt: s.loadAt})
+				Endpoint: b.Name, Tolerated: s.tolerated, At: s.observedAt, RejectedAt: s.rejectedAt, Load: s.load, LoadAt: s.loadAt})
 		}
 	}
 	return reports
--- a/pkg/endpoint/cold.go
+++ b/pkg/endpoint/cold.go
@@ -230,8 +230,7 @@
 //
 // A router that becomes a sender begins with an empty bucket, since another one may just have sent.
 func (p *Pool) updateColdShares(now time.Time) {
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if b.ColdRate <= 0 {
 			continue
 		}
@@ -246,14 +245,13 @@
 // reportColdChanges returns a ColdChanged for each endpoint that has become cold, or is no longer cold, since the last call.
 func (p *Pool) reportColdChanges(now time.Time) []Action {
 	var actions []Action
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		cold := b.isCold(now)
 		if cold == b.cold.reported {
 			continue
 		}
 		b.cold.reported = cold
-		changed := ColdChanged{Endpoint: name, Cold: cold, Presumed: b.cold.presumed != notPresumed, For: max(0, b.cold.until.Sub(now))}
+		changed := ColdChanged{Endpoint: b.Name, Cold: cold, Presumed: b.cold.presumed != notPresumed, For: max(0, b.cold.until.Sub(now))}
 		if _, ok := p.coldReadyAt(b); ok {
 			changed.Interval = b.cold.share.interval
 		}
--- a/pkg/endpoint/crash.go
+++ b/pkg/endpoint/crash.go
@@ -69,8 +69,8 @@
 // partInFlight reports whether a request with a part in its prompt is in flight.
 // Other requests with a suspect part wait for its outcome.
 func (p *Pool) partInFlight(id uint64) bool {
-	for _, name := range p.names {
-		for _, j := range p.backends[name].running {
+	for _, b := range p.ordered {
+		for _, j := range b.running {
 			for _, part := range sharedParts(j.Parts) {
 				if part.ID == id {
 					return true
--- a/pkg/endpoint/dispatch.go
+++ b/pkg/endpoint/dispatch.go
@@ -53,8 +53,8 @@
 // availabilityOf returns the state of the endpoints that a selector admits.
 func (p *Pool) availabilityOf(now time.Time, s selector) availability {
 	state := availability{tolerance: p.toleranceOf(now, s)}
-	for _, name := range p.names {
-		if p.canSend(now, p.backends[name], s, state.tolerance) {
+	for _, b := range p.ordered {
+		if p.canSend(now, b, s, state.tolerance) {
 			state.open = true
 			return state
 		}
@@ -131,8 +131,7 @@
 	})
 	var best *backend
 	var lowest float64
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if b == j.target || !p.canSend(now, b, j.selector(), t) {
 			continue
 		}
@@ -151,8 +150,8 @@
 // duplicateInFlight reports whether a request with this fingerprint is in flight.
 // A suspect waits for the outcome of its duplicate.
 func (p *Pool) duplicateInFlight(fingerprint uint64) bool {
-	for _, name := range p.names {
-		for _, j := range p.backends[name].running {
+	for _, b := range p.ordered {
+		for _, j := range b.running {
 			if j.Fingerprint == fingerprint {
 				return true
 			}
--- a/pkg/endpoint/limit.go
+++ b/pkg/endpoint/limit.go
@@ -135,8 +135,7 @@
 	}
 	p.self = ev.Self
 	p.routers = ev.Routers
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if b.limit.active() {
 			b.limit.setShare(now, p.shareOf(b))
 		}
@@ -178,10 +177,10 @@
 // LimitReports returns the limits to tell other routers, also those that have ended lately.
 func (p *Pool) LimitReports(now time.Time) []LimitReported {
 	var reports []LimitReported
-	for _, name := range p.names {
-		l := &p.backends[name].limit
+	for _, b := range p.ordered {
+		l := &b.limit
 		if l.active() || l.endedAt.After(now.Add(-limitRetention)) {
-			reports = append(reports, LimitReported{Endpoint: name, Rate: l.rate, At: l.observedAt})
+			reports = append(reports, LimitReported{Endpoint: b.Name, Rate: l.rate, At: l.observedAt})
 		}
 	}
 	return reports
--- a/pkg/endpoint/pace.go
+++ b/pkg/endpoint/pace.go
@@ -185,8 +185,7 @@
 // othersMean returns the mean of a measured value over the other endpoints of the same models or services, and whether there is one.
 func (p *Pool) othersMean(b *backend, measured func(*backend) (float64, bool)) (mean float64, ok bool) {
 	n, sum := 0, 0.0
-	for _, name := range p.names {
-		other := p.backends[name]
+	for _, other := range p.ordered {
 		if other == b || !b.servesAnyOf(other) {
 			continue
 		}
@@ -244,15 +243,14 @@
 // reportPaceChanges returns a PaceChanged for each endpoint that is paced, or no longer paced, since the last call.
 func (p *Pool) reportPaceChanges(now time.Time) []Action {
 	var actions []Action
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		paced := p.isPaced(now, b) && !now.Before(b.pace.beganAt)
 		if paced == b.pace.reported {
 			continue
 		}
 		b.pace.reported = paced
 		rank, _ := p.registeredRank(b)
-		actions = append(actions, PaceChanged{Endpoint: name, Paced: paced, Window: b.pace.window, Rank: rank, Reductions: b.pace.reductions,
+		actions = append(actions, PaceChanged{Endpoint: b.Name, Paced: paced, Window: b.pace.window, Rank: rank, Reductions: b.pace.reductions,
 			For: max(0, now.Sub(b.pace.beganAt))})
 		if !paced {
 			b.pace.reductions = 0
--- a/pkg/endpoint/pool.go
+++ b/pkg/endpoint/pool.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/foxtaillanding/foxtaillanding/pkg/refusal"
@@ -22,7 +23,7 @@
 	handledAt     time.Time      // Time of the last event.
 	suspendedAt   time.Time      // When this process was last suspended, as far as a time without events tells.
 	caughtUpAt    time.Time      // When it has read what came meanwhile.
-	names         []string       // Keys of backends, sorted, so that decisions do not depend on map order.
+	ordered       []*backend     // The backends, sorted by name, so that decisions do not depend on map order.
 	jobs          map[string]*job
 	queue         queue
 	suspects      suspects                  // Requests.
@@ -215,14 +216,14 @@
 		p.backends[e.Name] = b
 	}
 	maps.DeleteFunc(p.backends, func(name string, _ *backend) bool { return !configured[name] })
-	p.names = slices.Sorted(maps.Keys(p.backends))
+	p.ordered = slices.SortedFunc(maps.Values(p.backends), func(a, b *backend) int { return strings.Compare(a.Name, b.Name) })
 	p.serving = map[string]int{}
 	for _, b := range p.backends {
 		for _, name := range b.Serves {
 			p.serving[name]++
 		}
 	}
-	p.started = p.started || len(p.names) > 0
+	p.started = p.started || len(p.ordered) > 0
 }
 
 func (p *Pool) submit(now time.Time, r Request) []Action {
@@ -258,8 +259,7 @@
 		return refusal.Overloaded, true // One that may have run cannot turn to another router.
 	}
 	serving, notLeaving := 0, 0
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if !b.fits(j.selector()) {
 			continue
 		}
--- a/pkg/endpoint/prompt.go
+++ b/pkg/endpoint/prompt.go
@@ -108,17 +108,13 @@
 func (p *Pool) highestRanked(key uint64, n int, usable func(*backend) bool) []*backend {
 	ranked := make([]*backend, 0, n+1)
 	scores := make([]uint64, 0, n+1)
-	for _, name := range p.names {
-		b := p.backends[name]
-		if !usable(b) {
-			continue
-		}
+	for _, b := range p.ordered {
 		score := hashPair(b.hash, key)
 		i := len(ranked)
 		for i > 0 && scores[i-1] < score {
 			i--
 		}
-		if i == n {
+		if i == n || !usable(b) {
 			continue
 		}
 		ranked = slices.Insert(ranked, i, b)
--- a/pkg/endpoint/rest.go
+++ b/pkg/endpoint/rest.go
@@ -35,8 +35,7 @@
 
 // allRest reports whether all endpoints that a selector admits and that are not leaving rest, and when the first of them returns.
 func (p *Pool) allRest(now time.Time, s selector) (until time.Time, resting bool) {
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if !b.fits(s) || b.leaving() {
 			continue
 		}
--- a/pkg/endpoint/selector.go
+++ b/pkg/endpoint/selector.go
@@ -50,8 +50,7 @@
 // HasSeveralVersions reports whether the endpoints of a model or service, also those that are leaving, differ in their version.
 func (p *Pool) HasSeveralVersions(service string) bool {
 	var first *backend
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		switch {
 		case !b.serves(service):
 		case first == nil:
--- a/pkg/endpoint/shed.go
+++ b/pkg/endpoint/shed.go
@@ -90,8 +90,7 @@
 func (p *Pool) throughput(now time.Time, s selector) throughput {
 	var t throughput
 	tolerated := p.toleranceOf(now, s)
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if !b.fits(s) || b.leaving() {
 			continue
 		}
--- a/pkg/endpoint/silence.go
+++ b/pkg/endpoint/silence.go
@@ -25,8 +25,7 @@
 // that are neither leaving, resting nor ejected is silent, the rest could not take the load of all, so that none is avoided.
 func (p *Pool) toleranceOf(now time.Time, s selector) tolerance {
 	candidates, silent := 0, 0
-	for _, name := range p.names {
-		b := p.backends[name]
+	for _, b := range p.ordered {
 		if !b.fits(s) || !b.mayBegin(s) || b.leaving() || b.rests(now) || now.Before(b.ejectedUntil) {
 			continue
 		}
--- a/pkg/endpoint/view.go
+++ b/pkg/endpoint/view.go
@@ -16,11 +16,10 @@
 
 // Views returns the state of each endpoint, sorted by name.
 func (p *Pool) Views(now time.Time) []View {
-	views := make([]View, 0, len(p.names))
-	for _, name := range p.names {
-		b := p.backends[name]
+	views := make([]View, 0, len(p.ordered))
+	for _, b := range p.ordered {
 		views = append(views, View{
-			Name:         name,
+			Name:         b.Name,
 			Running:      len(b.running),
 			Reported:     b.report,
 			Leaving:      b.leaving(),
